--- /dev/null
+++ b/internal/config/object/quota.go
@@ -0,0 +1,12 @@
+package object
+
+import "bamboofall.example/bamboofall"
+
+// InQuota reports whether an amount stays inside a quota. A dimension of the
+// quota that is zero is not bounded.
+func InQuota(amount, quota bamboofall.Resources) bool {
+	within := func(a, q int64) bool { return q == 0 || a <= q }
+	return within(amount.MilliProcessors, quota.MilliProcessors) &&
+		within(amount.MemoryBytes, quota.MemoryBytes) &&
+		within(amount.Accelerators, quota.Accelerators)
+}
--- /dev/null
+++ b/internal/config/object/set.go
@@ -0,0 +1,224 @@
+package object
+
+import (
+	"fmt"
+	"sort"
+
+	"bamboofall.example/bamboofall/internal/config/inifile"
+)
+
+// Set is a set of decoded objects by kind and name. A nil map is empty.
+type Set struct {
+	Trades   map[string]*Trade
+	Services map[string]*Service
+	Jobs     map[string]*Job
+	Watches  map[string]*Watch
+	Limits   map[string]*Limit
+}
+
+// NewSet decodes objects into a set and returns the faults of their fields.
+func NewSet(objects []Object) (*Set, []error) {
+	s := &Set{
+		Trades:   make(map[string]*Trade),
+		Services: make(map[string]*Service),
+		Jobs:     make(map[string]*Job),
+		Watches:  make(map[string]*Watch),
+		Limits:   make(map[string]*Limit),
+	}
+	var errs []error
+	for _, o := range objects {
+		d, faults := Decode(o)
+		errs = append(errs, faults...)
+		s.add(d)
+	}
+	return s, errs
+}
+
+func (s *Set) add(d Decoded) {
+	switch {
+	case d.Trade != nil:
+		s.Trades[d.Trade.Name] = d.Trade
+	case d.Service != nil:
+		s.Services[d.Service.Name] = d.Service
+	case d.Job != nil:
+		s.Jobs[d.Job.Name] = d.Job
+	case d.Watch != nil:
+		s.Watches[d.Watch.Name] = d.Watch
+	case d.Limit != nil:
+		s.Limits[d.Limit.Name] = d.Limit
+	}
+}
+
+// ReadFiles reads objects from files. It returns all faults of syntax, titles
+// and repeated names.
+func ReadFiles(paths []string) ([]Object, []error) {
+	var objects []Object
+	var errs []error
+	first := make(map[Key]inifile.Section)
+	for _, path := range paths {
+		sections, faults := inifile.ReadFile(path)
+		errs = append(errs, faults...)
+		for _, s := range sections {
+			o, err := FromSection(s)
+			if err != nil {
+				errs = append(errs, err)
+				continue
+			}
+			if other, found := first[o.Key]; found {
+				errs = append(errs, fault(o, "", "is declared already at %s:%d", other.File, other.Line))
+				continue
+			}
+			first[o.Key] = s
+			objects = append(objects, o)
+		}
+	}
+	return objects, errs
+}
+
+// Check checks a whole set: the fields of each object, all references, and
+// limits against each other. Errors come in the order of the objects.
+func Check(objects []Object) []error {
+	set, errs := NewSet(objects)
+	for _, o := range objects {
+		errs = append(errs, checkReferences(set, o)...)
+	}
+	errs = append(errs, checkCircles(set, objects)...)
+	errs = append(errs, checkLimits(set, objects)...)
+	sortErrors(errs)
+	return errs
+}
+
+// fault returns an error at the line of a key of an object, or of its title if
+// the key is empty or not set.
+func fault(o Object, key, format string, args ...any) error {
+	line := o.Section.Line
+	for _, k := range o.Section.Keys {
+		if k.Name == key {
+			line = k.Line
+		}
+	}
+	message := o.Key.String() + ": " + fmt.Sprintf(format, args...)
+	return &inifile.Error{File: o.Section.File, Line: line, Message: message}
+}
+
+// reference is a key of an object that names another object.
+type reference struct {
+	key    string
+	target Key
+}
+
+func references(set *Set, o Object) []reference {
+	var refs []reference
+	switch o.Kind {
+	case KindJob:
+		j := set.Jobs[o.Name]
+		refs = []reference{{"trade", Key{KindTrade, j.Trade}}, {"after", Key{KindJob, j.After}}}
+	case KindWatch:
+		w := set.Watches[o.Name]
+		refs = []reference{{"trade", Key{KindTrade, w.Trade}}, {"service", Key{KindService, w.Service}}}
+	case KindLimit:
+		l := set.Limits[o.Name]
+		refs = []reference{{"service", Key{KindService, l.Service}}, {"trade", Key{KindTrade, l.Trade}}}
+	}
+	return refs
+}
+
+func (s *Set) has(k Key) bool {
+	switch k.Kind {
+	case KindTrade:
+		return s.Trades[k.Name] != nil
+	case KindService:
+		return s.Services[k.Name] != nil
+	case KindJob:
+		return s.Jobs[k.Name] != nil
+	}
+	return false
+}
+
+func checkReferences(set *Set, o Object) []error {
+	var errs []error
+	for _, ref := range references(set, o) {
+		if ref.target.Name != "" && !set.has(ref.target) {
+			errs = append(errs, fault(o, ref.key, "%s refers to %s, which does not exist", ref.key, ref.target))
+		}
+	}
+	return errs
+}
+
+// checkCircles finds jobs that wait for themselves by way of after.
+func checkCircles(set *Set, objects []Object) []error {
+	var errs []error
+	for _, o := range objects {
+		if o.Kind != KindJob {
+			continue
+		}
+		if path := circle(set, o.Name); path != "" {
+			errs = append(errs, fault(o, "after", "circular reference %s", path))
+		}
+	}
+	return errs
+}
+
+// circle returns the path from a job back to itself, or nothing.
+func circle(set *Set, start string) string {
+	path := start
+	name := start
+	for range len(set.Jobs) {
+		j := set.Jobs[name]
+		if j == nil || j.After == "" {
+			return ""
+		}
+		name = j.After
+		path += " -> " + name
+		if name == start {
+			return path
+		}
+	}
+	return ""
+}
+
+// checkLimits finds limits that name an unknown kind of request, limits on the
+// same work, and quotas that no task of a job fits into.
+func checkLimits(set *Set, objects []Object) []error {
+	var errs []error
+	first := make(map[[3]string]string)
+	for _, o := range objects {
+		switch o.Kind {
+		case KindLimit:
+			l := set.Limits[o.Name]
+			if s := set.Services[l.Service]; s != nil && l.Kind != "" {
+				if _, known := s.RequestKind(l.Kind); !known {
+					errs = append(errs, fault(o, "kind", "service %q has no request kind %q", l.Service, l.Kind))
+				}
+			}
+			on := [3]string{l.Service, l.Kind, l.Trade}
+			if other, found := first[on]; found {
+				errs = append(errs, fault(o, "", "contradicts limit %q on the same requests", other))
+			}
+			first[on] = o.Name
+		case KindJob:
+			errs = append(errs, checkQuota(set, o)...)
+		}
+	}
+	return errs
+}
+
+func checkQuota(set *Set, o Object) []error {
+	j := set.Jobs[o.Name]
+	t := set.Trades[j.Trade]
+	if t == nil || InQuota(j.Size, t.Quota) {
+		return nil
+	}
+	return []error{fault(o, "", "one task is larger than the quota of trade %q", t.Name)}
+}
+
+func sortErrors(errs []error) {
+	sort.SliceStable(errs, func(i, j int) bool {
+		a, okA := errs[i].(*inifile.Error)
+		b, okB := errs[j].(*inifile.Error)
+		if !okA || !okB || a.File != b.File {
+			return false
+		}
+		return a.Line < b.Line
+	})
+}
--- /dev/null
+++ b/internal/request/instance/instance.go
@@ -0,0 +1,291 @@
+// Package instance keeps what an owner knows of its upstream instances and
+// picks one for a request.
+//
+// The owner of an instance alone spends its slots, so a slot count in memory
+// is exact. A slot is taken from the moment the request is handed over for
+// sending until the answer is whole, or until the instance can no longer work
+// on it. A choice looks at two instances with room, picked at random, and
+// takes the one with less expected delay, so its cost does not grow with the
+// number of instances. The number of slots in use follows the measured
+// latency.
+package instance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bamboofall.example/bamboofall"
+)
+
+const (
+	// latencyWeight is the weight of a new sample in the smoothed latency.
+	latencyWeight = 0.1
+	// slowFactor times the service's own latency is slow for an instance.
+	slowFactor = 3
+	// minLimit is the least number of slots that a working instance may use.
+	minLimit = 1
+	decrease = 0.9
+	// maxFailures in a row take an instance out.
+	maxFailures = 3
+	firstRest   = time.Second
+	maxRest     = 30 * time.Second
+)
+
+// Instance is an upstream instance of this owner.
+type Instance struct {
+	bamboofall.Instance
+	VM      bamboofall.VMID
+	Shard   int
+	Leaving bool
+	// UsableAt is when the previous owner's requests have ended for certain.
+	UsableAt time.Time
+
+	inflight int
+	latency  time.Duration
+	limit    float64
+	failures int
+	rests    int
+	restTill time.Time
+	probing  bool
+	// slot is the place in the pool's list of instances with room, or -1.
+	slot   int
+	window Window
+}
+
+// Window holds the samples since the last observation.
+type Window struct {
+	Count int
+	Sum   time.Duration
+}
+
+// Inflight returns the number of slots in use.
+func (i *Instance) Inflight() int { return i.inflight }
+
+// Latency returns the smoothed latency. Zero if unknown.
+func (i *Instance) Latency() time.Duration { return i.latency }
+
+// Resting reports whether the instance is out because it failed.
+func (i *Instance) Resting(now time.Time) bool { return now.Before(i.restTill) }
+
+// usable returns the number of slots that may be taken now.
+func (i *Instance) usable(now time.Time) int {
+	switch {
+	case i.Leaving, now.Before(i.UsableAt), now.Before(i.restTill):
+		return 0
+	case i.probing:
+		return 1 - i.inflight
+	}
+	return min(i.Slots, int(i.limit+0.5)) - i.inflight
+}
+
+// Pool holds the instances of one service. Use NewPool.
+type Pool struct {
+	all  map[string]*Instance
+	room []*Instance
+	// latency is smoothed over all instances.
+	latency time.Duration
+	rand    *rand.Rand
+}
+
+// NewPool returns an empty pool that draws from a random source.
+func NewPool(r *rand.Rand) *Pool {
+	return &Pool{all: make(map[string]*Instance), rand: r}
+}
+
+// Get returns an instance, or nil.
+func (p *Pool) Get(id string) *Instance { return p.all[id] }
+
+// All returns the instances by id. The caller must not change the map.
+func (p *Pool) All() map[string]*Instance { return p.all }
+
+// Latency returns the latency smoothed over all instances. Zero if unknown.
+func (p *Pool) Latency() time.Duration { return p.latency }
+
+// Set adds an instance, or updates what the platform says of it.
+func (p *Pool) Set(now time.Time, want Instance) {
+	i := p.all[want.ID]
+	if i == nil {
+		i = &Instance{limit: float64(want.Slots), slot: -1}
+		p.all[want.ID] = i
+	}
+	i.Instance = want.Instance
+	i.VM = want.VM
+	i.Shard = want.Shard
+	i.Leaving = want.Leaving
+	i.UsableAt = want.UsableAt
+	p.index(now, i)
+}
+
+// Remove drops an instance that this owner has no right to any more. Its
+// requests in flight are still counted until they end.
+func (p *Pool) Remove(id string) {
+	i := p.all[id]
+	if i == nil {
+		return
+	}
+	i.Leaving = true
+	p.unlist(i)
+	if i.inflight == 0 {
+		delete(p.all, id)
+	}
+}
+
+// index puts an instance into the list of those with room, or takes it out.
+func (p *Pool) index(now time.Time, i *Instance) {
+	if i.usable(now) <= 0 {
+		p.unlist(i)
+		return
+	}
+	if i.slot < 0 {
+		i.slot = len(p.room)
+		p.room = append(p.room, i)
+	}
+}
+
+func (p *Pool) unlist(i *Instance) {
+	if i.slot < 0 {
+		return
+	}
+	last := p.room[len(p.room)-1]
+	p.room[i.slot] = last
+	last.slot = i.slot
+	p.room = p.room[:len(p.room)-1]
+	i.slot = -1
+}
+
+// Refresh looks again at all instances: some may have rested enough.
+func (p *Pool) Refresh(now time.Time) {
+	for _, i := range p.all {
+		p.index(now, i)
+	}
+}
+
+// HasRoom reports whether an instance has a free slot.
+func (p *Pool) HasRoom() bool { return len(p.room) > 0 }
+
+// Pick takes a slot for a request, or returns nil if no instance has room. An
+// instance that may be faulty is tried with idempotent requests only. The
+// instance to avoid, if there is another one, may be empty.
+func (p *Pool) Pick(now time.Time, idempotent bool, avoid string) *Instance {
+	best := p.candidate(now, idempotent, avoid)
+	other := p.candidate(now, idempotent, avoid)
+	if best == nil || other != nil && p.delay(other) < p.delay(best) {
+		best = other
+	}
+	if best == nil {
+		best = p.scan(now, idempotent, avoid)
+	}
+	if best == nil {
+		return nil
+	}
+	best.inflight++
+	p.index(now, best)
+	return best
+}
+
+func (p *Pool) candidate(now time.Time, idempotent bool, avoid string) *Instance {
+	if len(p.room) == 0 {
+		return nil
+	}
+	i := p.room[p.rand.IntN(len(p.room))]
+	if !p.allowed(now, i, idempotent, avoid) {
+		return nil
+	}
+	return i
+}
+
+func (p *Pool) allowed(now time.Time, i *Instance, idempotent bool, avoid string) bool {
+	if i.usable(now) <= 0 || i.probing && !idempotent {
+		return false
+	}
+	return i.ID != avoid || len(p.room) == 1
+}
+
+// scan looks at all instances with room, for when the random choice met only
+// such as were not allowed.
+func (p *Pool) scan(now time.Time, idempotent bool, avoid string) *Instance {
+	for _, i := range p.room {
+		if p.allowed(now, i, idempotent, avoid) {
+			return i
+		}
+	}
+	return nil
+}
+
+// delay returns the expected delay of one more request.
+func (p *Pool) delay(i *Instance) float64 {
+	latency := i.latency
+	if latency == 0 {
+		latency = p.latency
+	}
+	return float64(latency+time.Microsecond) * float64(i.inflight+1) / float64(i.Slots)
+}
+
+// Release gives a slot back.
+func (p *Pool) Release(now time.Time, i *Instance) {
+	i.inflight--
+	if i.inflight == 0 && i.Leaving {
+		if p.all[i.ID] == i {
+			delete(p.all, i.ID)
+		}
+		return
+	}
+	p.index(now, i)
+}
+
+// Succeeded records an answer. It must come before Release.
+func (p *Pool) Succeeded(i *Instance, took time.Duration) {
+	i.failures = 0
+	i.rests = 0
+	i.probing = false
+	i.window.Count++
+	i.window.Sum += took
+	smooth(&i.latency, took)
+	smooth(&p.latency, took)
+	if took > slowFactor*p.latency && i.inflight >= int(i.limit) {
+		i.limit = max(i.limit*decrease, minLimit)
+		return
+	}
+	i.limit = min(i.limit+1/(i.limit+1), float64(i.Slots))
+}
+
+// Failed records a failure that is the instance's own fault. It must come
+// before Release.
+func (p *Pool) Failed(now time.Time, i *Instance) {
+	i.failures++
+	if i.failures < maxFailures && !i.probing {
+		return
+	}
+	rest := min(firstRest<<min(i.rests, 5), maxRest)
+	i.restTill = now.Add(rest)
+	i.rests++
+	i.failures = 0
+	i.probing = true
+	p.index(now, i)
+}
+
+func smooth(mean *time.Duration, sample time.Duration) {
+	if *mean == 0 {
+		*mean = sample
+	}
+	*mean += time.Duration(latencyWeight * float64(sample-*mean))
+}
+
+// Room returns the free and all slots of the instances that are in use.
+func (p *Pool) Room(now time.Time) (free, owned int) {
+	for _, i := range p.all {
+		if i.Leaving || i.Resting(now) || now.Before(i.UsableAt) {
+			continue
+		}
+		owned += i.Slots
+		free += max(i.usable(now), 0)
+	}
+	return free, owned
+}
+
+// TakeWindow returns the samples of an instance since the last call.
+func (i *Instance) TakeWindow() Window {
+	w := i.window
+	i.window = Window{}
+	return w
+}
