cmd/bamboofall: serve a request and a batch run end to end

Cause: nothing ran yet. Change: control node, request router, batch scheduler, entry daemon, stand-ins, operators' commands and dev. Shutdown of all entry VMs at once hangs for 60 s, since nobody is left to take the shards.

--- /dev/null
+++ b/internal/entry/daemon/callers.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/request/router"
+)
+
+const (
+	// maxCallBody bounds a caller's body, in bytes.
+	maxCallBody     = 16 << 20
+	defaultDeadline = 2 * time.Second
+	maxKey          = 200
+)
+
+// wireRefusal is the body of an answer that is not the upstream's.
+type wireRefusal struct {
+	Outcome      string `json:"outcome"`
+	Reason       string `json:"reason"`
+	RetryAfterMS int64  `json:"retryAfterMs,omitempty"`
+	Message      string `json:"message,omitempty"`
+}
+
+// callersHandler serves callers, operators and the balancer's health checks.
+func (d *Daemon) callersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/call/{service}/{kind}", d.serveCall)
+	mux.HandleFunc("GET /health", d.serveHealth)
+	d.handleOperators(mux)
+	return mux
+}
+
+func (d *Daemon) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if d.isLeaving() {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (d *Daemon) serveCall(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	req, message := d.parseCall(now, r)
+	if message != "" {
+		refuse(w, http.StatusBadRequest, wireRefusal{Outcome: "notRun", Reason: "malformed", Message: message})
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxCallBody+1))
+	if err != nil || len(body) > maxCallBody {
+		refuse(w, http.StatusRequestEntityTooLarge, wireRefusal{Outcome: "notRun", Reason: "bodyTooLarge"})
+		return
+	}
+	req.Content = xxhash.Sum64(body)
+	reply := d.handle(req, body)
+	d.metrics.call(req, reply, time.Since(now))
+	writeReply(w, reply)
+}
+
+// handle takes a request through the request loop and waits for the reply.
+func (d *Daemon) handle(req router.Request, body []byte) router.Reply {
+	id, one := d.calls.add(body)
+	req.ID = id
+	item := requestItem{do: func(now time.Time, r *router.Router) []router.Action { return r.Arrive(now, req) }}
+	if !d.requests.TryPush(item) {
+		d.calls.finish(router.Reply{Request: req, Outcome: bamboofall.OutcomeNotRun, Reason: reasonRingFull})
+	}
+	return <-one.reply
+}
+
+// reasonRingFull refuses a request because the request loop cannot keep up.
+const reasonRingFull router.Reason = "ringFull"
+
+// parseCall reads a caller's headers. The message is empty if all is right.
+func (d *Daemon) parseCall(now time.Time, r *http.Request) (router.Request, string) {
+	req := router.Request{
+		Service: r.PathValue("service"),
+		Kind:    r.PathValue("kind"),
+		Trade:   r.Header.Get(headerTrade),
+		Key:     r.Header.Get(headerKey),
+		First:   r.Header.Get(headerAttempt) == "1",
+	}
+	if len(r.Header.Values("Content-Length")) > 1 || r.Header.Get("Content-Length") != "" && len(r.TransferEncoding) > 0 {
+		return req, "ambiguous length"
+	}
+	if len(req.Key) > maxKey {
+		return req, "key too long"
+	}
+	deadline := defaultDeadline
+	if text := r.Header.Get(headerDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil {
+			return req, headerDeadline + " is not a number of milliseconds"
+		}
+		deadline = time.Duration(ms) * time.Millisecond
+	}
+	req.Deadline = now.Add(deadline)
+	return req, ""
+}
+
+func writeReply(w http.ResponseWriter, reply router.Reply) {
+	if reply.Outcome == bamboofall.OutcomeAnswered {
+		w.Header().Set(headerOutcome, reply.Outcome.String())
+		if reply.Answer.ContentType != "" {
+			w.Header().Set("Content-Type", reply.Answer.ContentType)
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(reply.Answer.Body)))
+		w.WriteHeader(reply.Answer.Status)
+		_, _ = w.Write(reply.Answer.Body)
+		return
+	}
+	refuse(w, statusOf(reply), wireRefusal{
+		Outcome: reply.Outcome.String(), Reason: string(reply.Reason), RetryAfterMS: reply.RetryAfter.Milliseconds(),
+	})
+}
+
+// statusOf returns the HTTP status of a reply that is not an answer.
+func statusOf(reply router.Reply) int {
+	if reply.Outcome == bamboofall.OutcomeUnknown {
+		return http.StatusGatewayTimeout
+	}
+	switch reply.Reason {
+	case router.ReasonUnknownService, router.ReasonUnknownKind:
+		return http.StatusNotFound
+	case router.ReasonUnknownTrade, router.ReasonMissingKey, router.ReasonDeadlinePassed:
+		return http.StatusBadRequest
+	case router.ReasonKeyReused:
+		return http.StatusConflict
+	case router.ReasonLimited:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+func refuse(w http.ResponseWriter, status int, body wireRefusal) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		seconds := math.Ceil(float64(max(body.RetryAfterMS, 1)) / 1000)
+		w.Header().Set(headerRetryAfter, strconv.Itoa(int(seconds)))
+	}
+	w.Header().Set(headerOutcome, body.Outcome)
+	w.Header().Set(headerReason, body.Reason)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/entry/daemon/peers.go
@@ -0,0 +1,216 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/entry/node"
+	"bamboofall.example/bamboofall/internal/request/idempotency"
+	"bamboofall.example/bamboofall/internal/request/router"
+	"bamboofall.example/bamboofall/internal/state/member"
+	"bamboofall.example/bamboofall/internal/wire/httpclient"
+	"bamboofall.example/bamboofall/internal/wire/peerpb"
+)
+
+const (
+	snapshotTimeout = 5 * time.Second
+	// forwardMargin is added to a request's time for the way back.
+	forwardMargin = 50 * time.Millisecond
+)
+
+// peersHandler serves the other entry VMs.
+func (d *Daemon) peersHandler() http.Handler {
+	path, handler := peerpb.NewPeerHandler(&peerServer{d})
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	return mux
+}
+
+// peerServer answers the other entry VMs.
+type peerServer struct {
+	d *Daemon
+}
+
+// Heartbeat implements the Peer service.
+func (s *peerServer) Heartbeat(ctx context.Context, r *connect.Request[peerpb.HeartbeatRequest]) (*connect.Response[peerpb.HeartbeatResponse], error) {
+	m := r.Msg
+	h := member.Heartbeat{
+		VM: bamboofall.VMID(m.GetVm()), Incarnation: m.GetIncarnation(),
+		DataCentre: bamboofall.DataCentre(m.GetDataCentre()), Leaving: m.GetLeaving(),
+		Revision: m.GetRevision(), Rooms: fromRooms(m.GetRooms()),
+	}
+	var shards []node.OwnedShard
+	for _, o := range m.GetShards() {
+		shards = append(shards, node.OwnedShard{Shard: int(o.GetShard()), Token: bamboofall.Token(o.GetToken())})
+	}
+	var self member.Heartbeat
+	var clear bool
+	err := s.d.inspect(ctx, func(now time.Time, n *node.Node) { self, clear = n.HearHeartbeat(now, h, shards) })
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerpb.HeartbeatResponse{
+		Vm: string(self.VM), Incarnation: self.Incarnation, Leaving: self.Leaving, Revision: self.Revision,
+		Rooms: toRooms(self.Rooms), NoClaim: clear, DataCentre: string(self.DataCentre),
+	}), nil
+}
+
+// Forward implements the Peer service.
+func (s *peerServer) Forward(_ context.Context, r *connect.Request[peerpb.ForwardRequest]) (*connect.Response[peerpb.ForwardResponse], error) {
+	m := r.Msg
+	req := router.Request{
+		Service: m.GetService(), Kind: m.GetKind(), Trade: m.GetTrade(), Key: m.GetKey(),
+		First: m.GetAttempt() == 1, Content: m.GetContent(), Hop: true, HomeHeld: m.GetHomeHeld(),
+		Token:    bamboofall.Token(m.GetToken()),
+		Deadline: time.Now().Add(time.Duration(m.GetRemainingMs()) * time.Millisecond),
+	}
+	reply := s.d.handle(req, m.GetBody())
+	out := &peerpb.ForwardResponse{
+		Outcome: uint32(reply.Outcome), Reason: string(reply.Reason), RetryAfterMs: reply.RetryAfter.Milliseconds(),
+	}
+	if reply.Answer != nil {
+		out.Status = uint32(reply.Answer.Status)
+		out.Body = reply.Answer.Body
+		out.ContentType = reply.Answer.ContentType
+	}
+	return connect.NewResponse(out), nil
+}
+
+// Explain implements the Peer service.
+func (s *peerServer) Explain(_ context.Context, r *connect.Request[peerpb.ExplainRequest]) (*connect.Response[peerpb.ExplainResponse], error) {
+	out := &peerpb.ExplainResponse{}
+	for _, e := range s.d.findTrail(r.Msg.GetKind(), r.Msg.GetName()) {
+		out.Decisions = append(out.Decisions, &peerpb.Decision{
+			AtUnixMs: e.At.UnixMilli(), Vm: e.VM, Kind: e.Kind, Name: e.Name, Message: e.Message,
+		})
+	}
+	return connect.NewResponse(out), nil
+}
+
+// Snapshot implements the Peer service.
+func (s *peerServer) Snapshot(ctx context.Context, r *connect.Request[peerpb.SnapshotRequest]) (*connect.Response[peerpb.SnapshotResponse], error) {
+	var data []byte
+	var ready bool
+	var failed error
+	err := s.d.inspect(ctx, func(_ time.Time, n *node.Node) {
+		ready = n.Ready()
+		data, failed = n.Snapshot(r.Msg.GetStream())
+	})
+	if err = errors.Join(err, failed); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	if !ready {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("no state yet"))
+	}
+	return connect.NewResponse(&peerpb.SnapshotResponse{Data: data}), nil
+}
+
+func (d *Daemon) peer(to netip.AddrPort) peerpb.PeerClient {
+	return peerpb.NewPeerClient(d.peers, "http://"+to.String())
+}
+
+func (d *Daemon) doHeartbeat(ctx context.Context, a node.Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, d.set.Timing.Suspect)
+	defer cancel()
+	m := &peerpb.HeartbeatRequest{
+		Vm: string(a.Self.VM), Incarnation: a.Self.Incarnation, DataCentre: string(a.Self.DataCentre),
+		Leaving: a.Self.Leaving, Revision: a.Self.Revision, Rooms: toRooms(a.Self.Rooms),
+	}
+	for _, s := range a.Shards {
+		m.Shards = append(m.Shards, &peerpb.OwnedShard{Shard: uint32(s.Shard), Token: uint64(s.Token)})
+	}
+	sent := time.Now()
+	res, err := d.peer(a.Address).Heartbeat(ctx, connect.NewRequest(m))
+	done := node.HeartbeatDone{Peer: a.Peer, Address: a.Address, Sent: sent, Err: err}
+	if err != nil {
+		done.Refused = errors.Is(err, syscall.ECONNREFUSED)
+		d.control.Push(ctx, controlItem{event: done})
+		return
+	}
+	r := res.Msg
+	done.NoClaim = r.GetNoClaim()
+	done.Answer = member.Heartbeat{
+		VM: bamboofall.VMID(r.GetVm()), Incarnation: r.GetIncarnation(), Leaving: r.GetLeaving(),
+		DataCentre: bamboofall.DataCentre(r.GetDataCentre()), Revision: r.GetRevision(), Rooms: fromRooms(r.GetRooms()),
+	}
+	d.control.Push(ctx, controlItem{event: done})
+}
+
+func (d *Daemon) doFetch(ctx context.Context, a node.FetchSnapshot) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	done := node.SnapshotFetched{Stream: a.Stream}
+	res, err := d.peer(a.Address).Snapshot(ctx, connect.NewRequest(&peerpb.SnapshotRequest{Stream: a.Stream}))
+	if err != nil {
+		done.Err = err
+	} else {
+		done.Data = res.Msg.GetData()
+	}
+	d.control.Push(ctx, controlItem{event: done})
+}
+
+// forward sends a request to another entry VM and reports its answer.
+func (d *Daemon) forward(a router.Forward) {
+	res := d.forwardTo(a)
+	d.pushRequests(func(now time.Time, r *router.Router) []router.Action { return r.Forwarded(now, a.Request.ID, res) })
+}
+
+func (d *Daemon) forwardTo(a router.Forward) router.PeerResult {
+	one := d.calls.get(a.Request.ID)
+	left := time.Until(a.Request.Deadline)
+	if one == nil || !a.Address.IsValid() || left <= 0 {
+		return router.PeerResult{}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), left+forwardMargin)
+	defer cancel()
+	m := &peerpb.ForwardRequest{
+		From: string(d.set.VM), Service: a.Request.Service, Kind: a.Request.Kind, Trade: a.Request.Trade,
+		Key: a.Request.Key, RemainingMs: left.Milliseconds(), Body: one.body, Token: uint64(a.Token),
+		HomeHeld: a.HomeHeld, Content: a.Request.Content,
+	}
+	if a.Request.First {
+		m.Attempt = 1
+	}
+	res, err := d.peer(a.Address).Forward(ctx, connect.NewRequest(m))
+	if err != nil {
+		return router.PeerResult{Reached: !httpclient.IsDial(err), Lost: true}
+	}
+	r := res.Msg
+	out := router.PeerResult{
+		Reached: true, Outcome: bamboofall.Outcome(r.GetOutcome()), Reason: router.Reason(r.GetReason()),
+		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+	}
+	if out.Outcome == bamboofall.OutcomeAnswered {
+		out.Answer = &idempotency.Answer{Status: int(r.GetStatus()), ContentType: r.GetContentType(), Body: r.GetBody()}
+	}
+	return out
+}
+
+func toRooms(rooms []member.Room) []*peerpb.ServiceRoom {
+	out := make([]*peerpb.ServiceRoom, len(rooms))
+	for i, r := range rooms {
+		out[i] = &peerpb.ServiceRoom{
+			Service: r.Service, FreeSlots: uint32(r.Free), OwnedSlots: uint32(r.Owned),
+			TypicalLatencyUs: r.Latency.Microseconds(),
+		}
+	}
+	return out
+}
+
+func fromRooms(rooms []*peerpb.ServiceRoom) []member.Room {
+	out := make([]member.Room, len(rooms))
+	for i, r := range rooms {
+		out[i] = member.Room{
+			Service: r.GetService(), Free: int(r.GetFreeSlots()), Owned: int(r.GetOwnedSlots()),
+			Latency: time.Duration(r.GetTypicalLatencyUs()) * time.Microsecond,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/node/shards.go
@@ -0,0 +1,306 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/request/router"
+	"bamboofall.example/bamboofall/internal/state/ledger"
+	"bamboofall.example/bamboofall/internal/state/member"
+	"bamboofall.example/bamboofall/internal/wire/recordpb"
+)
+
+const (
+	claimEvery = 200 * time.Millisecond
+	// claimAgain is when a claim that was not read back is written again.
+	claimAgain = 3 * time.Second
+	// settle is how long an owner of another assignment must be wanted before
+	// a shard is handed over to it.
+	settle = time.Second
+)
+
+// shardUse is what this process makes of a shard.
+type shardUse struct {
+	// mineSince is when this process's claim was read back. Zero if the shard
+	// is not this process's.
+	mineSince time.Time
+	active    bool
+	// giving is the VM to which the shard is being handed over.
+	giving    bamboofall.VMID
+	handedOut time.Time
+	claimedAt time.Time
+	// wanted is the VM that should own the shard, since wantedSince.
+	wanted      bamboofall.VMID
+	wantedSince time.Time
+}
+
+// mine reports whether this very process owns a shard by the ledger.
+func (n *Node) mine(shard int) bool {
+	s := n.ledger.Shard(shard)
+	return s.Owner == n.set.VM && s.Incarnation == n.cfg.Incarnation
+}
+
+// peersNow returns the other VMs of the data centre that may be running.
+func (n *Node) peersNow(now time.Time) []bamboofall.VMID {
+	var out []bamboofall.VMID
+	for _, m := range n.members.In(now, n.set.DataCentre) {
+		out = append(out, m.VM)
+	}
+	return out
+}
+
+func (n *Node) fenceOpen(now time.Time) bool { return n.fence.Open(now, n.peersNow(now)) }
+
+// shardsChanged follows a record that changed an ownership.
+func (n *Node) shardsChanged(now time.Time, r *recordpb.Record, v ledger.Verdict) {
+	shard := -1
+	switch body := r.GetBody().(type) {
+	case *recordpb.Record_Claim:
+		shard = int(body.Claim.GetShard())
+	case *recordpb.Record_Handover:
+		shard = int(body.Handover.GetShard())
+	}
+	if shard < 0 || shard >= len(n.shards) || v.Void != "" || v.Repeat {
+		return
+	}
+	n.shardChanged(now, shard)
+	s := n.ledger.Shard(shard)
+	n.explain("shard", fmt.Sprint(shard), "belongs to %s under token %d", s.Owner, s.Token)
+}
+
+// shardChanged begins anew with a shard after its token changed.
+func (n *Node) shardChanged(now time.Time, shard int) {
+	u := &n.shards[shard]
+	if u.active {
+		n.sched.Deactivate(shard)
+	}
+	*u = shardUse{wanted: u.wanted, wantedSince: u.wantedSince}
+	if n.mine(shard) {
+		u.mineSince = now
+	}
+	n.nextView = now
+}
+
+// shardsRestored begins anew with all shards after a snapshot.
+func (n *Node) shardsRestored(now time.Time) {
+	for i := range n.shards {
+		n.shardChanged(now, i)
+	}
+}
+
+// own claims, activates and hands over shards.
+func (n *Node) own(now time.Time) {
+	open := n.fenceOpen(now)
+	for i := range n.shards {
+		n.activate(now, i, open)
+	}
+	if now.Before(n.nextClaim) || !n.shardLog.ready || !n.shardLog.atEnd || !n.listed {
+		return
+	}
+	n.nextClaim = now.Add(claimEvery)
+	wanted := member.Assign(len(n.shards), n.members.Alive(now, n.set.DataCentre, n.leaving))
+	for i := range n.shards {
+		if wanted != nil {
+			n.want(now, i, wanted[i])
+		}
+	}
+	n.giveOne(now)
+}
+
+// activate begins to act for a shard once that is safe.
+func (n *Node) activate(now time.Time, shard int, open bool) {
+	u := &n.shards[shard]
+	if u.active || u.mineSince.IsZero() || u.giving != "" || !open {
+		return
+	}
+	s := n.ledger.Shard(shard)
+	if !s.HandedOver && now.Sub(u.mineSince) < n.set.Timing.Takeover {
+		return
+	}
+	u.active = true
+	n.counters.Activations++
+	n.sched.Activate(now, shard, s.Token)
+	n.explain("shard", fmt.Sprint(shard), "acts as owner under token %d", s.Token)
+	n.nextView = now
+}
+
+// want records who should own a shard, and claims it if it is this VM.
+func (n *Node) want(now time.Time, shard int, vm bamboofall.VMID) {
+	u := &n.shards[shard]
+	if u.wanted != vm {
+		u.wanted = vm
+		u.wantedSince = now
+	}
+	if vm != n.set.VM || n.mine(shard) || !u.claimedAt.IsZero() && now.Sub(u.claimedAt) < claimAgain {
+		return
+	}
+	if !n.mayClaim(now, shard) {
+		return
+	}
+	s := n.ledger.Shard(shard)
+	u.claimedAt = now
+	n.counters.Claims++
+	n.write(now, n.shardLog, &recordpb.Record{
+		Id: fmt.Sprintf("claim/%d/%d/%s/%s", shard, s.Token, n.set.VM, n.cfg.Incarnation),
+		Body: &recordpb.Record_Claim{Claim: &recordpb.Claim{
+			Shard: uint32(shard), Shards: uint32(len(n.shards)), Owner: string(n.set.VM),
+			Incarnation: n.cfg.Incarnation, PreviousToken: uint64(s.Token),
+		}},
+	})
+}
+
+// mayClaim reports whether the owner of a shard is out of the way. A VM that
+// is only silent may be cut off from this one. Its fence protects it only if
+// it knows this process, so it must have answered it before.
+func (n *Node) mayClaim(now time.Time, shard int) bool {
+	s := n.ledger.Shard(shard)
+	if s.Token == 0 || s.Owner == n.set.VM {
+		return true
+	}
+	switch n.members.Status(now, s.Owner) {
+	case member.StatusGone:
+		return true
+	case member.StatusSuspect:
+		m := n.members.Get(s.Owner)
+		return m != nil && m.Acknowledged
+	}
+	m := n.members.Get(s.Owner)
+	return m.Last.Incarnation != s.Incarnation
+}
+
+// giveOne hands one shard over to the VM that should own it. The shard is out
+// of use from the decision on. The record is written once nothing of it is in
+// flight.
+func (n *Node) giveOne(now time.Time) {
+	for i := range n.shards {
+		if n.shards[i].giving != "" {
+			n.finishGiving(now, i)
+			return
+		}
+	}
+	for i := range n.shards {
+		u := &n.shards[i]
+		wait := settle
+		if n.leaving {
+			wait = 0
+		}
+		if !u.active || u.wanted == n.set.VM || u.wanted == "" || now.Sub(u.wantedSince) < wait {
+			continue
+		}
+		m := n.members.Get(u.wanted)
+		if m == nil || !m.Acknowledged || n.members.Status(now, u.wanted) != member.StatusAlive {
+			continue
+		}
+		n.stopUsing(now, i)
+		return
+	}
+}
+
+func (n *Node) stopUsing(now time.Time, shard int) {
+	u := &n.shards[shard]
+	u.giving = u.wanted
+	u.active = false
+	u.handedOut = time.Time{}
+	n.requests.Inflight = nil
+	n.sched.Deactivate(shard)
+	n.explain("shard", fmt.Sprint(shard), "is being handed over to %s", u.giving)
+	n.nextView = now
+}
+
+// finishGiving writes the handover once the request side has reported, after
+// it was told to stop, that nothing is in flight.
+func (n *Node) finishGiving(now time.Time, shard int) {
+	u := &n.shards[shard]
+	if n.requests.Inflight == nil || n.requests.Inflight[shard] > 0 {
+		return
+	}
+	if !u.handedOut.IsZero() && now.Sub(u.handedOut) < claimAgain {
+		return
+	}
+	m := n.members.Get(u.giving)
+	if m == nil || n.members.Status(now, u.giving) != member.StatusAlive {
+		if u.handedOut.IsZero() {
+			u.giving = ""
+		}
+		return
+	}
+	u.handedOut = now
+	n.counters.Handovers++
+	s := n.ledger.Shard(shard)
+	n.write(now, n.shardLog, &recordpb.Record{
+		Id: fmt.Sprintf("handover/%d/%d", shard, s.Token),
+		Body: &recordpb.Record_Handover{Handover: &recordpb.Handover{
+			Shard: uint32(shard), Token: uint64(s.Token), To: string(u.giving), Incarnation: m.Last.Incarnation,
+		}},
+	})
+}
+
+// Owned returns the shards that belong to this process.
+func (n *Node) Owned() []OwnedShard {
+	var out []OwnedShard
+	for i := range n.shards {
+		if n.mine(i) {
+			out = append(out, OwnedShard{i, n.ledger.Shard(i).Token})
+		}
+	}
+	return out
+}
+
+// view returns what the request side needs.
+func (n *Node) view(now time.Time) router.View {
+	v := router.View{
+		FenceUntil: n.fence.Until(n.peersNow(now)),
+		Active:     make(map[int]bamboofall.Token),
+		Leaving:    n.leaving,
+		Sharers:    1,
+	}
+	for i := range n.shards {
+		s := n.ledger.Shard(i)
+		v.Homes = append(v.Homes, router.Home{Owner: s.Owner, Token: s.Token})
+		if n.shards[i].active {
+			v.Active[i] = s.Token
+		}
+	}
+	for _, vm := range n.fleet.VMs {
+		if vm.DataCentre == n.set.DataCentre {
+			v.Instances = append(v.Instances, n.ownedInstances(vm)...)
+		}
+	}
+	for _, m := range n.members.All(now) {
+		status := n.members.Status(now, m.VM)
+		if m.DataCentre == n.set.DataCentre {
+			v.Sharers++
+		}
+		if status != member.StatusAlive && status != member.StatusLeaving {
+			continue
+		}
+		v.Peers = append(v.Peers, router.Peer{
+			VM: m.VM, DataCentre: m.DataCentre, Address: m.Address, Leaving: status == member.StatusLeaving,
+			Rooms: m.Last.Rooms, RTT: m.RTT, Heard: m.Heard,
+		})
+	}
+	return v
+}
+
+// ownedInstances returns the instances on a VM if this process owns its shard.
+func (n *Node) ownedInstances(vm bamboofall.VM) []router.OwnedInstance {
+	shard := ledger.ShardOf(string(vm.ID), len(n.shards))
+	if !n.shards[shard].active {
+		return nil
+	}
+	var out []router.OwnedInstance
+	for _, i := range vm.Instances {
+		out = append(out, router.OwnedInstance{
+			Instance: i, VM: vm.ID, Shard: shard, Leaving: vm.Leaving,
+			ActiveSince: n.shards[shard].mineSince.Add(n.set.Timing.Takeover),
+			HandedOver:  n.ledger.Shard(shard).HandedOver,
+		})
+	}
+	return out
+}
+
+// Gone reports whether a VM that is stopping has nothing left to do.
+func (n *Node) Gone() bool {
+	return n.leaving && len(n.Owned()) == 0 && n.shardLog.committer.Waiting() == 0
+}
--- /dev/null
+++ b/internal/entry/trail/trail.go
@@ -0,0 +1,49 @@
+// Package trail keeps the last decisions of a daemon, for explain.
+package trail
+
+import "time"
+
+// maxEntries bounds the trail.
+const maxEntries = 20_000
+
+// Entry is one decision.
+type Entry struct {
+	At      time.Time `json:"at"`
+	VM      string    `json:"vm"`
+	Kind    string    `json:"kind"`
+	Name    string    `json:"name"`
+	Message string    `json:"message"`
+}
+
+// Trail is a ring of entries. The zero value is empty.
+type Trail struct {
+	entries []Entry
+	next    int
+}
+
+// Add records a decision. The oldest one is dropped if there are too many.
+func (t *Trail) Add(e Entry) {
+	if len(t.entries) < maxEntries {
+		t.entries = append(t.entries, e)
+		return
+	}
+	t.entries[t.next] = e
+	t.next = (t.next + 1) % maxEntries
+}
+
+// Find returns the entries about a thing, oldest first. An empty kind matches
+// all kinds. A name matches itself and what is below it, as a run its tasks.
+func (t *Trail) Find(kind, name string) []Entry {
+	var out []Entry
+	for i := range t.entries {
+		e := t.entries[(t.next+i)%len(t.entries)]
+		if (kind == "" || e.Kind == kind) && matches(e.Name, name) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func matches(have, want string) bool {
+	return have == want || len(have) > len(want) && have[:len(want)] == want && have[len(want)] == '/'
+}
--- /dev/null
+++ b/internal/operator/client/client.go
@@ -0,0 +1,236 @@
+// Package client calls the operators' interface of an entry VM.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"bamboofall.example/bamboofall/internal/config/inifile"
+	"bamboofall.example/bamboofall/internal/config/object"
+	"bamboofall.example/bamboofall/internal/wire/httpclient"
+)
+
+const callTimeout = 15 * time.Second
+
+// Client calls entry VMs. Use New.
+type Client struct {
+	http    *httpclient.Client
+	entries []netip.AddrPort
+}
+
+// New returns a client of some entry VMs. Each call goes to the first that
+// answers.
+func New(c *httpclient.Client, entries ...netip.AddrPort) *Client {
+	return &Client{http: c, entries: entries}
+}
+
+// Result is the end of a question.
+type Result struct {
+	ID        string   `json:"id"`
+	Status    string   `json:"status"`
+	Revision  uint64   `json:"revision,omitempty"`
+	Reason    string   `json:"reason,omitempty"`
+	Elsewhere []string `json:"elsewhere,omitempty"`
+}
+
+// Field is a key of an object.
+type Field struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Object is a published object.
+type Object struct {
+	Kind    string  `json:"kind"`
+	Name    string  `json:"name"`
+	Fields  []Field `json:"fields,omitempty"`
+	Version uint64  `json:"version,omitempty"`
+}
+
+// Change is a set of objects to publish and to delete.
+type Change struct {
+	ID      string   `json:"id"`
+	Author  string   `json:"author"`
+	Objects []Object `json:"objects"`
+	Deletes []Object `json:"deletes"`
+}
+
+// Member is an entry VM as another one sees it.
+type Member struct {
+	VM         string `json:"vm"`
+	DataCentre string `json:"dataCentre"`
+	Status     string `json:"status"`
+	Revision   uint64 `json:"revision"`
+	SilentMS   int64  `json:"silentMs"`
+}
+
+// Shard is the ownership of a shard.
+type Shard struct {
+	Shard int    `json:"shard"`
+	Owner string `json:"owner"`
+	Token uint64 `json:"token"`
+}
+
+// Status is the state of an entry VM.
+type Status struct {
+	VM         string   `json:"vm"`
+	DataCentre string   `json:"dataCentre"`
+	Revision   uint64   `json:"revision"`
+	Ready      bool     `json:"ready"`
+	LogDown    bool     `json:"logDown"`
+	FenceOpen  bool     `json:"fenceOpen"`
+	Active     []int    `json:"activeShards"`
+	Shards     []Shard  `json:"shards"`
+	Members    []Member `json:"members"`
+}
+
+// Run is a run of a job.
+type Run struct {
+	Run       string         `json:"run"`
+	Job       string         `json:"job"`
+	Trade     string         `json:"trade"`
+	Class     string         `json:"class"`
+	Cancelled bool           `json:"cancelled"`
+	Tasks     map[string]int `json:"tasks"`
+	Waiting   map[string]int `json:"waiting,omitempty"`
+}
+
+// Decision is a line of explain.
+type Decision struct {
+	At      time.Time `json:"at"`
+	VM      string    `json:"vm"`
+	Kind    string    `json:"kind"`
+	Name    string    `json:"name"`
+	Message string    `json:"message"`
+}
+
+// FromObjects returns the published form of objects.
+func FromObjects(objects []object.Object) []Object {
+	var out []Object
+	for _, o := range objects {
+		one := Object{Kind: string(o.Kind), Name: o.Name}
+		for _, k := range o.Section.Keys {
+			one.Fields = append(one.Fields, Field{k.Name, k.Value})
+		}
+		out = append(out, one)
+	}
+	return out
+}
+
+// Publish publishes a change.
+func (c *Client) Publish(ctx context.Context, change Change) (Result, error) {
+	return c.question(ctx, http.MethodPost, "/v1/changes", change)
+}
+
+// Outcome asks what became of a change.
+func (c *Client) Outcome(ctx context.Context, id string) (Result, error) {
+	return c.question(ctx, http.MethodGet, "/v1/changes/"+url.PathEscape(id), nil)
+}
+
+// Submit starts a run of a job.
+func (c *Client) Submit(ctx context.Context, job, run string) (Result, error) {
+	return c.question(ctx, http.MethodPost, "/v1/runs", map[string]string{"job": job, "run": run})
+}
+
+// Cancel cancels a run.
+func (c *Client) Cancel(ctx context.Context, run string) (Result, error) {
+	return c.question(ctx, http.MethodDelete, "/v1/runs/"+url.PathEscape(run), nil)
+}
+
+// Objects returns the objects in force. Empty texts match all.
+func (c *Client) Objects(ctx context.Context, kind, name string) ([]Object, error) {
+	var out []Object
+	return out, c.get(ctx, "/v1/objects?kind="+url.QueryEscape(kind)+"&name="+url.QueryEscape(name), &out)
+}
+
+// Status returns the state of the entry VM.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	return out, c.get(ctx, "/v1/status", &out)
+}
+
+// Runs returns the runs of the entry VM's data centre. An empty name matches
+// all.
+func (c *Client) Runs(ctx context.Context, run string) ([]Run, error) {
+	var out []Run
+	return out, c.get(ctx, "/v1/runs?run="+url.QueryEscape(run), &out)
+}
+
+// Explain returns what was decided about a thing.
+func (c *Client) Explain(ctx context.Context, kind, name string) ([]Decision, error) {
+	var out []Decision
+	return out, c.get(ctx, "/v1/explain?kind="+url.QueryEscape(kind)+"&name="+url.QueryEscape(name), &out)
+}
+
+func (c *Client) question(ctx context.Context, method, path string, in any) (Result, error) {
+	var out Result
+	_, err := c.call(ctx, method, path, in, &out)
+	return out, err
+}
+
+func (c *Client) get(ctx context.Context, path string, out any) error {
+	status, err := c.call(ctx, http.MethodGet, path, nil, out)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("GET %s: status %d", path, status)
+	}
+	return err
+}
+
+// call makes a call to the first entry VM to which a connection can be opened.
+// A call that may have arrived is not repeated elsewhere.
+func (c *Client) call(ctx context.Context, method, path string, in, out any) (int, error) {
+	var errs []error
+	for _, entry := range c.entries {
+		status, err := c.callOne(ctx, entry, method, path, in, out)
+		if err == nil || !httpclient.IsDial(err) {
+			return status, err
+		}
+		errs = append(errs, err)
+	}
+	return 0, errors.Join(errs...)
+}
+
+func (c *Client) callOne(ctx context.Context, entry netip.AddrPort, method, path string, in, out any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var data []byte
+	if in != nil {
+		var err error
+		if data, err = json.Marshal(in); err != nil {
+			return 0, fmt.Errorf("%s %s: %w", method, path, err)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+entry.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return res.StatusCode, fmt.Errorf("%s %s: %s: %s", method, path, res.Status, bytes.TrimSpace(body))
+	}
+	return res.StatusCode, nil
+}
+
+// Object returns the object as the checks take it.
+func (o Object) Object() (object.Object, error) {
+	s := inifile.Section{Title: o.Kind + ` "` + o.Name + `"`, File: "in force"}
+	for _, f := range o.Fields {
+		s.Keys = append(s.Keys, inifile.Key{Name: f.Key, Value: f.Value})
+	}
+	return object.FromSection(s)
+}
--- a/internal/request/fairqueue/fairqueue.go
+++ b/internal/request/fairqueue/fairqueue.go
@@ -42,14 +42,14 @@
 	Trade    string
 	Weight   float64
 	Deadline time.Time
-	leaf     *leaf
-	index    int
-	gone     bool
+	// index is the item's place in the heap of deadlines.
+	index int
+	// gone is set once the item is no longer queued.
+	gone bool
 }
 
 // leaf is the queue of one trade's requests of one kind.
 type leaf struct {
-	node
 	items []*Item
 	// live is the number of items that have not been removed.
 	live int
@@ -141,7 +141,7 @@
 	if left <= 0 || l.live >= minQueued && float64(wait) > float64(left)*waitShare {
 		return false
 	}
-	it.leaf = l
+	it.gone = false
 	l.items = append(l.items, it)
 	l.live++
 	if l.live == 1 {
--- a/internal/request/idempotency/idempotency.go
+++ b/internal/request/idempotency/idempotency.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
-
-	"bamboofall.example/bamboofall"
 )
 
 const (
--- /dev/null
+++ b/internal/request/router/counters.go
@@ -0,0 +1,101 @@
+package router
+
+import (
+	"time"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/state/member"
+)
+
+// Counters counts what a router did since its start.
+type Counters struct {
+	arrived   int64
+	forwarded int64
+	Outcomes  map[bamboofall.Outcome]int64
+	Refusals  map[Reason]int64
+	Unknowns  map[Reason]int64
+	Retries   map[Reason]int64
+}
+
+func newCounters() Counters {
+	return Counters{
+		Outcomes: make(map[bamboofall.Outcome]int64),
+		Refusals: make(map[Reason]int64),
+		Unknowns: make(map[Reason]int64),
+		Retries:  make(map[Reason]int64),
+	}
+}
+
+func (c *Counters) refused(reason Reason) {
+	c.Outcomes[bamboofall.OutcomeNotRun]++
+	c.Refusals[reason]++
+}
+
+func (c *Counters) replied(p *pending, o bamboofall.Outcome, reason Reason) {
+	switch o {
+	case bamboofall.OutcomeNotRun:
+		c.refused(reason)
+		return
+	case bamboofall.OutcomeUnknown:
+		c.Unknowns[reason]++
+	}
+	c.Outcomes[o]++
+}
+
+func (c *Counters) retried(reason Reason) { c.Retries[reason]++ }
+
+// Counters returns the counters. The caller must not change the maps.
+func (r *Router) Counters() Counters { return r.counters }
+
+// Arrived returns the number of requests that arrived.
+func (c Counters) Arrived() int64 { return c.arrived }
+
+// Forwarded returns the number of requests sent on to other entry VMs.
+func (c Counters) Forwarded() int64 { return c.forwarded }
+
+// Rooms returns what this VM can take for each service.
+func (r *Router) Rooms(now time.Time) []member.Room {
+	var out []member.Room
+	if r.view.Leaving || !now.Before(r.view.FenceUntil) {
+		return nil
+	}
+	for name, s := range r.services {
+		free, owned := s.pool.Room(now)
+		if owned == 0 {
+			continue
+		}
+		free = max(free-s.queue.Len(), 0)
+		out = append(out, member.Room{Service: name, Free: free, Owned: owned, Latency: s.pool.Latency()})
+	}
+	return out
+}
+
+// Latency is the latency that an instance showed since the last observation.
+type Latency struct {
+	Service string
+	VM      bamboofall.VMID
+	Mean    time.Duration
+	Count   int
+	// Usual is the latency of the service over all instances of this VM.
+	Usual time.Duration
+	// Target is the published target.
+	Target time.Duration
+}
+
+// Observe returns the latencies of the owned instances since the last call.
+func (r *Router) Observe() []Latency {
+	var out []Latency
+	for name, s := range r.services {
+		for _, i := range s.pool.All() {
+			w := i.TakeWindow()
+			if w.Count == 0 {
+				continue
+			}
+			out = append(out, Latency{
+				Service: name, VM: i.VM, Mean: w.Sum / time.Duration(w.Count), Count: w.Count,
+				Usual: s.pool.Latency(), Target: s.spec.TargetLatency,
+			})
+		}
+	}
+	return out
+}
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -33,7 +33,9 @@
 // Shard is the ownership of a shard. The zero value has no owner.
 type Shard struct {
 	Owner bamboofall.VMID
-	Token bamboofall.Token
+	// Incarnation is the owner's process.
+	Incarnation string
+	Token       bamboofall.Token
 	// HandedOver is set if the last owner gave the shard away itself, so that
 	// the new owner need not wait.
 	HandedOver bool
@@ -249,7 +251,10 @@
 	if uint64(s.Token) != c.GetPreviousToken() {
 		return void("claim lost the race")
 	}
-	*s = Shard{Owner: bamboofall.VMID(c.GetOwner()), Token: tokenAt(offset), claimID: id, HandedOver: s.Token == 0}
+	*s = Shard{
+		Owner: bamboofall.VMID(c.GetOwner()), Incarnation: c.GetIncarnation(),
+		Token: tokenAt(offset), claimID: id, HandedOver: s.Token == 0,
+	}
 	return Verdict{}
 }
 
@@ -267,7 +272,10 @@
 	if uint64(s.Token) != h.GetToken() {
 		return void("fenced token")
 	}
-	*s = Shard{Owner: bamboofall.VMID(h.GetTo()), Token: tokenAt(offset), claimID: id, HandedOver: true}
+	*s = Shard{
+		Owner: bamboofall.VMID(h.GetTo()), Incarnation: h.GetIncarnation(),
+		Token: tokenAt(offset), claimID: id, HandedOver: true,
+	}
 	return Verdict{}
 }
 
--- a/internal/state/ledger/snapshot.go
+++ b/internal/state/ledger/snapshot.go
@@ -18,6 +18,7 @@
 	for _, sh := range l.shards {
 		s.Shards = append(s.Shards, &recordpb.ShardState{
 			Owner: string(sh.Owner), Token: uint64(sh.Token), ClaimId: sh.claimID, HandedOver: sh.HandedOver,
+			Incarnation: sh.Incarnation,
 		})
 	}
 	ended := make(map[string]bool, len(l.ended))
@@ -67,7 +68,7 @@
 	for i, sh := range s.GetShards() {
 		l.shards[i] = Shard{
 			Owner: bamboofall.VMID(sh.GetOwner()), Token: bamboofall.Token(sh.GetToken()),
-			HandedOver: sh.GetHandedOver(), claimID: sh.GetClaimId(),
+			Incarnation: sh.GetIncarnation(), HandedOver: sh.GetHandedOver(), claimID: sh.GetClaimId(),
 		}
 	}
 	for _, r := range s.GetRuns() {
--- a/internal/wire/peerpb/peer.connect.go
+++ b/internal/wire/peerpb/peer.connect.go
@@ -38,6 +38,8 @@
 	PeerHeartbeatProcedure = "/bamboofall.peer.v1.Peer/Heartbeat"
 	// PeerForwardProcedure is the fully-qualified name of the Peer's Forward RPC.
 	PeerForwardProcedure = "/bamboofall.peer.v1.Peer/Forward"
+	// PeerExplainProcedure is the fully-qualified name of the Peer's Explain RPC.
+	PeerExplainProcedure = "/bamboofall.peer.v1.Peer/Explain"
 	// PeerSnapshotProcedure is the fully-qualified name of the Peer's Snapshot RPC.
 	PeerSnapshotProcedure = "/bamboofall.peer.v1.Peer/Snapshot"
 )
@@ -46,6 +48,7 @@
 type PeerClient interface {
 	Heartbeat(context.Context, *connect.Request[HeartbeatRequest]) (*connect.Response[HeartbeatResponse], error)
 	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[ForwardResponse], error)
+	Explain(context.Context, *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error)
 	Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error)
 }
 
@@ -72,6 +75,12 @@
 			connect.WithSchema(peerMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		explain: connect.NewClient[ExplainRequest, ExplainResponse](
+			httpClient,
+			baseURL+PeerExplainProcedure,
+			connect.WithSchema(peerMethods.ByName("Explain")),
+			connect.WithClientOptions(opts...),
+		),
 		snapshot: connect.NewClient[SnapshotRequest, SnapshotResponse](
 			httpClient,
 			baseURL+PeerSnapshotProcedure,
@@ -85,6 +94,7 @@
 type peerClient struct {
 	heartbeat *connect.Client[HeartbeatRequest, HeartbeatResponse]
 	forward   *connect.Client[ForwardRequest, ForwardResponse]
+	explain   *connect.Client[ExplainRequest, ExplainResponse]
 	snapshot  *connect.Client[SnapshotRequest, SnapshotResponse]
 }
 
@@ -98,6 +108,11 @@
 	return c.forward.CallUnary(ctx, req)
 }
 
+// Explain calls bamboofall.peer.v1.Peer.Explain.
+func (c *peerClient) Explain(ctx context.Context, req *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error) {
+	return c.explain.CallUnary(ctx, req)
+}
+
 // Snapshot calls bamboofall.peer.v1.Peer.Snapshot.
 func (c *peerClient) Snapshot(ctx context.Context, req *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error) {
 	return c.snapshot.CallUnary(ctx, req)
@@ -107,6 +122,7 @@
 type PeerHandler interface {
 	Heartbeat(context.Context, *connect.Request[HeartbeatRequest]) (*connect.Response[HeartbeatResponse], error)
 	Forward(context.Context, *connect.Request[ForwardRequest]) (*connect.Response[ForwardResponse], error)
+	Explain(context.Context, *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error)
 	Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error)
 }
 
@@ -129,6 +145,12 @@
 		connect.WithSchema(peerMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerExplainHandler := connect.NewUnaryHandler(
+		PeerExplainProcedure,
+		svc.Explain,
+		connect.WithSchema(peerMethods.ByName("Explain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerSnapshotHandler := connect.NewUnaryHandler(
 		PeerSnapshotProcedure,
 		svc.Snapshot,
@@ -141,6 +163,8 @@
 			peerHeartbeatHandler.ServeHTTP(w, r)
 		case PeerForwardProcedure:
 			peerForwardHandler.ServeHTTP(w, r)
+		case PeerExplainProcedure:
+			peerExplainHandler.ServeHTTP(w, r)
 		case PeerSnapshotProcedure:
 			peerSnapshotHandler.ServeHTTP(w, r)
 		default:
@@ -160,6 +184,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bamboofall.peer.v1.Peer.Forward is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Explain(context.Context, *connect.Request[ExplainRequest]) (*connect.Response[ExplainResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bamboofall.peer.v1.Peer.Explain is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Snapshot(context.Context, *connect.Request[SnapshotRequest]) (*connect.Response[SnapshotResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bamboofall.peer.v1.Peer.Snapshot is not implemented"))
 }
--- a/platform.go
+++ b/platform.go
@@ -179,9 +179,10 @@
 
 // AttemptReport is a worker's report on one attempt.
 type AttemptReport struct {
-	Task     TaskID
-	Attempt  uint32
-	Status   AttemptStatus
+	Task    TaskID
+	Attempt uint32
+	Status  AttemptStatus
+	// Progress is the last checkpoint. It is kept where every worker reaches it.
 	Progress time.Duration
 	// Usage is what the task took some seconds ago.
 	Usage Resources
