entry/node: release shards when no entry VM is left

Cause: a stop of all entry VMs of a data centre waited 60 s for a receiver, and the first owners of shards waited for a takeover that nobody needed. Change: a handover without receiver releases a shard, and instances of a shard that was handed over are usable at once.

--- a/internal/entry/node/shards.go
+++ b/internal/entry/node/shards.go
@@ -26,8 +26,10 @@
 	// is not this process's.
 	mineSince time.Time
 	active    bool
-	// giving is the VM to which the shard is being handed over.
-	giving    bamboofall.VMID
+	// giving is set while the shard is being handed over or released.
+	giving bool
+	// to is the VM that gets it. Empty means that it is released.
+	to        bamboofall.VMID
 	handedOut time.Time
 	claimedAt time.Time
 	// wanted is the VM that should own the shard, since wantedSince.
@@ -111,7 +113,7 @@
 // activate begins to act for a shard once that is safe.
 func (n *Node) activate(now time.Time, shard int, open bool) {
 	u := &n.shards[shard]
-	if u.active || u.mineSince.IsZero() || u.giving != "" || !open {
+	if u.active || u.mineSince.IsZero() || u.giving || !open {
 		return
 	}
 	s := n.ledger.Shard(shard)
@@ -155,7 +157,7 @@
 // it knows this process, so it must have answered it before.
 func (n *Node) mayClaim(now time.Time, shard int) bool {
 	s := n.ledger.Shard(shard)
-	if s.Token == 0 || s.Owner == n.set.VM {
+	if s.Owner == "" || s.Owner == n.set.VM {
 		return true
 	}
 	switch n.members.Status(now, s.Owner) {
@@ -174,37 +176,52 @@
 // flight.
 func (n *Node) giveOne(now time.Time) {
 	for i := range n.shards {
-		if n.shards[i].giving != "" {
+		if n.shards[i].giving {
 			n.finishGiving(now, i)
 			return
 		}
 	}
 	for i := range n.shards {
-		u := &n.shards[i]
-		wait := settle
-		if n.leaving {
-			wait = 0
-		}
-		if !u.active || u.wanted == n.set.VM || u.wanted == "" || now.Sub(u.wantedSince) < wait {
-			continue
-		}
-		m := n.members.Get(u.wanted)
-		if m == nil || !m.Acknowledged || n.members.Status(now, u.wanted) != member.StatusAlive {
-			continue
+		if n.mayGive(now, i) {
+			n.stopUsing(now, i)
+			return
 		}
-		n.stopUsing(now, i)
-		return
 	}
 }
 
+// mayGive reports whether a shard should go to another VM now, or be released
+// because this VM is leaving and no other is there.
+func (n *Node) mayGive(now time.Time, shard int) bool {
+	u := &n.shards[shard]
+	if n.leaving && n.mine(shard) && len(n.members.Alive(now, n.set.DataCentre, true)) == 0 {
+		u.wanted = ""
+		return true
+	}
+	wait := settle
+	if n.leaving {
+		wait = 0
+	}
+	if !u.active || u.wanted == n.set.VM || u.wanted == "" || now.Sub(u.wantedSince) < wait {
+		return false
+	}
+	return n.canTake(now, u.wanted)
+}
+
+// canTake reports whether a VM answers and knows this process.
+func (n *Node) canTake(now time.Time, vm bamboofall.VMID) bool {
+	m := n.members.Get(vm)
+	return m != nil && m.Acknowledged && n.members.Status(now, vm) == member.StatusAlive
+}
+
 func (n *Node) stopUsing(now time.Time, shard int) {
 	u := &n.shards[shard]
-	u.giving = u.wanted
+	u.giving = true
+	u.to = u.wanted
 	u.active = false
 	u.handedOut = time.Time{}
 	n.requests.Inflight = nil
 	n.sched.Deactivate(shard)
-	n.explain("shard", fmt.Sprint(shard), "is being handed over to %s", u.giving)
+	n.explain("shard", fmt.Sprint(shard), "is being handed over to %q", u.to)
 	n.nextView = now
 }
 
@@ -218,21 +235,19 @@
 	if !u.handedOut.IsZero() && now.Sub(u.handedOut) < claimAgain {
 		return
 	}
-	m := n.members.Get(u.giving)
-	if m == nil || n.members.Status(now, u.giving) != member.StatusAlive {
-		if u.handedOut.IsZero() {
-			u.giving = ""
-		}
+	if u.to != "" && !n.canTake(now, u.to) && u.handedOut.IsZero() {
+		u.giving = false
 		return
 	}
 	u.handedOut = now
 	n.counters.Handovers++
 	s := n.ledger.Shard(shard)
+	h := &recordpb.Handover{Shard: uint32(shard), Token: uint64(s.Token), To: string(u.to)}
+	if m := n.members.Get(u.to); m != nil {
+		h.Incarnation = m.Last.Incarnation
+	}
 	n.write(now, n.shardLog, &recordpb.Record{
-		Id: fmt.Sprintf("handover/%d/%d", shard, s.Token),
-		Body: &recordpb.Record_Handover{Handover: &recordpb.Handover{
-			Shard: uint32(shard), Token: uint64(s.Token), To: string(u.giving), Incarnation: m.Last.Incarnation,
-		}},
+		Id: fmt.Sprintf("handover/%d/%d", shard, s.Token), Body: &recordpb.Record_Handover{Handover: h},
 	})
 }
 
@@ -289,12 +304,16 @@
 	if !n.shards[shard].active {
 		return nil
 	}
+	since := n.shards[shard].mineSince
+	handedOver := n.ledger.Shard(shard).HandedOver
+	if !handedOver {
+		since = since.Add(n.set.Timing.Takeover)
+	}
 	var out []router.OwnedInstance
 	for _, i := range vm.Instances {
 		out = append(out, router.OwnedInstance{
 			Instance: i, VM: vm.ID, Shard: shard, Leaving: vm.Leaving,
-			ActiveSince: n.shards[shard].mineSince.Add(n.set.Timing.Takeover),
-			HandedOver:  n.ledger.Shard(shard).HandedOver,
+			ActiveSince: since, HandedOver: handedOver,
 		})
 	}
 	return out
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -6,6 +6,8 @@
 //
 //   - A claim is valid if it names the token that the shard has. The claim's
 //     offset is the shard's new token, and fences every smaller one.
+//   - A handover is valid under the shard's token. Without a receiver it
+//     releases the shard, and the next claimant need not wait.
 //   - An intent, a close and a move are valid only under the token of the
 //     task's shard. An intent must name the next attempt of a pending task, so
 //     at most one attempt of a task is open. A close must name the open one.
@@ -253,7 +255,7 @@
 	}
 	*s = Shard{
 		Owner: bamboofall.VMID(c.GetOwner()), Incarnation: c.GetIncarnation(),
-		Token: tokenAt(offset), claimID: id, HandedOver: s.Token == 0,
+		Token: tokenAt(offset), claimID: id, HandedOver: s.Owner == "",
 	}
 	return Verdict{}
 }
