--- a/internal/batch/interference/interference.go
+++ b/internal/batch/interference/interference.go
@@ -7,6 +7,11 @@
 // told apart from its company.
 package interference
 
+import (
+	"maps"
+	"slices"
+)
+
 const (
 	// rate is the learning rate.
 	rate = 0.3
@@ -60,7 +65,7 @@
 // Predict returns the inflation to expect of a service beside some jobs.
 func (s *Scores) Predict(service string, jobs map[string]int) float64 {
 	sum := 0.0
-	for job := range jobs {
+	for _, job := range slices.Sorted(maps.Keys(jobs)) {
 		sum += s.Score(service, job)
 	}
 	return sum
--- a/internal/batch/scheduler/place.go
+++ b/internal/batch/scheduler/place.go
@@ -35,6 +35,7 @@
 	}
 	o.dirty = false
 	candidates, wake := s.candidates(now, shard)
+	defer func() { s.wakeLater(now, shard, wake, candidates) }()
 	full := make(map[string]bool)
 	placed := 0
 	for _, c := range candidates {
@@ -45,6 +46,7 @@
 		run := c.task.Run.Name()
 		if full[run] {
 			s.postpone(now, c.task, s.Why(c.task.ID))
+			s.maybeMove(now, shard, c.task)
 			continue
 		}
 		if s.placeTask(now, shard, c.task) {
@@ -53,15 +55,21 @@
 			full[run] = true
 		}
 	}
-	s.wakeLater(now, shard, wake)
 }
 
-// wakeLater marks the shard for placement when the first deferred task is due.
-func (s *Scheduler) wakeLater(now time.Time, shard int, at time.Time) {
-	s.wakeAt[shard] = at
+// wakeLater marks the shard for placement when the first deferred task is due:
+// one that was not looked at, or a candidate that was put off.
+func (s *Scheduler) wakeLater(now time.Time, shard int, at time.Time, looked []candidate) {
 	if at.IsZero() {
-		s.wakeAt[shard] = now.Add(maxDefer)
+		at = now.Add(maxDefer)
+	}
+	for _, c := range looked {
+		st := s.tasks[c.task.ID]
+		if st != nil && st.writing == writingNothing && st.deferTill.Before(at) {
+			at = st.deferTill
+		}
 	}
+	s.wakeAt[shard] = at
 }
 
 // candidates returns the tasks that are due, most pressing first, and when the
@@ -90,7 +98,7 @@
 		if out[i].rank != out[j].rank {
 			return out[i].rank < out[j].rank
 		}
-		return lessTask(out[i].task.ID, out[j].task.ID)
+		return compareTasks(out[i].task.ID, out[j].task.ID) < 0
 	})
 	return out, wake
 }
@@ -297,7 +305,7 @@
 // maybeMove gives a task that finds no room to the next shard.
 func (s *Scheduler) maybeMove(now time.Time, shard int, t *ledger.Task) {
 	st := s.state(t.ID)
-	if st.deferred < moveAfter || s.ledger.Shards() == 1 {
+	if s.ledger.Shards() == 1 || st.deferred < moveAfter && s.shardTakes(shard, t) {
 		return
 	}
 	to := (shard + 1) % s.ledger.Shards()
@@ -313,6 +321,17 @@
 	s.note("task", taskName(t.ID), "moves from shard %d to shard %d: no room", shard, to)
 }
 
+// shardTakes reports whether a worker of a shard could ever take a task.
+func (s *Scheduler) shardTakes(shard int, t *ledger.Task) bool {
+	size := s.sizeOf(t)
+	for _, w := range s.workers {
+		if w.shard == shard && !w.vm.Leaving && size.Fits(w.room) {
+			return true
+		}
+	}
+	return false
+}
+
 // displace evicts less urgent tasks from one worker so that an urgent task
 // fits there. It reports whether evictions are under way that will do.
 func (s *Scheduler) displace(now time.Time, shard int, t *ledger.Task, size bamboofall.Resources) bool {
--- a/internal/batch/scheduler/scheduler.go
+++ b/internal/batch/scheduler/scheduler.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -19,6 +22,10 @@
 	// lapseMargin is added to the end of a lease against pauses of the
 	// worker's agent between its clock and its tasks.
 	lapseMargin = 500 * time.Millisecond
+	// silentPatience is how long an attempt at a silent worker that the platform
+	// still lists is left open after its lease. It may have finished, and only
+	// the worker knows.
+	silentPatience = time.Minute
 	// maxPlaced bounds the placements of one step.
 	maxPlaced  = 500
 	firstDefer = 500 * time.Millisecond
@@ -222,21 +229,23 @@
 func (s *Scheduler) openAt(id bamboofall.VMID) []*ledger.Task {
 	w := s.workers[id]
 	var out []*ledger.Task
-	for tid := range w.open {
+	for _, tid := range sortedTasks(w.open) {
 		t := s.ledger.Task(tid)
 		if t != nil && t.Status == ledger.TaskOpen && t.Worker == id {
 			out = append(out, t)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return lessTask(out[i].ID, out[j].ID) })
 	return out
 }
 
-func lessTask(a, b bamboofall.TaskID) bool {
-	if a.Run != b.Run {
-		return a.Run < b.Run
-	}
-	return a.Index < b.Index
+// sortedTasks returns the keys of a map in order, so that the same events lead
+// to the same records.
+func sortedTasks[V any](m map[bamboofall.TaskID]V) []bamboofall.TaskID {
+	return slices.SortedFunc(maps.Keys(m), compareTasks)
+}
+
+func compareTasks(a, b bamboofall.TaskID) int {
+	return cmp.Or(strings.Compare(a.Run, b.Run), cmp.Compare(a.Index, b.Index))
 }
 
 // Applied tells the scheduler that a record has changed the ledger.
@@ -363,12 +372,7 @@
 
 // owned returns the owned shards in order.
 func (s *Scheduler) owned() []int {
-	out := make([]int, 0, len(s.shards))
-	for shard := range s.shards {
-		out = append(out, shard)
-	}
-	sort.Ints(out)
-	return out
+	return slices.Sorted(maps.Keys(s.shards))
 }
 
 // workerIDs returns the workers of owned shards in order.
@@ -379,7 +383,7 @@
 			out = append(out, id)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	slices.Sort(out)
 	return out
 }
 
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -194,7 +194,8 @@
 	for _, r := range rep.Attempts {
 		s.takeAttempt(now, w, r)
 	}
-	for id, r := range old {
+	for _, id := range sortedTasks(old) {
+		r := old[id]
 		_, still := w.running[id]
 		t := s.ledger.Task(id)
 		if still || t == nil || t.Status != ledger.TaskOpen || t.Attempt != r.Attempt || t.Worker != w.vm.ID {
@@ -330,11 +331,16 @@
 }
 
 // closeLapsed closes the attempts at workers whose leases have ended for
-// certain without a report.
+// certain without a report. A worker that the platform still lists may come
+// back and tell that the task had finished, so it gets some patience.
 func (s *Scheduler) closeLapsed(now time.Time, shard int) {
 	for _, id := range s.workerIDs() {
 		w := s.workers[id]
-		if w.shard != shard || now.Before(s.leasesEnd(w)) {
+		end := s.leasesEnd(w)
+		if w.listed {
+			end = end.Add(silentPatience)
+		}
+		if w.shard != shard || now.Before(end) {
 			continue
 		}
 		for _, t := range s.openAt(id) {
@@ -359,7 +365,8 @@
 	if now.Before(o.oldLeases) {
 		return
 	}
-	for _, t := range s.ledger.Live(shard) {
+	for _, id := range sortedTasks(s.ledger.Live(shard)) {
+		t := s.ledger.Task(id)
 		w := s.workers[t.Worker]
 		if t.Status != ledger.TaskOpen {
 			continue
--- a/internal/config/object/decode.go
+++ b/internal/config/object/decode.go
@@ -59,6 +59,7 @@
 		MaxDeadline:   d.Duration("maxDeadline", 5*time.Second, 10*time.Millisecond, maxDeadline),
 		MaxBody:       d.Bytes("maxBody", 1e6, 1, maxBody),
 	}
+	s.MaxWork = d.Duration("maxWork", s.MaxDeadline, 10*time.Millisecond, maxWork)
 	if len(s.Idempotent)+len(s.Once) == 0 {
 		d.Fail("idempotent", "needs a kind of request in idempotent or once")
 	}
--- a/internal/config/object/object.go
+++ b/internal/config/object/object.go
@@ -74,10 +74,11 @@
 	Background []string
 	// TargetLatency is the latency that the service's tail should keep.
 	TargetLatency time.Duration
-	// MaxDeadline is the longest deadline of a request, and the longest time
-	// that an instance works on one.
-	MaxDeadline time.Duration
-	MaxBody     int64
+	MaxDeadline   time.Duration
+	// MaxWork is the longest time that an instance works on a request. The
+	// service promises to give up by then, also if nobody waits any more.
+	MaxWork time.Duration
+	MaxBody int64
 }
 
 // RequestKind returns whether the service has a kind of request and whether
@@ -142,6 +143,7 @@
 	maxMemory     = int64(64e12)
 	maxRunTime    = 30 * 24 * time.Hour
 	maxDeadline   = 30 * time.Second
+	maxWork       = 10 * time.Minute
 	maxBody       = int64(16e6)
 )
 
--- a/internal/config/object/set.go
+++ b/internal/config/object/set.go
@@ -52,25 +52,40 @@
 // ReadFiles reads objects from files. It returns all faults of syntax, titles
 // and repeated names.
 func ReadFiles(paths []string) ([]Object, []error) {
-	var objects []Object
+	var sections []inifile.Section
 	var errs []error
-	first := make(map[Key]inifile.Section)
 	for _, path := range paths {
-		sections, faults := inifile.ReadFile(path)
+		found, faults := inifile.ReadFile(path)
+		sections = append(sections, found...)
 		errs = append(errs, faults...)
-		for _, s := range sections {
-			o, err := FromSection(s)
-			if err != nil {
-				errs = append(errs, err)
-				continue
-			}
-			if other, found := first[o.Key]; found {
-				errs = append(errs, fault(o, "", "is declared already at %s:%d", other.File, other.Line))
-				continue
-			}
-			first[o.Key] = s
-			objects = append(objects, o)
+	}
+	objects, faults := fromSections(sections)
+	return objects, append(errs, faults...)
+}
+
+// Parse reads objects from the text of a file.
+func Parse(file string, data []byte) ([]Object, []error) {
+	sections, errs := inifile.Parse(file, data)
+	objects, faults := fromSections(sections)
+	return objects, append(errs, faults...)
+}
+
+func fromSections(sections []inifile.Section) ([]Object, []error) {
+	var objects []Object
+	var errs []error
+	first := make(map[Key]inifile.Section)
+	for _, s := range sections {
+		o, err := FromSection(s)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		if other, found := first[o.Key]; found {
+			errs = append(errs, fault(o, "", "is declared already at %s:%d", other.File, other.Line))
+			continue
 		}
+		first[o.Key] = s
+		objects = append(objects, o)
 	}
 	return objects, errs
 }
--- a/internal/entry/daemon/callers.go
+++ b/internal/entry/daemon/callers.go
@@ -61,6 +61,9 @@
 	req.Content = xxhash.Sum64(body)
 	reply := d.handle(req, body)
 	d.metrics.call(req, reply, time.Since(now))
+	if d.isLeaving() {
+		w.Header().Set("Connection", "close")
+	}
 	writeReply(w, reply)
 }
 
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -79,6 +80,7 @@
 	// leaving is closed when the VM begins to stop.
 	leaving   chan struct{}
 	leaveOnce sync.Once
+	leftAt    atomic.Int64
 	// gone is closed when nothing is left to do.
 	gone chan struct{}
 }
@@ -176,11 +178,18 @@
 // Leave begins a graceful shutdown.
 func (d *Daemon) Leave() {
 	d.leaveOnce.Do(func() {
+		d.leftAt.Store(time.Now().UnixNano())
 		close(d.leaving)
 		d.control.TryPush(controlItem{event: node.Stop{}})
 	})
 }
 
+// graceOver reports whether the balancer has had time to see that this VM is
+// leaving.
+func (d *Daemon) graceOver(now time.Time) bool {
+	return d.isLeaving() && now.Sub(time.Unix(0, d.leftAt.Load())) >= drainGrace
+}
+
 func (d *Daemon) isLeaving() bool {
 	select {
 	case <-d.leaving:
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -67,7 +67,7 @@
 	m := r.Msg
 	req := router.Request{
 		Service: m.GetService(), Kind: m.GetKind(), Trade: m.GetTrade(), Key: m.GetKey(),
-		First: m.GetAttempt() == 1, Content: m.GetContent(), Hop: true, HomeHeld: m.GetHomeHeld(),
+		First: m.GetAttempt() == 1, Content: m.GetContent(), Hop: m.GetHop(), Far: m.GetFar(), HomeHeld: m.GetHomeHeld(),
 		Token:    bamboofall.Token(m.GetToken()),
 		Deadline: time.Now().Add(time.Duration(m.GetRemainingMs()) * time.Millisecond),
 	}
@@ -173,7 +173,7 @@
 	m := &peerpb.ForwardRequest{
 		From: string(d.set.VM), Service: a.Request.Service, Kind: a.Request.Kind, Trade: a.Request.Trade,
 		Key: a.Request.Key, RemainingMs: left.Milliseconds(), Body: one.body, Token: uint64(a.Token),
-		HomeHeld: a.HomeHeld, Content: a.Request.Content,
+		HomeHeld: a.HomeHeld, Content: a.Request.Content, Hop: a.Hop, Far: a.Far,
 	}
 	if a.Request.First {
 		m.Attempt = 1
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -95,7 +95,7 @@
 		rep.Observed = d.router.Observe()
 	}
 	d.metrics.takeRouter(d.router.Counters())
-	if d.isLeaving() && d.router.Pending() == 0 && d.calls.len() == 0 {
+	if d.graceOver(now) && d.router.Pending() == 0 && d.calls.len() == 0 {
 		d.checkGone()
 	}
 	d.control.TryPush(controlItem{event: rep})
--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -46,7 +48,8 @@
 			byDC[m.DataCentre] = append(byDC[m.DataCentre], m)
 		}
 	}
-	for _, list := range byDC {
+	for _, dc := range slices.Sorted(maps.Keys(byDC)) {
+		list := byDC[dc]
 		for i := range min(farPeers, len(list)) {
 			n.beat(list[(n.farTurn*farPeers+i)%len(list)])
 		}
--- a/internal/entry/node/operator.go
+++ b/internal/entry/node/operator.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -54,7 +55,8 @@
 }
 
 func (n *Node) expireQuestions(now time.Time) {
-	for id, q := range n.questions {
+	for _, id := range slices.Sorted(maps.Keys(n.questions)) {
+		q := n.questions[id]
 		if !now.Before(q.expires) {
 			n.answer(id, Result{Status: ResultUnknown, Reason: "the log has not answered; ask again with this id"})
 		}
@@ -184,7 +186,7 @@
 	}
 	n.nextWatch = now.Add(watchEvery)
 	wanted := make(map[string]bool)
-	for _, name := range sortedNames(n.catalog.Set().Watches) {
+	for _, name := range slices.Sorted(maps.Keys(n.catalog.Set().Watches)) {
 		w := n.catalog.Set().Watches[name]
 		if w.DataCentre != n.set.DataCentre {
 			continue
@@ -198,15 +200,6 @@
 	n.cancelOldWatches(now, wanted)
 }
 
-func sortedNames(m map[string]*object.Watch) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 // keepsWatch reports whether this process looks after a watch.
 func (n *Node) keepsWatch(name string) bool {
 	return n.shards[ledger.ShardOf(watchPrefix+name, len(n.shards))].active
--- a/internal/request/instance/instance.go
+++ b/internal/request/instance/instance.go
@@ -11,7 +11,9 @@
 package instance
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -47,6 +49,8 @@
 	rests    int
 	restTill time.Time
 	probing  bool
+	// removed is set once this owner has no right to the instance any more.
+	removed bool
 	// slot is the place in the pool's list of instances with room, or -1.
 	slot   int
 	window Window
@@ -70,7 +74,7 @@
 // usable returns the number of slots that may be taken now.
 func (i *Instance) usable(now time.Time) int {
 	switch {
-	case i.Leaving, now.Before(i.UsableAt), now.Before(i.restTill):
+	case i.removed, i.Leaving, now.Before(i.UsableAt), now.Before(i.restTill):
 		return 0
 	case i.probing:
 		return 1 - i.inflight
@@ -80,7 +84,9 @@
 
 // Pool holds the instances of one service. Use NewPool.
 type Pool struct {
-	all  map[string]*Instance
+	all map[string]*Instance
+	// ids holds the names in order, so that a seed gives the same choices.
+	ids  []string
 	room []*Instance
 	// latency is smoothed over all instances.
 	latency time.Duration
@@ -95,6 +101,9 @@
 // Get returns an instance, or nil.
 func (p *Pool) Get(id string) *Instance { return p.all[id] }
 
+// IDs returns the names of the instances in order.
+func (p *Pool) IDs() []string { return p.ids }
+
 // All returns the instances by id. The caller must not change the map.
 func (p *Pool) All() map[string]*Instance { return p.all }
 
@@ -107,12 +116,14 @@
 	if i == nil {
 		i = &Instance{limit: float64(want.Slots), slot: -1}
 		p.all[want.ID] = i
+		p.sortIDs()
 	}
 	i.Instance = want.Instance
 	i.VM = want.VM
 	i.Shard = want.Shard
 	i.Leaving = want.Leaving
 	i.UsableAt = want.UsableAt
+	i.removed = false
 	p.index(now, i)
 }
 
@@ -123,13 +134,20 @@
 	if i == nil {
 		return
 	}
-	i.Leaving = true
+	i.removed = true
 	p.unlist(i)
 	if i.inflight == 0 {
-		delete(p.all, id)
+		p.drop(id)
 	}
 }
 
+func (p *Pool) drop(id string) {
+	delete(p.all, id)
+	p.sortIDs()
+}
+
+func (p *Pool) sortIDs() { p.ids = slices.Sorted(maps.Keys(p.all)) }
+
 // index puts an instance into the list of those with room, or takes it out.
 func (p *Pool) index(now time.Time, i *Instance) {
 	if i.usable(now) <= 0 {
@@ -155,8 +173,8 @@
 
 // Refresh looks again at all instances: some may have rested enough.
 func (p *Pool) Refresh(now time.Time) {
-	for _, i := range p.all {
-		p.index(now, i)
+	for _, id := range p.ids {
+		p.index(now, p.all[id])
 	}
 }
 
@@ -173,7 +191,7 @@
 		best = other
 	}
 	if best == nil {
-		best = p.scan(now, idempotent, avoid)
+		best = p.scan(now, idempotent || p.allOnTrial(now), avoid)
 	}
 	if best == nil {
 		return nil
@@ -212,6 +230,18 @@
 	return nil
 }
 
+// allOnTrial reports whether every instance that may be used is on trial. Then
+// a request that must run at most once is better risked than refused.
+func (p *Pool) allOnTrial(now time.Time) bool {
+	for _, id := range p.ids {
+		i := p.all[id]
+		if !i.probing && !i.removed && !i.Leaving && !now.Before(i.UsableAt) {
+			return false
+		}
+	}
+	return true
+}
+
 // delay returns the expected delay of one more request.
 func (p *Pool) delay(i *Instance) float64 {
 	latency := i.latency
@@ -224,9 +254,9 @@
 // Release gives a slot back.
 func (p *Pool) Release(now time.Time, i *Instance) {
 	i.inflight--
-	if i.inflight == 0 && i.Leaving {
+	if i.inflight == 0 && i.removed {
 		if p.all[i.ID] == i {
-			delete(p.all, i.ID)
+			p.drop(i.ID)
 		}
 		return
 	}
@@ -274,7 +304,7 @@
 // Room returns the free and all slots of the instances that are in use.
 func (p *Pool) Room(now time.Time) (free, owned int) {
 	for _, i := range p.all {
-		if i.Leaving || i.Resting(now) || now.Before(i.UsableAt) {
+		if i.removed || i.Leaving || i.Resting(now) || now.Before(i.UsableAt) {
 			continue
 		}
 		owned += i.Slots
--- a/internal/request/router/counters.go
+++ b/internal/request/router/counters.go
@@ -59,7 +59,8 @@
 	if r.view.Leaving || !now.Before(r.view.FenceUntil) {
 		return nil
 	}
-	for name, s := range r.services {
+	for _, name := range r.names {
+		s := r.services[name]
 		free, owned := s.pool.Room(now)
 		if owned == 0 {
 			continue
@@ -85,8 +86,10 @@
 // Observe returns the latencies of the owned instances since the last call.
 func (r *Router) Observe() []Latency {
 	var out []Latency
-	for name, s := range r.services {
-		for _, i := range s.pool.All() {
+	for _, name := range r.names {
+		s := r.services[name]
+		for _, id := range s.pool.IDs() {
+			i := s.pool.Get(id)
 			w := i.TakeWindow()
 			if w.Count == 0 {
 				continue
--- a/internal/request/router/doc.go
+++ b/internal/request/router/doc.go
@@ -10,5 +10,6 @@
 //     written to an upstream, or the upstream refused each one before it began.
 //   - A request that must run at most once is sent only by its key's home, at
 //     most once for all attempts that may have been written.
-//   - A request takes at most one hop between entry VMs.
+//   - A request crosses to another data centre at most once, and takes at most
+//     one hop inside a data centre after that.
 package router
--- a/internal/request/router/peers.go
+++ b/internal/request/router/peers.go
@@ -1,8 +1,9 @@
 package router
 
 import (
+	"maps"
 	"math/rand/v2"
-	"net/netip"
+	"slices"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -12,7 +13,9 @@
 // to them since.
 type peers struct {
 	byVM map[bamboofall.VMID]*peerState
-	rand *rand.Rand
+	// order holds the names in order, so that a seed gives the same choices.
+	order []bamboofall.VMID
+	rand  *rand.Rand
 }
 
 type peerState struct {
@@ -39,6 +42,7 @@
 		seen[peer.VM] = newPeerState(peer)
 	}
 	p.byVM = seen
+	p.order = slices.Sorted(maps.Keys(seen))
 }
 
 func newPeerState(peer Peer) *peerState {
@@ -61,13 +65,6 @@
 	return s != nil && !s.doubted
 }
 
-func (p *peers) address(vm bamboofall.VMID) netip.AddrPort {
-	if s := p.byVM[vm]; s != nil {
-		return s.Address
-	}
-	return netip.AddrPort{}
-}
-
 // doubt leaves a peer out until it is heard again.
 func (p *peers) doubt(vm bamboofall.VMID) {
 	if s := p.byVM[vm]; s != nil {
@@ -86,7 +83,8 @@
 func (p *peers) anyIn(dc bamboofall.DataCentre, avoid bamboofall.VMID) (bamboofall.VMID, bool) {
 	var found bamboofall.VMID
 	n := 0
-	for vm, s := range p.byVM {
+	for _, vm := range p.order {
+		s := p.byVM[vm]
 		if s.DataCentre != dc || s.doubted || s.Leaving || vm == avoid {
 			continue
 		}
@@ -111,7 +109,8 @@
 		}
 		return points
 	}
-	for vm, s := range p.byVM {
+	for _, vm := range p.order {
+		s := p.byVM[vm]
 		if vm == avoid || s.doubted || s.Leaving {
 			continue
 		}
@@ -120,7 +119,7 @@
 		if !room || !near && s.RTT+s.latency[service] > left/2 {
 			continue
 		}
-		if best == nil || score(s) > score(best) || score(s) == score(best) && vm < best.VM {
+		if best == nil || score(s) > score(best) {
 			best = s
 		}
 	}
--- a/internal/request/router/results.go
+++ b/internal/request/router/results.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -169,7 +171,8 @@
 
 // Tick does what is due: deadlines, silent slots and rested instances.
 func (r *Router) Tick(now time.Time) []Action {
-	for id, a := range r.lingering {
+	for _, id := range slices.Sorted(maps.Keys(r.lingering)) {
+		a := r.lingering[id]
 		if !now.Before(a.endsBy) {
 			delete(r.lingering, id)
 			a.service.pool.Release(now, a.instance)
@@ -180,10 +183,17 @@
 
 // expireWaiting ends requests that wait for another one with their key.
 func (r *Router) expireWaiting(now time.Time) []Action {
-	var out []Action
-	for _, p := range r.pending {
+	var late []uint64
+	for id, p := range r.pending {
 		waits := p.queued == nil && p.attempt == nil && p.forwarded == ""
 		if waits && !now.Before(p.Deadline) {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	var out []Action
+	for _, id := range late {
+		if p := r.pending[id]; p != nil {
 			out = append(out, r.finish(now, p, bamboofall.OutcomeUnknown, ReasonNoAnswer, nil)...)
 		}
 	}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -43,6 +45,8 @@
 	revision uint64
 	view     View
 	services map[string]*service
+	// names holds the names of the services in order.
+	names    []string
 	pending  map[uint64]*pending
 	attempts map[uint64]*attempt
 	memories map[int]*memory
@@ -52,6 +56,7 @@
 	limits    *limits
 	rand      *rand.Rand
 	next      uint64
+	// lingering holds the attempts without an answer whose slots may be in use.
 	lingering map[uint64]*attempt
 	counters  Counters
 }
@@ -137,11 +142,13 @@
 		}
 	}
 	r.set = set
-	for name, spec := range set.Services {
+	for _, name := range slices.Sorted(maps.Keys(set.Services)) {
+		spec := set.Services[name]
 		s := r.services[name]
 		if s == nil {
 			s = &service{queue: fairqueue.New(), pool: instance.NewPool(r.rand), budget: retry.New()}
 			r.services[name] = s
+			r.names = slices.Sorted(maps.Keys(r.services))
 		}
 		s.spec = spec
 	}
@@ -201,14 +208,14 @@
 		mine[o.ID] = true
 		usable := o.ActiveSince
 		if !o.HandedOver {
-			usable = usable.Add(s.spec.MaxDeadline)
+			usable = usable.Add(s.spec.MaxWork)
 		}
 		s.pool.Set(now, instance.Instance{
 			Instance: o.Instance, VM: o.VM, Shard: o.Shard, Leaving: o.Leaving, UsableAt: usable,
 		})
 	}
 	for _, s := range r.services {
-		for id := range s.pool.All() {
+		for _, id := range s.pool.IDs() {
 			if !mine[id] {
 				s.pool.Remove(id)
 			}
@@ -223,7 +230,7 @@
 	if reason != ReasonNone {
 		return r.refuseNew(req, reason, 0)
 	}
-	if !req.Hop {
+	if !req.Hop && !req.Far {
 		if wait, ok := r.limits.allow(now, req); !ok {
 			return r.refuseNew(req, ReasonLimited, wait)
 		}
@@ -281,7 +288,7 @@
 	}
 	home := r.set.Trades[p.Trade].DataCentre
 	if home != r.cfg.DataCentre {
-		if p.Hop {
+		if p.Hop || p.Far {
 			return r.finish(now, p, bamboofall.OutcomeNotRun, ReasonNotHome, nil)
 		}
 		peer, ok := r.peers.anyIn(home, p.avoidPeer)
@@ -362,7 +369,7 @@
 
 // peerWithRoom returns the entry VM that should take a request instead.
 func (r *Router) peerWithRoom(now time.Time, p *pending) (bamboofall.VMID, bool) {
-	if p.Hop || p.once && p.key == nil {
+	if p.Hop || p.Far || p.once && p.key == nil {
 		return "", false
 	}
 	left := p.Deadline.Sub(now) - 2*p.service.pool.Latency()
@@ -380,14 +387,17 @@
 func (r *Router) forward(p *pending, peer bamboofall.VMID, token bamboofall.Token) []Action {
 	p.forwarded = peer
 	r.counters.forwarded++
+	to := r.peers.byVM[peer].Peer
+	far := to.DataCentre != r.cfg.DataCentre
 	return []Action{Forward{
-		Request: p.Request, Peer: peer, Address: r.peers.address(peer), Token: token, HomeHeld: p.key != nil,
+		Request: p.Request, Peer: peer, Address: to.Address, Token: token, HomeHeld: p.key != nil, Hop: !far, Far: far,
 	}}
 }
 
 func (r *Router) pumpAll(now time.Time) []Action {
 	var out []Action
-	for _, s := range r.services {
+	for _, name := range r.names {
+		s := r.services[name]
 		s.pool.Refresh(now)
 		out = append(out, r.pump(now, s)...)
 	}
@@ -435,7 +445,7 @@
 	r.next++
 	a := &attempt{
 		id: r.next, request: p.ID, service: p.service, instance: i, kind: p.Kind, sent: now,
-		endsBy: now.Add(p.service.spec.MaxDeadline + slotMargin),
+		endsBy: now.Add(p.service.spec.MaxWork + slotMargin),
 	}
 	r.attempts[a.id] = a
 	p.attempt = a
--- a/internal/request/router/types.go
+++ b/internal/request/router/types.go
@@ -24,8 +24,10 @@
 	Content uint64
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
-	// Hop is set if another entry VM forwarded the request.
+	// Hop is set if another entry VM of this data centre forwarded the request.
 	Hop bool
+	// Far is set if the request came from another data centre.
+	Far bool
 	// HomeHeld is set if the sender is the key's home and has begun the key.
 	HomeHeld bool
 	// Token is the token under which the sender believes the home to be owned.
@@ -126,6 +128,9 @@
 	Token   bamboofall.Token
 	// HomeHeld tells the peer that this VM is the key's home.
 	HomeHeld bool
+	// Hop and Far are the peer's marks of the request.
+	Hop bool
+	Far bool
 }
 
 // Reply answers the caller.
--- a/internal/standin/site/deployment.go
+++ b/internal/standin/site/deployment.go
@@ -35,7 +35,9 @@
 	Connections int
 	// Work is the mean time that an instance works on a request.
 	Work time.Duration
-	Size bamboofall.Resources
+	// MaxWork is when an instance gives up on a request.
+	MaxWork time.Duration
+	Size    bamboofall.Resources
 }
 
 // Workers describes the workers.
@@ -137,6 +139,7 @@
 	s.Slots = int(dec.Int("slots", 8, 1, 1000))
 	s.Connections = int(dec.Int("connections", 64, 1, 10_000))
 	s.Work = dec.Duration("work", 20*time.Millisecond, time.Microsecond, time.Minute)
+	s.MaxWork = dec.Duration("maxWork", 2*time.Second, time.Millisecond, time.Minute)
 	s.Size = decodeRoom(dec)
 }
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -184,7 +184,7 @@
 		w := worker.New(now, vm, s.Audit, s.truth)
 		s.workers[vm.ID] = w
 		for _, i := range vm.Instances {
-			u := upstream.New(i, s.Audit, func() float64 { return s.noise(w) }, uint64(len(s.upstreams)))
+			u := upstream.New(i, s.Audit, func() float64 { return s.noise(w) }, s.Deployment.Service.MaxWork, uint64(len(s.upstreams)))
 			s.upstreams[i.ID] = u
 			if err := s.serve(i.Address, s.instanceHandler(u)); err != nil {
 				return err
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -93,6 +93,9 @@
 		if a.Status == bamboofall.AttemptRunning {
 			w.audit.TaskStopped(id, w.vm.ID, a.done-a.checkpoint)
 		}
+		if a.Status == bamboofall.AttemptFinished {
+			w.audit.ResultDied(id)
+		}
 	}
 	w.attempts = make(map[bamboofall.TaskID]*attempt)
 	w.token = 0
