state/ledger: let a living owner object to a claim

Cause: two entry VMs that were cut off from each other only each took the other's shards over, though both were alive and read the log. And a retry with a key was told notRun by VMs that could not know about the earlier try. Change: a claim against an owner is pending until the claimant confirms it after the takeover wait; an owner that is alive objects. NotRun is said of a request: a repeated key gets it only if the key's home vouches for it, else unknown.

--- a/internal/dev/load/load.go
+++ b/internal/dev/load/load.go
@@ -149,7 +149,7 @@
 	outcome, reason, own := g.call(entry, kind, trade, id)
 	time.Sleep(g.delay)
 	took := time.Since(begun)
-	g.audit.CallerTold(id, outcome, own)
+	g.audit.CallerTold(id, "", outcome, own)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch outcome {
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -74,6 +74,7 @@
 	reply := s.d.handle(req, m.GetBody())
 	out := &peerpb.ForwardResponse{
 		Outcome: uint32(reply.Outcome), Reason: string(reply.Reason), RetryAfterMs: reply.RetryAfter.Milliseconds(),
+		Vouched: reply.Vouched,
 	}
 	if reply.Answer != nil {
 		out.Status = uint32(reply.Answer.Status)
@@ -185,7 +186,7 @@
 	r := res.Msg
 	out := router.PeerResult{
 		Reached: true, Outcome: bamboofall.Outcome(r.GetOutcome()), Reason: router.Reason(r.GetReason()),
-		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond, Vouched: r.GetVouched(),
 	}
 	if out.Outcome == bamboofall.OutcomeAnswered {
 		out.Answer = &idempotency.Answer{Status: int(r.GetStatus()), ContentType: r.GetContentType(), Body: r.GetBody()}
--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -69,7 +69,11 @@
 	n.members.Hear(now, h, n.addressOf(h.VM))
 	clear := true
 	for _, s := range shards {
-		if s.Shard >= len(n.shards) || n.ledger.Shard(s.Shard).Token > s.Token {
+		if s.Shard >= len(n.shards) {
+			continue
+		}
+		known := n.ledger.Shard(s.Shard)
+		if known.Token > s.Token || known.Token == s.Token && known.Pending.ClaimID != "" {
 			clear = false
 		}
 	}
--- a/internal/entry/node/doc.go
+++ b/internal/entry/node/doc.go
@@ -7,9 +7,10 @@
 //
 // It holds these invariants:
 //
-//   - A shard is active only between the read-back of a claim or handover to
-//     this process, plus the takeover wait if the last owner did not give it
-//     away itself, and the moment the fence closes.
+//   - A shard is active only between the read-back of the record that moved it
+//     to this process and the moment the fence closes. A shard moves from an
+//     owner that did not give it away itself only after the takeover wait,
+//     in which the owner's fence closes unless it objects.
 //   - The state of a stream never goes back to a smaller offset.
 //   - Nothing is told to an operator as done before it was read back.
 package node
--- a/internal/entry/node/shards.go
+++ b/internal/entry/node/shards.go
@@ -18,6 +18,8 @@
 	// settle is how long an owner of another assignment must be wanted before
 	// a shard is handed over to it.
 	settle = time.Second
+	// holdOff is how long an owner that objected is left alone.
+	holdOff = 15 * time.Second
 )
 
 // shardUse is what this process makes of a shard.
@@ -32,6 +34,12 @@
 	to        bamboofall.VMID
 	handedOut time.Time
 	claimedAt time.Time
+	// pendingSince is when a claim of this process was read back.
+	pendingSince time.Time
+	confirmedAt  time.Time
+	objectedAt   time.Time
+	// heldTill is up to when an owner that objected is left alone.
+	heldTill time.Time
 	// wanted is the VM that should own the shard, since wantedSince.
 	wanted      bamboofall.VMID
 	wantedSince time.Time
@@ -56,19 +64,86 @@
 
 // shardsChanged follows a record that changed an ownership.
 func (n *Node) shardsChanged(now time.Time, r *recordpb.Record, v ledger.Verdict) {
-	shard := -1
+	if v.Void != "" || v.Repeat {
+		return
+	}
 	switch body := r.GetBody().(type) {
 	case *recordpb.Record_Claim:
-		shard = int(body.Claim.GetShard())
+		n.claimed(now, int(body.Claim.GetShard()))
+	case *recordpb.Record_Confirm:
+		n.moved(now, int(body.Confirm.GetShard()))
 	case *recordpb.Record_Handover:
-		shard = int(body.Handover.GetShard())
+		n.moved(now, int(body.Handover.GetShard()))
+	case *recordpb.Record_Objection:
+		n.objected(now, int(body.Objection.GetShard()))
 	}
-	if shard < 0 || shard >= len(n.shards) || v.Void != "" || v.Repeat {
+}
+
+func (n *Node) moved(now time.Time, shard int) {
+	n.shardChanged(now, shard)
+	s := n.ledger.Shard(shard)
+	n.explain("shard", fmt.Sprint(shard), "belongs to %q under token %d", s.Owner, s.Token)
+}
+
+// claimed follows a claim: it has won, or waits for an objection.
+func (n *Node) claimed(now time.Time, shard int) {
+	s := n.ledger.Shard(shard)
+	if s.Pending.ClaimID == "" {
+		n.moved(now, shard)
 		return
 	}
-	n.shardChanged(now, shard)
+	u := &n.shards[shard]
+	u.pendingSince = time.Time{}
+	if s.Pending.Owner == n.set.VM && s.Pending.Incarnation == n.cfg.Incarnation {
+		u.pendingSince = now
+	}
+	n.explain("shard", fmt.Sprint(shard), "is claimed by %s from %s", s.Pending.Owner, s.Owner)
+}
+
+func (n *Node) objected(now time.Time, shard int) {
+	u := &n.shards[shard]
+	u.pendingSince = time.Time{}
+	u.heldTill = now.Add(holdOff)
+	n.explain("shard", fmt.Sprint(shard), "stays with %s, which objected to a claim", n.ledger.Shard(shard).Owner)
+}
+
+// contested reports whether a claim against a shard of this process waits.
+func (n *Node) contested() bool {
+	for i := range n.shards {
+		if n.mine(i) && n.ledger.Shard(i).Pending.ClaimID != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// defend objects to claims against this process's shards.
+func (n *Node) defend(now time.Time, shard int) {
 	s := n.ledger.Shard(shard)
-	n.explain("shard", fmt.Sprint(shard), "belongs to %s under token %d", s.Owner, s.Token)
+	u := &n.shards[shard]
+	if !n.mine(shard) || s.Pending.ClaimID == "" || !u.objectedAt.IsZero() && now.Sub(u.objectedAt) < claimAgain {
+		return
+	}
+	u.objectedAt = now
+	n.write(now, n.shardLog, &recordpb.Record{Body: &recordpb.Record_Objection{Objection: &recordpb.Objection{
+		Shard: uint32(shard), Token: uint64(s.Token), ClaimId: s.Pending.ClaimID,
+	}}})
+}
+
+// confirm takes a claimed shard over once the owner has had time to object or
+// its fence has closed for certain.
+func (n *Node) confirm(now time.Time, shard int) {
+	u := &n.shards[shard]
+	if u.pendingSince.IsZero() || now.Sub(u.pendingSince) < n.set.Timing.Takeover {
+		return
+	}
+	if !u.confirmedAt.IsZero() && now.Sub(u.confirmedAt) < claimAgain {
+		return
+	}
+	u.confirmedAt = now
+	n.write(now, n.shardLog, &recordpb.Record{Body: &recordpb.Record_Confirm{Confirm: &recordpb.Confirm{
+		Shard: uint32(shard), ClaimId: n.ledger.Shard(shard).Pending.ClaimID,
+	}}})
 }
 
 // shardChanged begins anew with a shard after its token changed.
@@ -77,7 +152,7 @@
 	if u.active {
 		n.sched.Deactivate(shard)
 	}
-	*u = shardUse{wanted: u.wanted, wantedSince: u.wantedSince}
+	*u = shardUse{wanted: u.wanted, wantedSince: u.wantedSince, heldTill: u.heldTill}
 	if n.mine(shard) {
 		u.mineSince = now
 	}
@@ -96,6 +171,8 @@
 	open := n.fenceOpen(now)
 	for i := range n.shards {
 		n.activate(now, i, open)
+		n.defend(now, i)
+		n.confirm(now, i)
 	}
 	if now.Before(n.nextClaim) || !n.shardLog.ready || !n.shardLog.atEnd || !n.listed {
 		return
@@ -117,9 +194,6 @@
 		return
 	}
 	s := n.ledger.Shard(shard)
-	if !s.HandedOver && now.Sub(u.mineSince) < n.set.Timing.Takeover {
-		return
-	}
 	u.active = true
 	n.counters.Activations++
 	n.sched.Activate(now, shard, s.Token)
@@ -160,6 +234,9 @@
 	if s.Owner == "" || s.Owner == n.set.VM {
 		return true
 	}
+	if now.Before(n.shards[shard].heldTill) {
+		return false
+	}
 	switch n.members.Status(now, s.Owner) {
 	case member.StatusGone:
 		return true
@@ -304,16 +381,11 @@
 	if !n.shards[shard].active {
 		return nil
 	}
-	since := n.shards[shard].mineSince
-	handedOver := n.ledger.Shard(shard).HandedOver
-	if !handedOver {
-		since = since.Add(n.set.Timing.Takeover)
-	}
 	var out []router.OwnedInstance
 	for _, i := range vm.Instances {
 		out = append(out, router.OwnedInstance{
 			Instance: i, VM: vm.ID, Shard: shard, Leaving: vm.Leaving,
-			ActiveSince: since, HandedOver: handedOver,
+			ActiveSince: n.shards[shard].mineSince, HandedOver: n.ledger.Shard(shard).HandedOver,
 		})
 	}
 	return out
--- a/internal/entry/node/stream.go
+++ b/internal/entry/node/stream.go
@@ -212,7 +212,7 @@
 	}
 	s.ready = true
 	s.atEnd = n.next(s) >= e.Page.Next
-	if s == n.shardLog && s.atEnd {
+	if s == n.shardLog && s.atEnd && !n.contested() {
 		n.fence.LogRead(e.Sent)
 	}
 }
--- a/internal/request/router/counters.go
+++ b/internal/request/router/counters.go
@@ -31,7 +31,7 @@
 	c.Refusals[reason]++
 }
 
-func (c *Counters) replied(p *pending, o bamboofall.Outcome, reason Reason) {
+func (c *Counters) replied(o bamboofall.Outcome, reason Reason) {
 	switch o {
 	case bamboofall.OutcomeNotRun:
 		c.refused(reason)
--- a/internal/request/router/results.go
+++ b/internal/request/router/results.go
@@ -128,6 +128,7 @@
 	}
 	peer := p.forwarded
 	p.forwarded = ""
+	p.vouched = res.Vouched
 	switch {
 	case !res.Reached:
 		r.peers.doubt(peer)
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -92,6 +92,8 @@
 	mayHaveRun bool
 	avoid      string
 	avoidPeer  bamboofall.VMID
+	// vouched is set if the key's home knows the request's fate.
+	vouched bool
 	// key is set while the request holds its key at this home.
 	key   *idempotency.Key
 	shard int
@@ -277,8 +279,20 @@
 }
 
 func (r *Router) refuseNew(req Request, reason Reason, after time.Duration) []Action {
-	r.counters.refused(reason)
-	return []Action{Reply{Request: req, Outcome: bamboofall.OutcomeNotRun, Reason: reason, RetryAfter: after}}
+	o := honest(req, bamboofall.OutcomeNotRun, reason == ReasonUnknownKind || reason == ReasonUnknownService)
+	r.counters.replied(o, reason)
+	return []Action{Reply{Request: req, Outcome: o, Reason: reason, RetryAfter: after}}
+}
+
+// honest returns what a caller may be told. "Not run" is said of a request, not
+// of one try: if an earlier try with the key may exist, only the key's home can
+// vouch for it. Between entry VMs the word is of the try.
+func honest(req Request, o bamboofall.Outcome, vouched bool) bamboofall.Outcome {
+	edge := !req.Hop && !req.Far
+	if o == bamboofall.OutcomeNotRun && edge && req.Key != "" && !req.First && !vouched {
+		return bamboofall.OutcomeUnknown
+	}
+	return o
 }
 
 // arriveOnce takes a request that must run at most once to its key's home.
@@ -337,6 +351,7 @@
 	case idempotency.CannotKnow:
 		return r.finish(now, p, bamboofall.OutcomeUnknown, ReasonCannotKnow, nil)
 	case idempotency.Reused:
+		p.vouched = true
 		return r.finish(now, p, bamboofall.OutcomeNotRun, ReasonKeyReused, nil)
 	}
 	return r.finish(now, p, bamboofall.OutcomeNotRun, ReasonKeyMemoryFull, nil)
@@ -485,8 +500,12 @@
 
 func (r *Router) finishAfter(now time.Time, p *pending, o bamboofall.Outcome, reason Reason, after time.Duration, a *idempotency.Answer) []Action {
 	delete(r.pending, p.ID)
-	r.counters.replied(p, o, reason)
-	out := []Action{Reply{Request: p.Request, Outcome: o, Reason: reason, RetryAfter: after, Answer: a}}
+	vouched := p.vouched || p.key != nil || !p.once
+	told := honest(p.Request, o, vouched)
+	r.counters.replied(told, reason)
+	out := []Action{Reply{
+		Request: p.Request, Outcome: told, Reason: reason, RetryAfter: after, Answer: a, Vouched: vouched,
+	}}
 	if p.key == nil {
 		return out
 	}
--- a/internal/request/router/types.go
+++ b/internal/request/router/types.go
@@ -104,6 +104,8 @@
 	Reason     Reason
 	RetryAfter time.Duration
 	Answer     *idempotency.Answer
+	// Vouched is set if the key's home stands behind the outcome.
+	Vouched bool
 }
 
 // Action is something for the shell to do: a Send, a Forward or a Reply.
@@ -141,6 +143,8 @@
 	RetryAfter time.Duration
 	// Answer is set if the outcome is answered.
 	Answer *idempotency.Answer
+	// Vouched is set if the key's home stands behind the outcome.
+	Vouched bool
 }
 
 func (Send) action()    {}
--- a/internal/state/fence/fence.go
+++ b/internal/state/fence/fence.go
@@ -1,13 +1,13 @@
 // Package fence decides whether an entry VM may still act as the owner of its
 // shards.
 //
-// A claim takes effect only when the claimant has waited for the takeover time
-// after reading it back. So an owner is safe for the fence time, which is
-// shorter, after any moment at which it knows that no claim against it had
-// been made. It knows this from the log, when a read that it sent at that
-// moment reached the end of the stream, or without the log, when every other
-// entry VM of the data centre said so or was certainly not running. While an
-// owner knows neither, it acts no more; it cannot tell a cut from a takeover.
+// A claim against an owner can be confirmed only when the claimant has waited
+// for the takeover time after reading it back. So an owner is safe for the fence
+// time, which is shorter, after any moment at which it knows that no claim
+// against it was pending. It knows this from the log, when a read that it sent
+// at that moment reached the end of the stream, or without the log, when every
+// other entry VM of the data centre said so or was certainly not running. While
+// an owner knows neither, it acts no more; it cannot tell a cut from a takeover.
 package fence
 
 import (
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -4,8 +4,11 @@
 // it meets, so all readers agree, and a record that was written twice changes
 // nothing the second time. The rules are:
 //
-//   - A claim is valid if it names the token that the shard has. The claim's
-//     offset is the shard's new token, and fences every smaller one.
+//   - A claim is valid if it names the token that the shard has. A shard
+//     without owner is the claimant's at once. An owner that is alive objects,
+//     which ends the claim; otherwise the claimant confirms it after a wait.
+//   - The offset of the record that moved a shard is the shard's token, and
+//     fences every smaller one.
 //   - A handover is valid under the shard's token. Without a receiver it
 //     releases the shard, and the next claimant need not wait.
 //   - An intent, a close and a move are valid only under the token of the
@@ -41,7 +44,16 @@
 	// HandedOver is set if the last owner gave the shard away itself, so that
 	// the new owner need not wait.
 	HandedOver bool
-	claimID    string
+	// Pending is a claim that was neither confirmed nor objected to.
+	Pending Pending
+	claimID string
+}
+
+// Pending is a claim against the owner of a shard. The zero value is none.
+type Pending struct {
+	Owner       bamboofall.VMID
+	Incarnation string
+	ClaimID     string
 }
 
 // TaskStatus is the state of a task.
@@ -236,6 +248,10 @@
 		return l.applyClose(body.Close)
 	case *recordpb.Record_Move:
 		return l.applyMove(body.Move)
+	case *recordpb.Record_Confirm:
+		return l.applyConfirm(offset, body.Confirm)
+	case *recordpb.Record_Objection:
+		return l.applyObjection(body.Objection)
 	}
 	return Verdict{Void: "unknown record"}
 }
@@ -247,16 +263,54 @@
 		return void("claim with another number of shards")
 	}
 	s := &l.shards[c.GetShard()]
-	if s.claimID == id {
+	if s.claimID == id || s.Pending.ClaimID == id {
 		return Verdict{Repeat: true}
 	}
 	if uint64(s.Token) != c.GetPreviousToken() {
 		return void("claim lost the race")
 	}
-	*s = Shard{
-		Owner: bamboofall.VMID(c.GetOwner()), Incarnation: c.GetIncarnation(),
-		Token: tokenAt(offset), claimID: id, HandedOver: s.Owner == "",
+	claim := Pending{Owner: bamboofall.VMID(c.GetOwner()), Incarnation: c.GetIncarnation(), ClaimID: id}
+	if s.Owner != "" {
+		s.Pending = claim
+		return Verdict{}
+	}
+	*s = claim.owned(offset)
+	s.HandedOver = true
+	return Verdict{}
+}
+
+// owned returns the shard once the claim has won.
+func (p Pending) owned(offset bamboofall.Offset) Shard {
+	return Shard{Owner: p.Owner, Incarnation: p.Incarnation, Token: tokenAt(offset), claimID: p.ClaimID}
+}
+
+func (l *Ledger) applyConfirm(offset bamboofall.Offset, c *recordpb.Confirm) Verdict {
+	if int(c.GetShard()) >= len(l.shards) {
+		return void("unknown shard")
+	}
+	s := &l.shards[c.GetShard()]
+	if s.claimID == c.GetClaimId() {
+		return Verdict{Repeat: true}
+	}
+	if s.Pending.ClaimID == "" || s.Pending.ClaimID != c.GetClaimId() {
+		return void("claim is not pending")
+	}
+	*s = s.Pending.owned(offset)
+	return Verdict{}
+}
+
+func (l *Ledger) applyObjection(o *recordpb.Objection) Verdict {
+	if int(o.GetShard()) >= len(l.shards) {
+		return void("unknown shard")
+	}
+	s := &l.shards[o.GetShard()]
+	if uint64(s.Token) != o.GetToken() {
+		return void("fenced token")
+	}
+	if s.Pending.ClaimID != o.GetClaimId() {
+		return Verdict{Repeat: true}
 	}
+	s.Pending = Pending{}
 	return Verdict{}
 }
 
--- a/internal/state/ledger/snapshot.go
+++ b/internal/state/ledger/snapshot.go
@@ -18,7 +18,8 @@
 	for _, sh := range l.shards {
 		s.Shards = append(s.Shards, &recordpb.ShardState{
 			Owner: string(sh.Owner), Token: uint64(sh.Token), ClaimId: sh.claimID, HandedOver: sh.HandedOver,
-			Incarnation: sh.Incarnation,
+			Incarnation: sh.Incarnation, PendingOwner: string(sh.Pending.Owner),
+			PendingIncarnation: sh.Pending.Incarnation, PendingClaimId: sh.Pending.ClaimID,
 		})
 	}
 	ended := make(map[string]bool, len(l.ended))
@@ -69,6 +70,10 @@
 		l.shards[i] = Shard{
 			Owner: bamboofall.VMID(sh.GetOwner()), Token: bamboofall.Token(sh.GetToken()),
 			Incarnation: sh.GetIncarnation(), HandedOver: sh.GetHandedOver(), claimID: sh.GetClaimId(),
+			Pending: Pending{
+				Owner: bamboofall.VMID(sh.GetPendingOwner()), Incarnation: sh.GetPendingIncarnation(),
+				ClaimID: sh.GetPendingClaimId(),
+			},
 		}
 	}
 	for _, r := range s.GetRuns() {
