request/router: keep keyed requests through moves of their home

Cause: rolling restarts and floods lost requests that no one needed to lose. Change: a request waits while its key's home moves; a VM without instances sends waiting requests on; connections that do not answer are set aside after three usual latencies; peers get as many requests as they had free slots; a stop hands all shards over at once, only to VMs that are ready.

--- a/internal/batch/scheduler/place.go
+++ b/internal/batch/scheduler/place.go
@@ -20,6 +20,9 @@
 // urgent work mostly starts without an eviction. In percent.
 const reservePart = 5
 
+// holdFor is how long the room that evictions free is kept for an urgent task.
+const holdFor = 5 * time.Second
+
 // candidate is a task that may be placed now.
 type candidate struct {
 	task *ledger.Task
@@ -44,7 +47,7 @@
 			break
 		}
 		run := c.task.Run.Name()
-		if full[run] {
+		if full[run] && c.task.Run.Class() != bamboofall.ClassUrgent {
 			s.postpone(now, c.task, s.Why(c.task.ID))
 			s.maybeMove(now, shard, c.task)
 			continue
@@ -182,6 +185,11 @@
 			continue
 		}
 		free := s.free(w)
+		for id, h := range w.held {
+			if id != t.ID && now.Before(h.till) {
+				free = free.Sub(h.size)
+			}
+		}
 		if t.Run.Class() != bamboofall.ClassUrgent {
 			free.MilliProcessors -= w.room.MilliProcessors * reservePart / 100
 			free.MemoryBytes -= w.room.MemoryBytes * reservePart / 100
@@ -356,6 +364,7 @@
 			s.note("task", taskName(v.ID), "evicted from %s for urgent task %s", best.vm.ID, taskName(t.ID))
 		}
 	}
+	best.held[t.ID] = hold{size, now.Add(holdFor)}
 	s.kick(now, best.vm.ID)
 	return true
 }
@@ -381,6 +390,11 @@
 		return s.sizeOf(pool[i]).MilliProcessors > s.sizeOf(pool[j]).MilliProcessors
 	})
 	free := s.free(w)
+	for id, h := range w.held {
+		if id != t.ID {
+			free = free.Sub(h.size)
+		}
+	}
 	for n, v := range pool {
 		free = free.Add(s.sizeOf(v))
 		if size.Fits(free) {
--- a/internal/batch/scheduler/scheduler.go
+++ b/internal/batch/scheduler/scheduler.go
@@ -321,16 +321,30 @@
 	}
 	delete(s.tasks, id)
 	s.touch(t.Shard)
+	s.hurryUrgent(t.Shard)
 	if t.Run.Done() {
 		// A run that waited for this one may begin.
 		s.touchAll()
 	}
 }
 
+// hurryUrgent looks again at urgent tasks as soon as room may have come free.
+func (s *Scheduler) hurryUrgent(shard int) {
+	for _, w := range s.workers {
+		if w.shard != shard {
+			continue
+		}
+		for id := range w.held {
+			s.state(id).deferTill = time.Time{}
+		}
+	}
+}
+
 // unreserve gives back the room that was kept for an intent.
 func (s *Scheduler) unreserve(id bamboofall.TaskID) {
 	for _, w := range s.workers {
 		delete(w.reserved, id)
+		delete(w.held, id)
 	}
 }
 
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -44,6 +44,8 @@
 	running map[bamboofall.TaskID]bamboofall.AttemptReport
 	// strange holds attempts that must not run here.
 	strange []bamboofall.AttemptReport
+	// held holds the room that evictions free for urgent tasks.
+	held map[bamboofall.TaskID]hold
 	// evict holds the tasks to evict.
 	evict map[bamboofall.TaskID]bool
 	// throttle holds the share of processors of jobs, in thousandths.
@@ -73,6 +75,13 @@
 	w.running = make(map[bamboofall.TaskID]bamboofall.AttemptReport)
 	w.strange = nil
 	w.evict = make(map[bamboofall.TaskID]bool)
+	w.held = make(map[bamboofall.TaskID]hold)
+}
+
+// hold is room that is kept for an urgent task for a time.
+type hold struct {
+	size bamboofall.Resources
+	till time.Time
 }
 
 // round begins a round with a worker if one is due.
--- a/internal/entry/daemon/callers.go
+++ b/internal/entry/daemon/callers.go
@@ -43,6 +43,10 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
 	}
+	if !d.serving.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
 	_, _ = io.WriteString(w, "ok\n")
 }
 
--- a/internal/entry/daemon/control.go
+++ b/internal/entry/daemon/control.go
@@ -23,7 +23,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			d.stepControl(time.Now(), node.Tick{})
+			now := time.Now()
+			d.stepControl(now, node.Tick{})
+			d.serving.Store(d.node.Serving(now))
 		case item := <-d.control.Items():
 			now := time.Now()
 			if item.inspect != nil {
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -81,6 +81,8 @@
 	leaving   chan struct{}
 	leaveOnce sync.Once
 	leftAt    atomic.Int64
+	// serving is set while the balancer should send callers here.
+	serving atomic.Bool
 	// gone is closed when nothing is left to do.
 	gone chan struct{}
 }
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -43,7 +43,7 @@
 	m := r.Msg
 	h := member.Heartbeat{
 		VM: bamboofall.VMID(m.GetVm()), Incarnation: m.GetIncarnation(),
-		DataCentre: bamboofall.DataCentre(m.GetDataCentre()), Leaving: m.GetLeaving(),
+		DataCentre: bamboofall.DataCentre(m.GetDataCentre()), Leaving: m.GetLeaving(), Ready: m.GetReady(),
 		Revision: m.GetRevision(), Rooms: fromRooms(m.GetRooms()),
 	}
 	var shards []node.OwnedShard
@@ -57,7 +57,7 @@
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
 	return connect.NewResponse(&peerpb.HeartbeatResponse{
-		Vm: string(self.VM), Incarnation: self.Incarnation, Leaving: self.Leaving, Revision: self.Revision,
+		Vm: string(self.VM), Incarnation: self.Incarnation, Leaving: self.Leaving, Ready: self.Ready, Revision: self.Revision,
 		Rooms: toRooms(self.Rooms), NoClaim: clear, DataCentre: string(self.DataCentre),
 	}), nil
 }
@@ -122,7 +122,7 @@
 	defer cancel()
 	m := &peerpb.HeartbeatRequest{
 		Vm: string(a.Self.VM), Incarnation: a.Self.Incarnation, DataCentre: string(a.Self.DataCentre),
-		Leaving: a.Self.Leaving, Revision: a.Self.Revision, Rooms: toRooms(a.Self.Rooms),
+		Leaving: a.Self.Leaving, Ready: a.Self.Ready, Revision: a.Self.Revision, Rooms: toRooms(a.Self.Rooms),
 	}
 	for _, s := range a.Shards {
 		m.Shards = append(m.Shards, &peerpb.OwnedShard{Shard: uint32(s.Shard), Token: uint64(s.Token)})
@@ -138,7 +138,7 @@
 	r := res.Msg
 	done.NoClaim = r.GetNoClaim()
 	done.Answer = member.Heartbeat{
-		VM: bamboofall.VMID(r.GetVm()), Incarnation: r.GetIncarnation(), Leaving: r.GetLeaving(),
+		VM: bamboofall.VMID(r.GetVm()), Incarnation: r.GetIncarnation(), Leaving: r.GetLeaving(), Ready: r.GetReady(),
 		DataCentre: bamboofall.DataCentre(r.GetDataCentre()), Revision: r.GetRevision(), Rooms: fromRooms(r.GetRooms()),
 	}
 	d.control.Push(ctx, controlItem{event: done})
--- a/internal/entry/daemon/sender.go
+++ b/internal/entry/daemon/sender.go
@@ -55,10 +55,10 @@
 }
 
 // take returns a connection and whether it is a new one.
-func (s *sends) take(now time.Time, to netip.AddrPort) (*httpclient.Conn, bool) {
+func (s *sends) take(now time.Time, to netip.AddrPort, patience time.Duration) (*httpclient.Conn, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	conn, ok, expired := s.pool(to).Take(now)
+	conn, ok, expired := s.pool(to).Take(now, patience)
 	for _, c := range expired {
 		c.Close()
 	}
@@ -101,7 +101,7 @@
 		return
 	}
 	now := time.Now()
-	conn, fresh := d.sends.take(now, a.Instance.Address)
+	conn, fresh := d.sends.take(now, a.Instance.Address, a.Patience)
 	if !now.Before(a.Before) {
 		conn.Close()
 		d.sent(a, router.SendResult{Status: router.SendStale})
--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -21,7 +21,7 @@
 func (n *Node) Self() member.Heartbeat {
 	return member.Heartbeat{
 		VM: n.set.VM, Incarnation: n.cfg.Incarnation, DataCentre: n.set.DataCentre,
-		Leaving: n.leaving, Revision: n.catalog.Revision(), Rooms: n.requests.Rooms,
+		Leaving: n.leaving, Ready: n.Ready() && n.listed, Revision: n.catalog.Revision(), Rooms: n.requests.Rooms,
 	}
 }
 
--- a/internal/entry/node/inspect.go
+++ b/internal/entry/node/inspect.go
@@ -64,6 +64,23 @@
 // Ready reports whether the state of both streams can be used.
 func (n *Node) Ready() bool { return n.config.ready && n.shardLog.ready }
 
+// Serving reports whether the balancer should send callers here: the state can
+// be used, and this VM owns shards or knows who does.
+func (n *Node) Serving(now time.Time) bool {
+	if !n.Ready() || !n.listed || n.leaving || n.catalog.Revision() == 0 {
+		return false
+	}
+	if len(n.ActiveShards()) > 0 {
+		return true
+	}
+	for _, m := range n.members.In(now, n.set.DataCentre) {
+		if n.members.Status(now, m.VM) == member.StatusAlive {
+			return true
+		}
+	}
+	return false
+}
+
 // LogDown reports whether the log does not answer.
 func (n *Node) LogDown() bool { return n.config.failing || n.shardLog.failing }
 
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -118,6 +118,8 @@
 		n.cancel(now, e)
 	case Stop:
 		n.leaving = true
+		// The others must know before they hand anything over to this VM.
+		n.nextBeat, n.nextFar = now, now
 		n.explain("vm", string(n.set.VM), "is stopping: hands its shards over")
 	}
 	n.advance(now)
--- a/internal/entry/node/shards.go
+++ b/internal/entry/node/shards.go
@@ -152,7 +152,7 @@
 	if u.active {
 		n.sched.Deactivate(shard)
 	}
-	*u = shardUse{wanted: u.wanted, wantedSince: u.wantedSince, heldTill: u.heldTill}
+	*u = shardUse{wanted: u.wanted, wantedSince: now, heldTill: u.heldTill}
 	if n.mine(shard) {
 		u.mineSince = now
 	}
@@ -173,18 +173,19 @@
 		n.activate(now, i, open)
 		n.defend(now, i)
 		n.confirm(now, i)
+		n.finishGiving(now, i)
 	}
 	if now.Before(n.nextClaim) || !n.shardLog.ready || !n.shardLog.atEnd || !n.listed {
 		return
 	}
 	n.nextClaim = now.Add(claimEvery)
-	wanted := member.Assign(len(n.shards), n.members.Alive(now, n.set.DataCentre, n.leaving))
+	wanted := member.Assign(len(n.shards), n.members.Owners(now, n.set.DataCentre, n.leaving))
 	for i := range n.shards {
 		if wanted != nil {
 			n.want(now, i, wanted[i])
 		}
 	}
-	n.giveOne(now)
+	n.give(now)
 }
 
 // activate begins to act for a shard once that is safe.
@@ -248,19 +249,22 @@
 	return m.Last.Incarnation != s.Incarnation
 }
 
-// giveOne hands one shard over to the VM that should own it. The shard is out
-// of use from the decision on. The record is written once nothing of it is in
+// give hands shards over to the VMs that should own them, one at a time so that
+// little is out of use, or all at once if this VM is leaving. A shard is out of
+// use from the decision on. The record is written once nothing of it is in
 // flight.
-func (n *Node) giveOne(now time.Time) {
+func (n *Node) give(now time.Time) {
 	for i := range n.shards {
-		if n.shards[i].giving {
-			n.finishGiving(now, i)
+		if n.shards[i].giving && !n.leaving {
 			return
 		}
 	}
 	for i := range n.shards {
-		if n.mayGive(now, i) {
-			n.stopUsing(now, i)
+		if n.shards[i].giving || !n.mayGive(now, i) {
+			continue
+		}
+		n.stopUsing(now, i)
+		if !n.leaving {
 			return
 		}
 	}
@@ -270,7 +274,7 @@
 // because this VM is leaving and no other is there.
 func (n *Node) mayGive(now time.Time, shard int) bool {
 	u := &n.shards[shard]
-	if n.leaving && n.mine(shard) && len(n.members.Alive(now, n.set.DataCentre, true)) == 0 {
+	if n.leaving && n.mine(shard) && len(n.members.Owners(now, n.set.DataCentre, true)) == 0 {
 		u.wanted = ""
 		return true
 	}
@@ -287,7 +291,7 @@
 // canTake reports whether a VM answers and knows this process.
 func (n *Node) canTake(now time.Time, vm bamboofall.VMID) bool {
 	m := n.members.Get(vm)
-	return m != nil && m.Acknowledged && n.members.Status(now, vm) == member.StatusAlive
+	return m != nil && m.Acknowledged && m.Last.Ready && n.members.Status(now, vm) == member.StatusAlive
 }
 
 func (n *Node) stopUsing(now time.Time, shard int) {
@@ -306,7 +310,7 @@
 // it was told to stop, that nothing is in flight.
 func (n *Node) finishGiving(now time.Time, shard int) {
 	u := &n.shards[shard]
-	if n.requests.Inflight == nil || n.requests.Inflight[shard] > 0 {
+	if !u.giving || n.requests.Inflight == nil || n.requests.Inflight[shard] > 0 {
 		return
 	}
 	if !u.handedOut.IsZero() && now.Sub(u.handedOut) < claimAgain {
@@ -346,6 +350,7 @@
 		Active:     make(map[int]bamboofall.Token),
 		Leaving:    n.leaving,
 		Sharers:    1,
+		Listed:     make(map[string]bool),
 	}
 	for i := range n.shards {
 		s := n.ledger.Shard(i)
@@ -355,8 +360,12 @@
 		}
 	}
 	for _, vm := range n.fleet.VMs {
-		if vm.DataCentre == n.set.DataCentre {
-			v.Instances = append(v.Instances, n.ownedInstances(vm)...)
+		if vm.DataCentre != n.set.DataCentre {
+			continue
+		}
+		v.Instances = append(v.Instances, n.ownedInstances(vm)...)
+		for _, i := range vm.Instances {
+			v.Listed[i.Service] = true
 		}
 	}
 	for _, m := range n.members.All(now) {
--- a/internal/entry/node/stream.go
+++ b/internal/entry/node/stream.go
@@ -343,7 +343,7 @@
 
 // turn returns this VM's place among the live ones of the data centre.
 func (n *Node) turn(now time.Time) int {
-	for i, vm := range n.members.Alive(now, n.set.DataCentre, n.leaving) {
+	for i, vm := range n.members.Owners(now, n.set.DataCentre, n.leaving) {
 		if vm == n.set.VM {
 			return i
 		}
--- a/internal/request/connpool/connpool.go
+++ b/internal/request/connpool/connpool.go
@@ -4,7 +4,9 @@
 // request that the connection was taken for, or to none. A connection on which
 // a request timed out is never used again, and neither is any connection that
 // has not answered since that request was sent: what lost track of one idle
-// connection may have lost track of the others. Idle connections are closed
+// connection may have lost track of the others. While no connection answers for
+// longer than usual, new ones are opened, so that few requests meet connections
+// that have gone silent. Idle connections are closed
 // after a short time, before anything between the two ends forgets them.
 package connpool
 
@@ -23,14 +25,21 @@
 // empty pool.
 type Pool[C any] struct {
 	idle []idle[C]
+	// unanswered is when a connection was first taken since the last answer on
+	// any of them. Zero if none was.
+	unanswered time.Time
 }
 
 // Take returns the most recently used connection, or false if a new one must
-// be opened. It returns the connections that have been idle too long, for the
-// caller to close.
-func (p *Pool[C]) Take(now time.Time) (conn C, ok bool, expired []C) {
+// be opened: there is none, or none has answered for longer than patience
+// while one was asked. It returns the connections that have been idle too long,
+// for the caller to close.
+func (p *Pool[C]) Take(now time.Time, patience time.Duration) (conn C, ok bool, expired []C) {
 	expired = p.Expire(now)
-	if len(p.idle) == 0 {
+	if p.unanswered.IsZero() {
+		p.unanswered = now
+	}
+	if len(p.idle) == 0 || now.Sub(p.unanswered) > patience {
 		return conn, false, expired
 	}
 	last := len(p.idle) - 1
@@ -41,6 +50,7 @@
 
 // Put returns a connection that has just carried a whole answer.
 func (p *Pool[C]) Put(now time.Time, conn C) {
+	p.unanswered = time.Time{}
 	p.idle = append(p.idle, idle[C]{conn, now})
 }
 
--- a/internal/request/fairqueue/fairqueue.go
+++ b/internal/request/fairqueue/fairqueue.go
@@ -32,6 +32,9 @@
 	minQueued = 4
 	// rateSpan is the time constant of the measured service rate.
 	rateSpan = time.Second
+	// maxGapGrowth bounds what one sample may add to the measured time.
+	maxGapGrowth = 4
+	minStall     = 20 * time.Millisecond
 )
 
 // Item is something that waits.
@@ -252,6 +255,10 @@
 func (l *leaf) learnGap(now time.Time) {
 	gap := now.Sub(l.last)
 	l.last = now
+	if l.gap > 0 {
+		// A stall says nothing about how fast the queue moves after it.
+		gap = min(gap, max(maxGapGrowth*l.gap, minStall))
+	}
 	share := min(float64(gap+time.Millisecond)/float64(rateSpan), 1)
 	l.gap += time.Duration(float64(gap-l.gap) * share)
 }
--- a/internal/request/instance/instance.go
+++ b/internal/request/instance/instance.go
@@ -43,6 +43,9 @@
 	UsableAt time.Time
 
 	inflight int
+	// held is the part of inflight that may be done: nobody waits for it, but
+	// its end is not known.
+	held     int
 	latency  time.Duration
 	limit    float64
 	failures int
@@ -251,6 +254,16 @@
 	return float64(latency+time.Microsecond) * float64(i.inflight+1) / float64(i.Slots)
 }
 
+// Hold records that nobody waits any more for a request whose end is not
+// known. It keeps its slot until ReleaseHeld.
+func (p *Pool) Hold(i *Instance) { i.held++ }
+
+// ReleaseHeld gives the slot of a held request back.
+func (p *Pool) ReleaseHeld(now time.Time, i *Instance) {
+	i.held--
+	p.Release(now, i)
+}
+
 // Release gives a slot back.
 func (p *Pool) Release(now time.Time, i *Instance) {
 	i.inflight--
@@ -301,13 +314,14 @@
 	*mean += time.Duration(latencyWeight * float64(sample-*mean))
 }
 
-// Room returns the free and all slots of the instances that are in use.
+// Room returns the free slots and those that can be put to use, of the instances
+// that are in use.
 func (p *Pool) Room(now time.Time) (free, owned int) {
 	for _, i := range p.all {
 		if i.removed || i.Leaving || i.Resting(now) || now.Before(i.UsableAt) {
 			continue
 		}
-		owned += i.Slots
+		owned += i.Slots - i.held
 		free += max(i.usable(now), 0)
 	}
 	return free, owned
--- a/internal/request/router/peers.go
+++ b/internal/request/router/peers.go
@@ -9,15 +9,23 @@
 	"bamboofall.example/bamboofall"
 )
 
-// peers keeps the room that other entry VMs reported, less what was forwarded
-// to them since.
+// peers keeps the room that other entry VMs reported. At most as many requests
+// are under way to a peer as it had free slots, which its slots can serve again
+// and again between two heartbeats.
 type peers struct {
 	byVM map[bamboofall.VMID]*peerState
+	// underWay counts the requests forwarded to a VM for a service.
+	underWay map[peerService]int
 	// order holds the names in order, so that a seed gives the same choices.
 	order []bamboofall.VMID
 	rand  *rand.Rand
 }
 
+type peerService struct {
+	vm      bamboofall.VMID
+	service string
+}
+
 type peerState struct {
 	Peer
 	free    map[string]int
@@ -28,7 +36,7 @@
 }
 
 func newPeers(r *rand.Rand) *peers {
-	return &peers{byVM: make(map[bamboofall.VMID]*peerState), rand: r}
+	return &peers{byVM: make(map[bamboofall.VMID]*peerState), underWay: make(map[peerService]int), rand: r}
 }
 
 func (p *peers) update(list []Peer) {
@@ -65,6 +73,26 @@
 	return s != nil && !s.doubted
 }
 
+// sent records a forwarded request and returns the peer.
+func (p *peers) sent(vm bamboofall.VMID, service string) Peer {
+	p.underWay[peerService{vm, service}]++
+	return p.byVM[vm].Peer
+}
+
+// returned records the end of a forwarded request.
+func (p *peers) returned(vm bamboofall.VMID, service string) {
+	key := peerService{vm, service}
+	p.underWay[key]--
+	if p.underWay[key] <= 0 {
+		delete(p.underWay, key)
+	}
+}
+
+// room returns how many more requests a peer may get.
+func (p *peers) room(s *peerState, service string) int {
+	return s.free[service] - p.underWay[peerService{s.VM, service}]
+}
+
 // doubt leaves a peer out until it is heard again.
 func (p *peers) doubt(vm bamboofall.VMID) {
 	if s := p.byVM[vm]; s != nil {
@@ -96,6 +124,37 @@
 	return found, n > 0
 }
 
+// spill returns a peer of the data centre that owns more than its share of the
+// slots of a service, for the part of the requests that is more than the own
+// share. It evens out what the balancer spreads without regard to slots.
+func (p *peers) spill(service string, dc bamboofall.DataCentre, own int) (bamboofall.VMID, bool) {
+	var near []*peerState
+	total := own
+	for _, vm := range p.order {
+		s := p.byVM[vm]
+		if s.DataCentre == dc && !s.doubted && !s.Leaving {
+			near = append(near, s)
+			total += s.owned[service]
+		}
+	}
+	vms := len(near) + 1
+	excess := total - own*vms
+	if excess <= 0 || p.rand.IntN(total) >= excess {
+		return "", false
+	}
+	above := 0
+	for _, s := range near {
+		above += max(s.owned[service]*vms-total, 0)
+	}
+	at := p.rand.IntN(max(above, 1))
+	for _, s := range near {
+		if at -= max(s.owned[service]*vms-total, 0); at < 0 {
+			return s.VM, true
+		}
+	}
+	return "", false
+}
+
 // pick returns a peer with room for a service, those of the own data centre
 // first. The time left must cover the way there and back. If any is set, a
 // peer of the own data centre without free slots will do, as long as it owns
@@ -103,7 +162,7 @@
 func (p *peers) pick(service string, dc bamboofall.DataCentre, left time.Duration, avoid bamboofall.VMID, any bool) (bamboofall.VMID, bool) {
 	var best *peerState
 	score := func(s *peerState) int {
-		points := s.free[service]
+		points := p.room(s, service)
 		if s.DataCentre == dc {
 			points += 1 << 20
 		}
@@ -115,7 +174,7 @@
 			continue
 		}
 		near := s.DataCentre == dc
-		room := s.free[service] > 0 || any && near && s.owned[service] > 0
+		room := p.room(s, service) > 0 || any && near && s.owned[service] > 0
 		if !room || !near && s.RTT+s.latency[service] > left/2 {
 			continue
 		}
@@ -126,6 +185,5 @@
 	if best == nil {
 		return "", false
 	}
-	best.free[service]--
 	return best.VM, true
 }
--- a/internal/request/router/results.go
+++ b/internal/request/router/results.go
@@ -34,7 +34,7 @@
 		return nil
 	}
 	delete(r.lingering, id)
-	a.service.pool.Release(now, a.instance)
+	a.service.pool.ReleaseHeld(now, a.instance)
 	return r.pump(now, a.service)
 }
 
@@ -60,6 +60,7 @@
 	}
 	if res.Status == SendTimeout || res.Status == SendBroken {
 		r.lingering[a.id] = a
+		pool.Hold(a.instance)
 		return
 	}
 	pool.Release(now, a.instance)
@@ -128,6 +129,7 @@
 	}
 	peer := p.forwarded
 	p.forwarded = ""
+	r.peers.returned(peer, p.Service)
 	p.vouched = res.Vouched
 	switch {
 	case !res.Reached:
@@ -139,7 +141,7 @@
 		return r.forwardAgain(now, p, peer, ReasonPeerLost)
 	case res.Outcome == bamboofall.OutcomeAnswered:
 		return r.finish(now, p, res.Outcome, res.Reason, res.Answer)
-	case res.Outcome == bamboofall.OutcomeNotRun && !p.mayHaveRun && retryElsewhere(res.Reason):
+	case res.Outcome == bamboofall.OutcomeNotRun && !p.mayHaveRun && p.mayGoElsewhere(res.Reason):
 		r.peers.full(peer, p.Service)
 		return r.forwardAgain(now, p, peer, res.Reason)
 	case res.Outcome == bamboofall.OutcomeUnknown:
@@ -148,25 +150,28 @@
 	return r.finishAfter(now, p, r.safeOutcome(p), res.Reason, res.RetryAfter, nil)
 }
 
-// retryElsewhere reports whether a peer's refusal speaks of that peer only.
-func retryElsewhere(reason Reason) bool {
+// mayGoElsewhere reports whether a peer's refusal speaks of that peer only. A
+// key has one home, so another VM helps only if the peer is not it. What was
+// forwarded to even out a flood is not brought back into it.
+func (p *pending) mayGoElsewhere(reason Reason) bool {
 	switch reason {
-	case ReasonQueueFull, ReasonNoInstances, ReasonNotHome, ReasonStopping:
+	case ReasonNotHome, ReasonStopping:
 		return true
+	case ReasonNoInstances:
+		return !p.once || p.key != nil
+	case ReasonQueueFull:
+		return !p.spilled && (!p.once || p.key != nil)
 	}
 	return false
 }
 
 func (r *Router) forwardAgain(now time.Time, p *pending, peer bamboofall.VMID, reason Reason) []Action {
 	p.avoidPeer = peer
-	p.tries++
-	if p.once && p.key == nil && !p.mayHaveRun && p.tries < maxAttempts {
-		if !p.service.budget.Spend() {
-			return r.finish(now, p, bamboofall.OutcomeNotRun, ReasonRetryBudget, nil)
-		}
+	if p.once && p.key == nil && !p.mayHaveRun {
 		r.counters.retried(reason)
-		return r.arriveOnce(now, p)
+		return r.park(now, p)
 	}
+	p.tries++
 	return r.again(now, p, reason)
 }
 
@@ -176,7 +181,7 @@
 		a := r.lingering[id]
 		if !now.Before(a.endsBy) {
 			delete(r.lingering, id)
-			a.service.pool.Release(now, a.instance)
+			a.service.pool.ReleaseHeld(now, a.instance)
 		}
 	}
 	return append(r.expireWaiting(now), r.pumpAll(now)...)
@@ -186,7 +191,7 @@
 func (r *Router) expireWaiting(now time.Time) []Action {
 	var late []uint64
 	for id, p := range r.pending {
-		waits := p.queued == nil && p.attempt == nil && p.forwarded == ""
+		waits := p.queued == nil && p.attempt == nil && p.forwarded == "" && r.parked[id] == nil
 		if waits && !now.Before(p.Deadline) {
 			late = append(late, id)
 		}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -20,6 +20,16 @@
 	minAttempt = 50 * time.Millisecond
 	// attemptFactor times the usual latency is the time of a first attempt.
 	attemptFactor = 8
+	// attemptPart of the time left is the least that an attempt gets.
+	attemptPart = 8
+	// patienceFactor times the usual latency without any answer makes open
+	// connections doubtful.
+	patienceFactor = 3
+	minPatience    = 20 * time.Millisecond
+	// parkPart of the time left, and no more than maxPark, is what a request
+	// waits for its key's home to be settled.
+	parkPart = 2
+	maxPark  = 3 * time.Second
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 3
 	// slotMargin is added to the time for which a silent request holds a slot.
@@ -49,6 +59,7 @@
 	names    []string
 	pending  map[uint64]*pending
 	attempts map[uint64]*attempt
+	parked   map[uint64]*pending
 	memories map[int]*memory
 	// homeSince is when a trade's home was last set to this data centre.
 	homeSince map[string]time.Time
@@ -85,6 +96,9 @@
 	queued  *fairqueue.Item
 	// attempt is the attempt under way, or nil.
 	attempt *attempt
+	// parkedTill is how long the request waits for its key's home. Zero if it
+	// does not.
+	parkedTill time.Time
 	// forwarded is the peer that has the request, or empty.
 	forwarded bamboofall.VMID
 	tries     int
@@ -92,6 +106,8 @@
 	mayHaveRun bool
 	avoid      string
 	avoidPeer  bamboofall.VMID
+	// spilled is set if the request was forwarded to even out the load.
+	spilled bool
 	// vouched is set if the key's home knows the request's fate.
 	vouched bool
 	// key is set while the request holds its key at this home.
@@ -121,6 +137,7 @@
 		services:  make(map[string]*service),
 		pending:   make(map[uint64]*pending),
 		attempts:  make(map[uint64]*attempt),
+		parked:    make(map[uint64]*pending),
 		lingering: make(map[uint64]*attempt),
 		memories:  make(map[int]*memory),
 		homeSince: make(map[string]time.Time),
@@ -175,7 +192,7 @@
 	r.limits.configure(r.set, v.Sharers)
 	r.peers.update(v.Peers)
 	r.takeInstances(now)
-	return r.pumpAll(now)
+	return append(r.unpark(now), r.pumpAll(now)...)
 }
 
 // ShardInflight returns the slots in use at instances of a shard. A shard may
@@ -247,6 +264,9 @@
 
 // check looks at everything that can be wrong with a request by itself.
 func (r *Router) check(now time.Time, req Request) (*pending, Reason) {
+	if r.revision == 0 {
+		return nil, ReasonNotReady
+	}
 	s := r.services[req.Service]
 	if s == nil || r.set.Services[req.Service] == nil {
 		return nil, ReasonUnknownService
@@ -271,6 +291,9 @@
 	if len(r.pending) >= maxWaiting {
 		return nil, ReasonQueueFull
 	}
+	if len(r.view.Homes) == 0 {
+		return nil, ReasonNotReady
+	}
 	p := &pending{Request: req, service: s, class: s.spec.KindClass(req.Kind), once: once, weight: 1}
 	if t != nil {
 		p.weight = float64(t.Weight)
@@ -307,7 +330,7 @@
 		}
 		peer, ok := r.peers.anyIn(home, p.avoidPeer)
 		if !ok {
-			return r.finish(now, p, bamboofall.OutcomeNotRun, ReasonHomeUnreachable, nil)
+			return r.park(now, p)
 		}
 		return r.forward(p, peer, 0)
 	}
@@ -325,11 +348,37 @@
 	}
 	home := r.view.Homes[shard]
 	if home.Owner == r.cfg.VM || home.Owner == p.avoidPeer || !r.peers.alive(home.Owner) {
-		return r.finish(now, p, bamboofall.OutcomeNotRun, ReasonHomeUnreachable, nil)
+		return r.park(now, p)
 	}
 	return r.forward(p, home.Owner, home.Token)
 }
 
+// park lets a request wait for a home that is moving. A planned move takes less
+// than a second.
+func (r *Router) park(now time.Time, p *pending) []Action {
+	if p.parkedTill.IsZero() {
+		p.parkedTill = now.Add(min(p.Deadline.Sub(now)/parkPart, maxPark))
+	}
+	p.avoidPeer = ""
+	r.parked[p.ID] = p
+	return nil
+}
+
+// unpark looks again at the requests that wait for a home.
+func (r *Router) unpark(now time.Time) []Action {
+	var out []Action
+	for _, id := range slices.Sorted(maps.Keys(r.parked)) {
+		p := r.parked[id]
+		delete(r.parked, id)
+		if now.Before(p.parkedTill) {
+			out = append(out, r.arriveOnce(now, p)...)
+			continue
+		}
+		out = append(out, r.finish(now, p, r.safeOutcome(p), ReasonHomeUnreachable, nil)...)
+	}
+	return out
+}
+
 // begin asks the home's memory about a request.
 func (r *Router) begin(now time.Time, p *pending, m *memory, shard int) []Action {
 	if p.Hop && p.Token != 0 && p.Token != m.token {
@@ -365,8 +414,7 @@
 			return r.forward(p, peer, 0)
 		}
 	}
-	free, owned := s.pool.Room(now)
-	if owned == 0 && free == 0 && !r.mayGetInstances() {
+	if !r.view.Listed[p.Service] {
 		return r.finish(now, p, bamboofall.OutcomeNotRun, ReasonNoInstances, nil)
 	}
 	it := &fairqueue.Item{
@@ -379,16 +427,22 @@
 	return r.pump(now, s)
 }
 
-// mayGetInstances reports whether waiting can help a VM without instances.
-func (r *Router) mayGetInstances() bool { return len(r.view.Active) > 0 && !r.view.Leaving }
-
 // peerWithRoom returns the entry VM that should take a request instead.
 func (r *Router) peerWithRoom(now time.Time, p *pending) (bamboofall.VMID, bool) {
 	if p.Hop || p.Far || p.once && p.key == nil {
 		return "", false
 	}
 	left := p.Deadline.Sub(now) - 2*p.service.pool.Latency()
-	return r.peers.pick(p.Service, r.cfg.DataCentre, left, p.avoidPeer, r.ownSlots(now, p.service) == 0)
+	own := r.ownSlots(now, p.service)
+	if peer, ok := r.peers.pick(p.Service, r.cfg.DataCentre, left, p.avoidPeer, own == 0); ok {
+		return peer, true
+	}
+	if p.tries > 0 {
+		return "", false
+	}
+	peer, ok := r.peers.spill(p.Service, r.cfg.DataCentre, own)
+	p.spilled = ok
+	return peer, ok
 }
 
 func (r *Router) ownSlots(now time.Time, s *service) int {
@@ -402,7 +456,7 @@
 func (r *Router) forward(p *pending, peer bamboofall.VMID, token bamboofall.Token) []Action {
 	p.forwarded = peer
 	r.counters.forwarded++
-	to := r.peers.byVM[peer].Peer
+	to := r.peers.sent(peer, p.Service)
 	far := to.DataCentre != r.cfg.DataCentre
 	return []Action{Forward{
 		Request: p.Request, Peer: peer, Address: to.Address, Token: token, HomeHeld: p.key != nil, Hop: !far, Far: far,
@@ -427,8 +481,8 @@
 		p.queued = nil
 		out = append(out, r.finish(now, p, r.safeOutcome(p), ReasonDeadlinePassed, nil)...)
 	}
-	if !now.Before(r.view.FenceUntil) {
-		return out
+	if r.ownSlots(now, s) == 0 {
+		return append(out, r.sendAway(now, s)...)
 	}
 	for s.queue.Len() > 0 && s.pool.HasRoom() {
 		it := s.queue.Pop(now)
@@ -446,6 +500,27 @@
 	return out
 }
 
+// sendAway gives the waiting requests of a VM that lost its instances to peers.
+// Those that peers had forwarded go back to them.
+func (r *Router) sendAway(now time.Time, s *service) []Action {
+	var out []Action
+	for s.queue.Len() > 0 {
+		it := s.queue.Pop(now)
+		p := r.pending[it.ID]
+		p.queued = nil
+		if p.Hop || p.Far {
+			out = append(out, r.finish(now, p, r.safeOutcome(p), ReasonNoInstances, nil)...)
+			continue
+		}
+		peer, ok := r.peerWithRoom(now, p)
+		if !ok {
+			return append(out, r.requeue(now, p, it)...)
+		}
+		out = append(out, r.forward(p, peer, 0)...)
+	}
+	return out
+}
+
 func (r *Router) requeue(now time.Time, p *pending, it *fairqueue.Item) []Action {
 	again := *it
 	if !p.service.queue.Push(now, &again) {
@@ -471,6 +546,7 @@
 	}
 	return Send{
 		Request: p.Request, Attempt: a.id, Instance: i.Instance, Before: before, Timeout: r.attemptTime(now, p),
+		Patience: max(patienceFactor*p.service.pool.Latency(), minPatience),
 	}
 }
 
@@ -482,7 +558,7 @@
 	if p.once || usual == 0 || p.tries >= maxAttempts {
 		return left
 	}
-	return min(left, max(minAttempt, attemptFactor*usual, left/4))
+	return min(left, max(minAttempt, attemptFactor*usual, left/attemptPart))
 }
 
 // safeOutcome returns what may be said of a request that gets no answer.
--- a/internal/request/router/types.go
+++ b/internal/request/router/types.go
@@ -64,6 +64,7 @@
 	ReasonStale           Reason = "decisionTooOld"
 	ReasonRetryBudget     Reason = "retryBudget"
 	ReasonStopping        Reason = "stopping"
+	ReasonNotReady        Reason = "notReady"
 )
 
 // SendStatus is how an attempt at an instance ended.
@@ -120,6 +121,9 @@
 	Before time.Time
 	// Timeout is how long the attempt may take.
 	Timeout time.Duration
+	// Patience is how long the instance's open connections may leave requests
+	// without an answer before new ones are opened.
+	Patience time.Duration
 }
 
 // Forward sends a request to another entry VM.
@@ -178,7 +182,9 @@
 	// Homes holds the owner of each shard of this data centre.
 	Homes     []Home
 	Instances []OwnedInstance
-	Peers     []Peer
+	// Listed holds the services that have instances in this data centre.
+	Listed map[string]bool
+	Peers  []Peer
 	// Sharers is the number of entry VMs that share this data centre's limits.
 	Sharers int
 	Leaving bool
--- a/internal/standin/audit/audit.go
+++ b/internal/standin/audit/audit.go
@@ -182,3 +182,11 @@
 	f.Faults = append([]string(nil), f.Faults...)
 	return f
 }
+
+// Runs reports whether a task runs somewhere.
+func (a *Audit) Runs(t bamboofall.TaskID) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, ok := a.running[t]
+	return ok
+}
--- a/internal/standin/bed/load.go
+++ b/internal/standin/bed/load.go
@@ -22,6 +22,8 @@
 	// Entries get the requests at random. Empty means all.
 	Entries  []bamboofall.VMID
 	From, To time.Duration
+	// Told, if set, is told the end of each request.
+	Told func(Told)
 }
 
 // Stats counts what the callers of a stream were told.
@@ -77,12 +79,15 @@
 	at := r.IntN(len(s.Entries))
 	for i := range s.Entries {
 		e := b.entries[s.Entries[(at+i)%len(s.Entries)]]
-		if !e.dead && !e.Node.Self().Leaving {
+		if !e.dead && e.Node.Serving(b.now) {
 			at = (at + i) % len(s.Entries)
 			break
 		}
 	}
 	b.Call(s.Entries[at], c, func(t Told) {
+		if s.Told != nil {
+			s.Told(t)
+		}
 		stats.Outcomes[t.Outcome]++
 		if t.Reason != router.ReasonNone {
 			stats.Reasons[t.Reason]++
--- a/internal/standin/bed/requests.go
+++ b/internal/standin/bed/requests.go
@@ -178,7 +178,7 @@
 		pool = &connpool.Pool[*connection]{}
 		e.connections[a.Instance.ID] = pool
 	}
-	conn, old, _ := pool.Take(b.now)
+	conn, old, _ := pool.Take(b.now, a.Patience)
 	if !old {
 		conn = &connection{b.now}
 	}
--- a/internal/state/member/member.go
+++ b/internal/state/member/member.go
@@ -59,8 +59,10 @@
 	Incarnation string
 	DataCentre  bamboofall.DataCentre
 	Leaving     bool
-	Revision    uint64
-	Rooms       []Room
+	// Ready is set once the VM has the state and the list that an owner needs.
+	Ready    bool
+	Revision uint64
+	Rooms    []Room
 }
 
 // Member is another entry VM.
@@ -209,15 +211,15 @@
 	return out
 }
 
-// Alive returns the VMs of a data centre that may own shards, by name, with
+// Owners returns the VMs of a data centre that may own shards, by name, with
 // this VM itself unless it is leaving.
-func (m *Members) Alive(now time.Time, dc bamboofall.DataCentre, selfLeaving bool) []bamboofall.VMID {
+func (m *Members) Owners(now time.Time, dc bamboofall.DataCentre, selfLeaving bool) []bamboofall.VMID {
 	var out []bamboofall.VMID
 	if !selfLeaving {
 		out = append(out, m.self)
 	}
 	for _, k := range m.In(now, dc) {
-		if m.status(now, k) == StatusAlive {
+		if k.Last.Ready && m.status(now, k) == StatusAlive {
 			out = append(out, k.VM)
 		}
 	}
--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -23,6 +23,9 @@
 
 const (
 	dialTimeout = time.Second
+	// patience is how long no connection to a host may answer before new ones
+	// are opened. Calls that wait for news are longer than others.
+	patience = 3 * time.Second
 	// maxCall bounds a call that has no deadline.
 	maxCall = 30 * time.Second
 )
@@ -168,7 +171,7 @@
 		p = &connpool.Pool[*Conn]{}
 		c.pools[host] = p
 	}
-	conn, ok, expired := p.Take(time.Now())
+	conn, ok, expired := p.Take(time.Now(), patience)
 	closeAll(expired)
 	if !ok {
 		return c.engine.NewConn(maxCall)
