request/router: let a home without instances send its requests on

Cause: a request forwarded to its key's home was refused there while the home had no usable instance, and instances were blamed for attempts that had no time.

--- a/internal/request/router/doc.go
+++ b/internal/request/router/doc.go
@@ -11,5 +11,6 @@
 //   - A request that must run at most once is sent only by its key's home, at
 //     most once for all attempts that may have been written.
 //   - A request crosses to another data centre at most once, and takes at most
-//     one hop inside a data centre after that.
+//     one hop inside a data centre after that. One that stands at its key's home
+//     may take a second one if the home has no instance.
 package router
--- a/internal/request/router/results.go
+++ b/internal/request/router/results.go
@@ -54,7 +54,7 @@
 			pool.Failed(now, a.instance)
 		}
 	case SendTimeout:
-		if res.Fresh {
+		if res.Fresh && a.fair {
 			pool.Failed(now, a.instance)
 		}
 	}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -125,6 +125,8 @@
 	sent     time.Time
 	// endsBy is when the instance has given up working on it for certain.
 	endsBy time.Time
+	// fair is set if the attempt had the time that a sound instance needs.
+	fair bool
 }
 
 // New returns a router without configuration. It refuses everything.
@@ -429,11 +431,12 @@
 
 // peerWithRoom returns the entry VM that should take a request instead.
 func (r *Router) peerWithRoom(now time.Time, p *pending) (bamboofall.VMID, bool) {
-	if p.Hop || p.Far || p.once && p.key == nil {
+	own := r.ownSlots(now, p.service)
+	stranded := p.key != nil && own == 0
+	if (p.Hop || p.Far) && !stranded || p.once && p.key == nil {
 		return "", false
 	}
 	left := p.Deadline.Sub(now) - 2*p.service.pool.Latency()
-	own := r.ownSlots(now, p.service)
 	if peer, ok := r.peers.pick(p.Service, r.cfg.DataCentre, left, p.avoidPeer, own == 0); ok {
 		return peer, true
 	}
@@ -488,6 +491,10 @@
 		it := s.queue.Pop(now)
 		p := r.pending[it.ID]
 		p.queued = nil
+		if p.Deadline.Sub(now) < s.pool.Latency()/2 {
+			out = append(out, r.finish(now, p, r.safeOutcome(p), ReasonDeadlinePassed, nil)...)
+			continue
+		}
 		i := s.pool.Pick(now, !p.once, p.avoid)
 		if i == nil {
 			// Only instances on trial have room, and the request may not be
@@ -508,7 +515,7 @@
 		it := s.queue.Pop(now)
 		p := r.pending[it.ID]
 		p.queued = nil
-		if p.Hop || p.Far {
+		if (p.Hop || p.Far) && p.key == nil {
 			out = append(out, r.finish(now, p, r.safeOutcome(p), ReasonNoInstances, nil)...)
 			continue
 		}
@@ -540,12 +547,14 @@
 	r.attempts[a.id] = a
 	p.attempt = a
 	p.tries++
+	timeout := r.attemptTime(now, p)
+	a.fair = timeout >= attemptFactor*p.service.pool.Latency()
 	before := p.Deadline
 	if r.view.FenceUntil.Before(before) {
 		before = r.view.FenceUntil
 	}
 	return Send{
-		Request: p.Request, Attempt: a.id, Instance: i.Instance, Before: before, Timeout: r.attemptTime(now, p),
+		Request: p.Request, Attempt: a.id, Instance: i.Instance, Before: before, Timeout: timeout,
 		Patience: max(patienceFactor*p.service.pool.Latency(), minPatience),
 	}
 }
