batch/scheduler: bound what batch work adds to services beside it

Cause: noisy tasks were evicted and placed again beside the same service, the baseline moved with the noise, and each death of an owner ended the leases of its tasks. Change: scores count tasks, placement looks at their sum, an unknown pair starts small, the baseline follows the undisturbed latency, throttles are eased only if the service is expected to bear it, the lease outlives a takeover.

--- a/internal/batch/interference/interference.go
+++ b/internal/batch/interference/interference.go
@@ -1,10 +1,10 @@
 // Package interference learns which kinds of batch tasks slow which services.
 //
 // The inflation of a service on a VM, its latency over the service's usual
-// latency less one, is taken as the sum of what each kind of task on the VM
-// adds. The addends are learned by normalized least mean squares, one number
-// for each pair of service and job, so a pair that meets on several VMs is
-// told apart from its company.
+// latency less one, is taken as a sum: each running task of a job adds the
+// score of the pair of service and job, times the share of its processors that
+// it may use. The scores are learned by normalized least mean squares, so a
+// pair that meets on several VMs is told apart from its company.
 package interference
 
 import (
@@ -15,13 +15,15 @@
 const (
 	// rate is the learning rate.
 	rate = 0.3
-	// maxScore bounds the inflation that is ascribed to one pair.
+	// maxScore bounds the inflation that is ascribed to one task.
 	maxScore = 20
-	// fade makes a score shrink by this part with each sample of another
-	// company, so that an avoided pair gets a new trial in the end.
+	// fade makes a score shrink by this part each second, so that an avoided
+	// pair gets a new trial in the end.
 	fade = 0.0005
 	// maxPairs bounds the number of pairs.
 	maxPairs = 20_000
+	// knownAfter is the number of samples after which a pair is known.
+	knownAfter = 4
 )
 
 // Pair is a service and a job that share a VM.
@@ -30,70 +32,86 @@
 	Job     string
 }
 
-// Scores holds the learned addends. Use New.
+type score struct {
+	value   float64
+	samples int
+}
+
+// Scores holds the learned scores. Use New.
 type Scores struct {
-	pairs map[Pair]float64
+	pairs map[Pair]*score
 }
 
 // New returns scores that know nothing.
-func New() *Scores { return &Scores{pairs: make(map[Pair]float64)} }
+func New() *Scores { return &Scores{pairs: make(map[Pair]*score)} }
+
+// Score returns the inflation that one task of a job adds to a service. Zero if
+// unknown.
+func (s *Scores) Score(service, job string) float64 {
+	if p := s.pairs[Pair{service, job}]; p != nil {
+		return p.value
+	}
+	return 0
+}
 
-// Score returns the inflation that a job adds to a service. Zero if unknown.
-func (s *Scores) Score(service, job string) float64 { return s.pairs[Pair{service, job}] }
+// Known reports whether a pair was seen often enough to rely on its score.
+func (s *Scores) Known(service, job string) bool {
+	p := s.pairs[Pair{service, job}]
+	return p != nil && p.samples >= knownAfter
+}
 
-// Learn records the inflation of a service beside the tasks of some jobs. The
-// counts say how many tasks of each job ran.
-func (s *Scores) Learn(service string, jobs map[string]int, inflation float64) {
-	if len(jobs) == 0 {
+// Learn records the inflation of a service beside tasks: for each job the sum
+// of the shares of its tasks.
+func (s *Scores) Learn(service string, tasks map[string]float64, inflation float64) {
+	norm := 0.0
+	for _, job := range slices.Sorted(maps.Keys(tasks)) {
+		norm += tasks[job] * tasks[job]
+	}
+	if norm == 0 {
 		return
 	}
-	predicted := s.Predict(service, jobs)
-	delta := rate * (inflation - predicted) / float64(len(jobs))
-	for job := range jobs {
-		s.adjust(Pair{service, job}, delta)
+	err := inflation - s.Predict(service, tasks)
+	for job, share := range tasks {
+		s.adjust(Pair{service, job}, rate*err*share/norm)
 	}
 }
 
-func (s *Scores) adjust(p Pair, delta float64) {
-	old, known := s.pairs[p]
-	if !known && len(s.pairs) >= maxPairs {
-		return
+func (s *Scores) adjust(key Pair, delta float64) {
+	p := s.pairs[key]
+	if p == nil {
+		if len(s.pairs) >= maxPairs {
+			return
+		}
+		p = &score{}
+		s.pairs[key] = p
 	}
-	s.pairs[p] = min(max(old+delta, 0), maxScore)
+	p.value = min(max(p.value+delta, 0), maxScore)
+	p.samples++
 }
 
-// Predict returns the inflation to expect of a service beside some jobs.
-func (s *Scores) Predict(service string, jobs map[string]int) float64 {
+// Predict returns the inflation to expect of a service beside tasks.
+func (s *Scores) Predict(service string, tasks map[string]float64) float64 {
 	sum := 0.0
-	for _, job := range slices.Sorted(maps.Keys(jobs)) {
-		sum += s.Score(service, job)
+	for _, job := range slices.Sorted(maps.Keys(tasks)) {
+		sum += s.Score(service, job) * tasks[job]
 	}
 	return sum
 }
 
 // Fade lets all scores shrink a little. It is called once a second.
 func (s *Scores) Fade() {
-	for p, v := range s.pairs {
-		v *= 1 - fade
-		if v < 0.001 {
-			delete(s.pairs, p)
-			continue
-		}
-		s.pairs[p] = v
+	for _, p := range s.pairs {
+		p.value *= 1 - fade
 	}
 }
 
-// Worst returns the job with the largest score beside a service, of those that
-// satisfy a condition.
-func (s *Scores) Worst(service string, jobs map[string]int, ok func(job string) bool) (string, bool) {
-	worst := ""
-	for job := range jobs {
-		if !ok(job) {
-			continue
-		}
-		a, b := s.Score(service, job), s.Score(service, worst)
-		if worst == "" || a > b || a == b && job < worst {
-			worst = job
+// Worst returns the job that adds most to a service. It reports false if there
+// is no job.
+func (s *Scores) Worst(service string, tasks map[string]float64) (string, bool) {
+	worst, most := "", -1.0
+	for _, job := range slices.Sorted(maps.Keys(tasks)) {
+		if adds := s.Score(service, job) * tasks[job]; adds > most {
+			worst, most = job, adds
 		}
 	}
 	return worst, worst != ""
--- a/internal/batch/scheduler/place.go
+++ b/internal/batch/scheduler/place.go
@@ -119,7 +119,7 @@
 	}
 	workers, ids := s.fitWorkers(now, shard, t)
 	harm := 0.1 + s.cfg.TailWeight
-	choice := placement.Choose(placement.Request{Size: size, HarmWeight: harm, MaxHarm: s.maxHarm()}, workers)
+	choice := placement.Choose(placement.Request{Size: size, HarmWeight: harm, MaxHarm: s.maxHarm(now, t)}, workers)
 	if choice < 0 {
 		if t.Run.Class() == bamboofall.ClassUrgent && s.displace(now, shard, t, size) {
 			s.postpone(now, t, "waits for evictions")
@@ -196,7 +196,7 @@
 		}
 		workers = append(workers, placement.Worker{
 			ID: id, Rack: w.vm.Rack, Room: w.room, Free: free,
-			Harm: s.harm(w, t.Run.Submit.GetJob()), SameRack: racks[w.vm.Rack],
+			Harm: s.harm(now, w, t.Run.Submit.GetJob()), SameRack: racks[w.vm.Rack],
 		})
 		ids = append(ids, id)
 	}
@@ -250,15 +250,6 @@
 	return free
 }
 
-// harm returns the inflation that a job would add to the services on a worker.
-func (s *Scheduler) harm(w *worker, job string) float64 {
-	worst := 0.0
-	for _, i := range w.vm.Instances {
-		worst = max(worst, s.scores.Score(i.Service, job))
-	}
-	return worst
-}
-
 // intend writes the intent to start a task.
 func (s *Scheduler) intend(now time.Time, t *ledger.Task, id bamboofall.VMID, size bamboofall.Resources) {
 	s.unreserve(t.ID)
@@ -347,7 +338,7 @@
 	var bestVictims []*ledger.Task
 	for _, id := range s.workerIDs() {
 		w := s.workers[id]
-		if w.shard != shard || !s.takesWork(now, w) || w.harmful(s, t) {
+		if w.shard != shard || !s.takesWork(now, w) || s.harm(now, w, t.Run.Submit.GetJob()) > s.maxHarm(now, t) {
 			continue
 		}
 		victims, ok := s.victims(w, t, size)
@@ -369,8 +360,11 @@
 	return true
 }
 
-func (w *worker) harmful(s *Scheduler, t *ledger.Task) bool {
-	return s.harm(w, t.Run.Submit.GetJob()) > s.maxHarm()
+// maxHarm returns the inflation of services that a task may add to. It grows
+// while the task waits, so that work which harms its neighbours does not starve.
+func (s *Scheduler) maxHarm(now time.Time, t *ledger.Task) float64 {
+	waited := now.Sub(time.UnixMilli(t.Run.SubmittedMS))
+	return s.tolerated() + float64(max(waited, 0))/float64(agingSpan)
 }
 
 // victims returns the fewest tasks of lower classes whose room, with what is
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -51,6 +51,8 @@
 	// throttle holds the share of processors of jobs, in thousandths.
 	throttle map[string]int64
 	pressure pressure
+	// busyAt is when the services here were last seen to be busy.
+	busyAt time.Time
 	// failures in a row, and until when the worker gets no work.
 	failures    int
 	quarantines int
@@ -326,6 +328,9 @@
 
 // workerFailed counts a failure and quarantines a worker that fails everything.
 func (s *Scheduler) workerFailed(now time.Time, w *worker) {
+	if now.Before(w.quarantine) {
+		return
+	}
 	w.failures++
 	if w.failures < quarantineAfter && !w.probation {
 		return
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -7,7 +7,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
+	"strings"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -46,7 +48,8 @@
 	Fence time.Duration
 	// Takeover is how long a claimant waits before it acts.
 	Takeover time.Duration
-	// Lease is how long a worker runs a task without a renewal.
+	// Lease is how long a worker runs a task without a renewal. It outlives the
+	// move of a shard from a dead owner, so that its tasks go on meanwhile.
 	Lease time.Duration
 	// Sync is the time between rounds with a worker.
 	Sync time.Duration
@@ -70,7 +73,7 @@
 		Suspect:   2 * time.Second,
 		Fence:     4 * time.Second,
 		Takeover:  6 * time.Second,
-		Lease:     5 * time.Second,
+		Lease:     15 * time.Second,
 		Sync:      500 * time.Millisecond,
 		Commit:    20 * time.Millisecond,
 		Retention: time.Hour,
@@ -90,6 +93,43 @@
 	return s, nil
 }
 
+// Write prints the settings as ReadFile takes them.
+func (s *Settings) Write(w io.Writer) error {
+	var neighbours []string
+	for _, n := range s.Neighbours {
+		neighbours = append(neighbours, n.String())
+	}
+	t := s.Timing
+	_, err := fmt.Fprintf(w, `[entry]
+vm = %s
+dataCentre = %s
+callers = %s
+peers = %s
+platform = %s
+neighbours = %s
+shards = %d
+logLevel = %s
+
+[timing]
+heartbeat = %v
+suspect = %v
+fence = %v
+takeover = %v
+lease = %v
+sync = %v
+commit = %v
+retention = %v
+
+[batch]
+tailWeight = %v
+`, s.VM, s.DataCentre, s.Callers, s.Peers, s.Platform, strings.Join(neighbours, ", "), s.Shards, s.LogLevel,
+		t.Heartbeat, t.Suspect, t.Fence, t.Takeover, t.Lease, t.Sync, t.Commit, t.Retention, s.Batch.TailWeight)
+	if err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return nil
+}
+
 func decode(path string, sections []inifile.Section) (*Settings, []error) {
 	s := &Settings{Timing: DefaultTiming(), Shards: 4, LogLevel: "info", Batch: Batch{TailWeight: 0.5}}
 	var errs []error
@@ -155,5 +195,6 @@
 	less("suspect", t.Suspect, "fence", t.Fence)
 	less("fence", t.Fence, "takeover", t.Takeover)
 	less("sync", t.Sync, "lease", t.Lease)
+	less("takeover", t.Suspect+t.Takeover, "lease", t.Lease)
 	less("takeover", t.Takeover, "retention", t.Retention)
 }
--- a/internal/dev/session/session.go
+++ b/internal/dev/session/session.go
@@ -3,11 +3,14 @@
 package session
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -52,9 +55,8 @@
 	tasks      int64
 }
 
-// Start starts the stand-ins and the daemons of a deployment. Progress goes to
-// a writer.
-func Start(d *site.Deployment, logger *logrus.Logger, out io.Writer) (*Session, error) {
+// Start starts the stand-ins of a deployment. Progress goes to a writer.
+func Start(d *site.Deployment, out io.Writer) (*Session, error) {
 	engine, err := httpclient.NewEngine()
 	if err != nil {
 		return nil, err
@@ -67,10 +69,30 @@
 	if err != nil {
 		return nil, err
 	}
+	return s, nil
+}
+
+// StartDaemons starts the entry daemons in this process.
+func (s *Session) StartDaemons(logger *logrus.Logger) {
 	for _, e := range s.site.Entries {
 		s.startDaemon(e, logger)
 	}
-	return s, nil
+}
+
+// WriteSettings writes the settings of each entry VM into a folder, for daemons
+// that run as processes of their own.
+func (s *Session) WriteSettings(dir string) error {
+	for _, e := range s.site.Entries {
+		var text bytes.Buffer
+		if err := s.site.Settings(e).Write(&text); err != nil {
+			return err
+		}
+		path := filepath.Join(dir, string(e.VM)+".ini")
+		if err := os.WriteFile(path, text.Bytes(), 0o644); err != nil {
+			return fmt.Errorf("write settings of %s: %w", e.VM, err)
+		}
+	}
+	return nil
 }
 
 func (s *Session) startDaemon(e site.Entry, logger *logrus.Logger) {
--- a/internal/operator/command/dev.go
+++ b/internal/operator/command/dev.go
@@ -33,11 +33,12 @@
 			if c.String("output") == "json" {
 				progress = c.Root().ErrWriter
 			}
-			s, err := session.Start(d, logger, progress)
+			s, err := session.Start(d, progress)
 			if err != nil {
 				return err
 			}
 			defer s.Stop()
+			s.StartDaemons(logger)
 			sum, err := s.Run(ctx, c.Duration("for"))
 			if err != nil {
 				return err
--- a/internal/request/router/counters.go
+++ b/internal/request/router/counters.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -77,28 +78,67 @@
 	VM      bamboofall.VMID
 	Mean    time.Duration
 	Count   int
-	// Usual is the latency of the service over all instances of this VM.
+	// Usual is the latency of the service when nothing disturbs it.
 	Usual time.Duration
 	// Target is the published target.
 	Target time.Duration
 }
 
-// Observe returns the latencies of the owned instances since the last call.
+const (
+	// The baseline follows the median of the instances down fast and up slowly,
+	// by these parts of the difference with each observation.
+	baselineDown = 0.2
+	baselineUp   = 0.01
+)
+
+// Observe returns the latencies of the owned instances since the last call. It
+// is called once a second.
 func (r *Router) Observe() []Latency {
 	var out []Latency
 	for _, name := range r.names {
 		s := r.services[name]
-		for _, id := range s.pool.IDs() {
-			i := s.pool.Get(id)
-			w := i.TakeWindow()
-			if w.Count == 0 {
-				continue
-			}
+		seen := s.observe(name)
+		s.learnBaseline(seen)
+		for i := range seen {
+			seen[i].Usual = s.baseline
+		}
+		out = append(out, seen...)
+	}
+	return out
+}
+
+func (s *service) observe(name string) []Latency {
+	var out []Latency
+	for _, id := range s.pool.IDs() {
+		i := s.pool.Get(id)
+		w := i.TakeWindow()
+		if w.Count > 0 {
 			out = append(out, Latency{
 				Service: name, VM: i.VM, Mean: w.Sum / time.Duration(w.Count), Count: w.Count,
-				Usual: s.pool.Latency(), Target: s.spec.TargetLatency,
+				Target: s.spec.TargetLatency,
 			})
 		}
 	}
 	return out
 }
+
+// learnBaseline moves the baseline towards the median of the instances.
+func (s *service) learnBaseline(seen []Latency) {
+	if len(seen) == 0 {
+		return
+	}
+	means := make([]time.Duration, len(seen))
+	for i, l := range seen {
+		means[i] = l.Mean
+	}
+	slices.Sort(means)
+	median := means[len(means)/2]
+	if s.baseline == 0 {
+		s.baseline = median
+	}
+	part := baselineUp
+	if median < s.baseline {
+		part = baselineDown
+	}
+	s.baseline += time.Duration(part * float64(median-s.baseline))
+}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -84,6 +84,8 @@
 	queue  *fairqueue.Queue
 	pool   *instance.Pool
 	budget *retry.Budget
+	// baseline is the latency of the service when nothing disturbs it.
+	baseline time.Duration
 }
 
 // pending is a request without a reply.
