--- a/internal/config/object/set.go
+++ b/internal/config/object/set.go
@@ -49,8 +49,7 @@
 	}
 }
 
-// ReadFiles reads objects from files. It returns all faults of syntax, titles
-// and repeated names.
+// ReadFiles reads objects from files. It returns all faults of syntax and titles.
 func ReadFiles(paths []string) ([]Object, []error) {
 	var sections []inifile.Section
 	var errs []error
@@ -73,27 +72,36 @@
 func fromSections(sections []inifile.Section) ([]Object, []error) {
 	var objects []Object
 	var errs []error
-	first := make(map[Key]inifile.Section)
 	for _, s := range sections {
 		o, err := FromSection(s)
 		if err != nil {
 			errs = append(errs, err)
 			continue
 		}
+		objects = append(objects, o)
+	}
+	return objects, errs
+}
+
+// checkNames finds objects that are declared twice.
+func checkNames(objects []Object) []error {
+	var errs []error
+	first := make(map[Key]inifile.Section)
+	for _, o := range objects {
 		if other, found := first[o.Key]; found {
 			errs = append(errs, fault(o, "", "is declared already at %s:%d", other.File, other.Line))
 			continue
 		}
-		first[o.Key] = s
-		objects = append(objects, o)
+		first[o.Key] = o.Section
 	}
-	return objects, errs
+	return errs
 }
 
 // Check checks a whole set: the fields of each object, all references, and
 // limits against each other. Errors come in the order of the objects.
 func Check(objects []Object) []error {
 	set, errs := NewSet(objects)
+	errs = append(errs, checkNames(objects)...)
 	for _, o := range objects {
 		errs = append(errs, checkReferences(set, o)...)
 	}
--- /dev/null
+++ b/internal/request/router/router_test.go
@@ -0,0 +1,170 @@
+package router_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/config/object"
+	"bamboofall.example/bamboofall/internal/request/idempotency"
+	"bamboofall.example/bamboofall/internal/request/router"
+)
+
+var start = time.Unix(1000, 0)
+
+const objects = `
+[trade "pier"]
+dataCentre = north
+
+[service "ledger"]
+idempotent = plan
+once = tally
+
+[limit "few"]
+service = ledger
+trade = pier
+kind = plan
+rate = 10
+burst = 4
+`
+
+// ready returns a router that owns a number of instances.
+func ready(t testing.TB, instances, sharers int) *router.Router {
+	t.Helper()
+	parsed, errs := object.Parse("objects", []byte(objects))
+	assert.Equal(t, len(errs), 0)
+	set, errs := object.NewSet(parsed)
+	assert.Equal(t, len(errs), 0)
+	r := router.New(router.Config{VM: "e1", DataCentre: "north", Fence: 4 * time.Second, Seed: 1})
+	r.Configure(start, set, 1)
+	v := router.View{
+		FenceUntil: start.Add(24 * time.Hour), Active: map[int]bamboofall.Token{0: 1}, Sharers: sharers,
+		Homes: []router.Home{{Owner: "e1", Token: 1}}, Listed: map[string]bool{"ledger": true},
+	}
+	for i := range instances {
+		v.Instances = append(v.Instances, router.OwnedInstance{
+			Instance: bamboofall.Instance{
+				ID: fmt.Sprintf("ledger-%04d", i), Service: "ledger", Slots: 8,
+				Address: netip.MustParseAddrPort("127.0.0.1:1"),
+			},
+			VM: bamboofall.VMID(fmt.Sprintf("w%d", i)), ActiveSince: start, HandedOver: true,
+		})
+	}
+	r.SetView(start, v)
+	return r
+}
+
+func plan(id uint64) router.Request {
+	return router.Request{ID: id, Service: "ledger", Kind: "plan", Deadline: start.Add(time.Second)}
+}
+
+func TestBadInputIsRefused(t *testing.T) {
+	r := ready(t, 1, 1)
+	for want, change := range map[router.Reason]func(*router.Request){
+		router.ReasonUnknownService: func(q *router.Request) { q.Service = "till" },
+		router.ReasonUnknownKind:    func(q *router.Request) { q.Kind = "refund" },
+		router.ReasonUnknownTrade:   func(q *router.Request) { q.Trade = "nobody" },
+		router.ReasonDeadlinePassed: func(q *router.Request) { q.Deadline = start },
+		router.ReasonMissingKey:     func(q *router.Request) { q.Kind, q.Trade = "tally", "pier" },
+	} {
+		q := plan(1)
+		change(&q)
+		reply := r.Arrive(start, q)[0].(router.Reply)
+		assert.Equal(t, reply.Reason, want)
+		assert.Equal(t, reply.Outcome, bamboofall.OutcomeNotRun)
+	}
+}
+
+// TestLimitIsShared enforces a published limit with half of the rate, because
+// two entry VMs share it.
+func TestLimitIsShared(t *testing.T) {
+	r := ready(t, 4, 2)
+	passed := 0
+	for ms := range uint64(10_000) {
+		q := plan(ms + 1)
+		q.Trade = "pier"
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		q.Deadline = now.Add(time.Second)
+		for _, a := range r.Arrive(now, q) {
+			switch a := a.(type) {
+			case router.Send:
+				passed++
+				r.Sent(now, a.Attempt, router.SendResult{Status: router.SendAnswered, Answer: &idempotency.Answer{}})
+			case router.Reply:
+				assert.Equal(t, a.Reason, router.ReasonLimited)
+				assert.Assert(t, a.RetryAfter > 0)
+			}
+		}
+	}
+	assert.Assert(t, passed >= 49 && passed <= 53, "passed %d in 10 s at 5 a second", passed)
+}
+
+// TestSlotIsHeldAfterTimeout sends to the one slot of an instance, lets the
+// attempt time out, and finds the slot taken until the service gave up.
+func TestSlotIsHeldAfterTimeout(t *testing.T) {
+	r := ready(t, 1, 1)
+	var sends []router.Send
+	for id := range uint64(8) {
+		for _, a := range r.Arrive(start, plan(id+1)) {
+			sends = append(sends, a.(router.Send))
+		}
+	}
+	assert.Equal(t, len(sends), 8)
+	for _, s := range sends {
+		r.Sent(start.Add(time.Second), s.Attempt, router.SendResult{Status: router.SendTimeout})
+	}
+	late := plan(99)
+	late.Deadline = start.Add(20 * time.Second)
+	for _, a := range r.Arrive(start.Add(time.Second), late) {
+		_, sent := a.(router.Send)
+		assert.Assert(t, !sent, "a slot was given twice")
+	}
+	// A late answer frees its slot.
+	actions := r.Sent(start.Add(2*time.Second), sends[0].Attempt, router.SendResult{Status: router.SendTimeout})
+	assert.Equal(t, len(actions), 1)
+	_, sent := actions[0].(router.Send)
+	assert.Assert(t, sent)
+}
+
+// BenchmarkDecision measures one request from arrival to reply.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{16, 65, 200, 3600} {
+		b.Run(fmt.Sprintf("instances%d", n), func(b *testing.B) {
+			r := ready(b, n, 1)
+			id := uint64(0)
+			answer := router.SendResult{Status: router.SendAnswered, Took: 20 * time.Millisecond, Answer: &idempotency.Answer{}}
+			for b.Loop() {
+				id++
+				a := r.Arrive(start, plan(id))
+				r.Sent(start, a[0].(router.Send).Attempt, answer)
+			}
+		})
+	}
+}
+
+// BenchmarkView measures what the control side's regular view costs the request
+// side.
+func BenchmarkView(b *testing.B) {
+	for _, n := range []int{16, 65, 200, 3600} {
+		b.Run(fmt.Sprintf("instances%d", n), func(b *testing.B) {
+			r := ready(b, n, 1)
+			v := router.View{
+				FenceUntil: start.Add(time.Hour), Active: map[int]bamboofall.Token{0: 1}, Sharers: 1,
+				Homes: []router.Home{{Owner: "e1", Token: 1}}, Listed: map[string]bool{"ledger": true},
+			}
+			for i := range n {
+				v.Instances = append(v.Instances, router.OwnedInstance{
+					Instance: bamboofall.Instance{ID: fmt.Sprintf("ledger-%04d", i), Service: "ledger", Slots: 8},
+					VM:       bamboofall.VMID(fmt.Sprintf("w%d", i)), ActiveSince: start, HandedOver: true,
+				})
+			}
+			for b.Loop() {
+				r.SetView(start, v)
+			}
+		})
+	}
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -112,16 +113,29 @@
 	)
 }
 
+// The ports of the stand-ins lie below those that the system gives to outgoing
+// connections, so that none of them is taken before its server starts.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
 // freePorts returns loopback addresses on which nothing listens.
 func freePorts(n int) ([]netip.AddrPort, error) {
 	var out []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	loopback := netip.MustParseAddr("127.0.0.1")
+	begin := os.Getpid() * n % (lastPort - firstPort)
+	for i := 0; i < lastPort-firstPort && len(out) < n; i++ {
+		address := netip.AddrPortFrom(loopback, uint16(firstPort+(begin+i)%(lastPort-firstPort)))
+		l, err := net.Listen("tcp", address.String())
 		if err != nil {
-			return nil, fmt.Errorf("find free port: %w", err)
+			continue
 		}
 		defer l.Close()
-		out = append(out, l.Addr().(*net.TCPAddr).AddrPort())
+		out = append(out, address)
+	}
+	if len(out) < n {
+		return nil, fmt.Errorf("%d free ports wanted, %d found", n, len(out))
 	}
 	return out, nil
 }
--- /dev/null
+++ b/internal/state/fence/fence_test.go
@@ -0,0 +1,35 @@
+package fence_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/state/fence"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+
+func TestFence(t *testing.T) {
+	peers := []bamboofall.VMID{"a", "b"}
+	f := fence.New(4 * time.Second)
+	assert.Assert(t, !f.Open(at(0), nil), "a new fence is closed")
+	f.LogRead(at(0))
+	assert.Assert(t, f.Open(at(3), peers))
+	assert.Assert(t, !f.Open(at(4), peers), "the proof is as old as the fence time")
+	f.PeerClear("a", at(5))
+	assert.Assert(t, !f.Open(at(5), peers), "one of two peers is no proof")
+	f.PeerClear("b", at(6))
+	assert.Assert(t, f.Open(at(8), peers), "all peers are a proof")
+	assert.Assert(t, !f.Open(at(9), peers), "the oldest word counts")
+	f.PeerClear("a", at(9))
+	f.PeerDoubt("b")
+	assert.Assert(t, !f.Open(at(9), peers), "doubt ends a proof at once")
+	f.LogRead(at(2))
+	assert.Assert(t, !f.Open(at(9), peers), "a late answer proves only what was true when it was asked for")
+	assert.Assert(t, !f.Open(at(9), nil), "without peers only the log proves anything")
+}
--- /dev/null
+++ b/internal/state/member/member_test.go
@@ -0,0 +1,50 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/state/member"
+)
+
+func TestAssignIsEvenAndMovesLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := rapid.IntRange(1, 64).Draw(t, "shards")
+		var vms []bamboofall.VMID
+		for i := range rapid.IntRange(1, 12).Draw(t, "vms") {
+			vms = append(vms, bamboofall.VMID(fmt.Sprintf("e%d", i)))
+		}
+		owners := member.Assign(shards, vms)
+		count := make(map[bamboofall.VMID]int)
+		for _, vm := range owners {
+			count[vm]++
+		}
+		share := (shards + len(vms) - 1) / len(vms)
+		for vm, n := range count {
+			if n > share {
+				t.Fatalf("%s owns %d of %d shards with %d VMs", vm, n, shards, len(vms))
+			}
+		}
+	})
+	assert.Assert(t, member.Assign(4, nil) == nil)
+}
+
+func TestStatusMergesListAndHeartbeats(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := member.New("self", 2*time.Second)
+	assert.Equal(t, m.Status(now, "a"), member.StatusSuspect, "nothing is known before the first list")
+	m.Hear(now, member.Heartbeat{VM: "a", DataCentre: "x", Ready: true}, bamboofall.VM{}.Entry)
+	assert.Equal(t, m.Status(now, "a"), member.StatusAlive, "the list lags: who answers is alive")
+	m.List(now, bamboofall.Fleet{})
+	assert.Equal(t, m.Status(now, "a"), member.StatusAlive)
+	later := now.Add(2 * time.Second)
+	assert.Equal(t, m.Status(later, "a"), member.StatusGone, "silent and not listed")
+	m.Hear(later, member.Heartbeat{VM: "a", DataCentre: "x", Leaving: true}, bamboofall.VM{}.Entry)
+	assert.Equal(t, m.Status(later, "a"), member.StatusLeaving)
+	assert.DeepEqual(t, m.Owners(later, "x", false), []bamboofall.VMID{"self"})
+}
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -9,8 +9,9 @@
 span=${2:-60s}
 work=$(mktemp -d)
 declare -A pids
+pids[standin]=0
 finish() {
-  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill -KILL "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do [ "$pid" -gt 0 ] || continue; kill -CONT "$pid" 2>/dev/null || true; kill -KILL "$pid" 2>/dev/null || true; done
   rm -rf "$work"
 }
 trap finish EXIT
@@ -18,13 +19,18 @@
 go build -o "$work/" ./cmd/bamboofall ./cmd/standin
 "$work/standin" --config "$config" --settings "$work" --for "$span" >"$work/summary.json" 2>"$work/standin.log" &
 standin=$!
+pids[standin]=$standin
 
 start() {
   "$work/bamboofall" entry --config "$work/$1.ini" 2>>"$work/$1.log" &
   pids[$1]=$!
 }
 
-until ls "$work"/entry-*.ini >/dev/null 2>&1; do sleep 0.1; done
+for _ in $(seq 100); do
+  [ "$(ls "$work" | grep -c '^entry-.*ini$')" -ge 8 ] && break
+  kill -0 "$standin" || { cat "$work/standin.log"; exit 1; }
+  sleep 0.1
+done
 sleep 0.5
 for settings in "$work"/entry-*.ini; do start "$(basename "$settings" .ini)"; done
 
