--- a/internal/batch/scheduler/scheduler.go
+++ b/internal/batch/scheduler/scheduler.go
@@ -22,6 +22,8 @@
 	// lapseMargin is added to the end of a lease against pauses of the
 	// worker's agent between its clock and its tasks.
 	lapseMargin = 500 * time.Millisecond
+	// lapseEvery is the time between looks for leases that have ended.
+	lapseEvery = 200 * time.Millisecond
 	// silentPatience is how long an attempt at a silent worker that the platform
 	// still lists is left open after its lease. It may have finished, and only
 	// the worker knows.
@@ -93,6 +95,7 @@
 	// dirty is set when there may be something to place.
 	dirty     bool
 	nextPlace time.Time
+	nextLapse time.Time
 }
 
 // taskState is what the owner keeps about a task beyond the ledger.
@@ -379,7 +382,10 @@
 		if at := s.wakeAt[shard]; !at.IsZero() && !now.Before(at) {
 			s.touch(shard)
 		}
-		s.closeLapsed(now, shard)
+		if o := s.shards[shard]; !now.Before(o.nextLapse) {
+			o.nextLapse = now.Add(lapseEvery)
+			s.closeLapsed(now, shard)
+		}
 		s.place(now, shard)
 	}
 	for _, id := range s.workerIDs() {
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -17,6 +17,8 @@
 	// syncTimeout is how long a round may be under way.
 	syncTimeout = 3 * time.Second
 	maxSyncWait = 5 * time.Second
+	// idleFactor is how much rarer rounds with a worker without tasks are.
+	idleFactor = 6
 	// maxUsage bounds a believable report, as a multiple of the worker's room.
 	maxUsage = 4
 )
@@ -93,6 +95,9 @@
 	}
 	w.roundAt = now
 	w.nextSync = now.Add(s.cfg.Sync)
+	if w.inventory && len(w.open)+len(w.strange) == 0 {
+		w.nextSync = now.Add(s.cfg.Sync * idleFactor)
+	}
 	s.out.Rounds = append(s.out.Rounds, Round{
 		Worker: w.vm,
 		Request: bamboofall.SyncRequest{
@@ -379,16 +384,18 @@
 	if now.Before(o.oldLeases) {
 		return
 	}
-	for _, id := range sortedTasks(s.ledger.Live(shard)) {
-		t := s.ledger.Task(id)
-		w := s.workers[t.Worker]
+	orphans := make(map[bamboofall.TaskID]bool)
+	for id, t := range s.ledger.Live(shard) {
 		if t.Status != ledger.TaskOpen {
 			continue
 		}
-		if w == nil {
-			s.close(now, t, recordpb.CloseReason_CLOSE_REASON_LAPSED, 0)
-		} else if !w.open[t.ID] {
-			w.open[t.ID] = true
+		if w := s.workers[t.Worker]; w != nil {
+			w.open[id] = true
+		} else {
+			orphans[id] = true
 		}
 	}
+	for _, id := range sortedTasks(orphans) {
+		s.close(now, s.ledger.Task(id), recordpb.CloseReason_CLOSE_REASON_LAPSED, 0)
+	}
 }
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -38,7 +38,7 @@
 	requestTick = 5 * time.Millisecond
 	reportEvery = 100 * time.Millisecond
 	observeEach = 10 // reports between observations
-	listEvery   = time.Second
+	listEvery   = 2 * time.Second
 
 	// drainGrace is how long a stopping VM still takes callers, so that the
 	// balancer has time to see that it is leaving.
--- a/internal/entry/daemon/sender.go
+++ b/internal/entry/daemon/sender.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
-	"bamboofall.example/bamboofall/internal/request/connpool"
 	"bamboofall.example/bamboofall/internal/request/idempotency"
 	"bamboofall.example/bamboofall/internal/request/router"
+	"bamboofall.example/bamboofall/internal/wire/connpool"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
 )
 
--- a/internal/entry/node/beats.go
+++ b/internal/entry/node/beats.go
@@ -12,9 +12,9 @@
 
 const (
 	// farFactor is how much rarer heartbeats to other data centres are.
-	farFactor = 2
+	farFactor = 4
 	// farPeers is the number of VMs of another data centre that get one.
-	farPeers = 2
+	farPeers = 1
 )
 
 // Self returns the heartbeat of this VM.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -51,8 +51,11 @@
 	nextClaim time.Time
 	nextWatch time.Time
 	questions map[string]*question
-	counters  Counters
-	out       []Action
+	// peers holds the other VMs of the data centre as of peersAt.
+	peers    []bamboofall.VMID
+	peersAt  time.Time
+	counters Counters
+	out      []Action
 }
 
 // Counters counts what a node did since its start.
--- a/internal/entry/node/shards.go
+++ b/internal/entry/node/shards.go
@@ -53,11 +53,15 @@
 
 // peersNow returns the other VMs of the data centre that may be running.
 func (n *Node) peersNow(now time.Time) []bamboofall.VMID {
-	var out []bamboofall.VMID
+	if n.peersAt.Equal(now) {
+		return n.peers
+	}
+	n.peers = nil
+	n.peersAt = now
 	for _, m := range n.members.In(now, n.set.DataCentre) {
-		out = append(out, m.VM)
+		n.peers = append(n.peers, m.VM)
 	}
-	return out
+	return n.peers
 }
 
 func (n *Node) fenceOpen(now time.Time) bool { return n.fence.Open(now, n.peersNow(now)) }
--- a/internal/standin/bed/entry.go
+++ b/internal/standin/bed/entry.go
@@ -8,8 +8,8 @@
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/config/settings"
 	"bamboofall.example/bamboofall/internal/entry/node"
-	"bamboofall.example/bamboofall/internal/request/connpool"
 	"bamboofall.example/bamboofall/internal/request/router"
+	"bamboofall.example/bamboofall/internal/wire/connpool"
 )
 
 // logShare is the part of the log's appends that the entry VMs may use.
--- a/internal/standin/bed/requests.go
+++ b/internal/standin/bed/requests.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
-	"bamboofall.example/bamboofall/internal/request/connpool"
 	"bamboofall.example/bamboofall/internal/request/idempotency"
 	"bamboofall.example/bamboofall/internal/request/router"
 	"bamboofall.example/bamboofall/internal/standin/upstream"
+	"bamboofall.example/bamboofall/internal/wire/connpool"
 )
 
 // The steps of a request.
--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -18,7 +18,7 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 
-	"bamboofall.example/bamboofall/internal/request/connpool"
+	"bamboofall.example/bamboofall/internal/wire/connpool"
 )
 
 const (
