--- a/internal/entry/daemon/callers.go
+++ b/internal/entry/daemon/callers.go
@@ -65,6 +65,7 @@
 	req.Content = xxhash.Sum64(body)
 	reply := d.handle(req, body)
 	d.metrics.call(req, reply, time.Since(now))
+	d.refusals.add(req, reply)
 	if d.isLeaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -73,6 +73,8 @@
 	sends   sends
 	asks    asks
 	metrics *metrics
+	// refusals are told to the trail from time to time.
+	refusals refusals
 
 	trailMu sync.Mutex
 	trail   trail.Trail
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -93,6 +93,7 @@
 	}
 	if observe {
 		rep.Observed = d.router.Observe()
+		d.refusals.flush(func(name, message string) { d.explain(now, "request", name, message) })
 	}
 	d.metrics.takeRouter(d.router.Counters())
 	if d.graceOver(now) && d.router.Pending() == 0 && d.calls.len() == 0 {
--- a/internal/entry/node/stream.go
+++ b/internal/entry/node/stream.go
@@ -278,6 +278,9 @@
 	if v.Void != "" {
 		n.counters.VoidRecords[v.Void]++
 	}
+	if s := r.GetSubmit(); s != nil && v == (ledger.Verdict{}) {
+		n.explain("job", s.GetJob(), "run %s is accepted with %d tasks", s.GetRun(), s.GetTasks())
+	}
 	n.shardsChanged(now, r, v)
 	n.sched.Applied(now, r, v)
 	if v.Void != "" {
--- a/internal/operator/command/observe.go
+++ b/internal/operator/command/observe.go
@@ -184,7 +184,7 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name: "explain", Usage: "tell what was decided about a thing, when, where and why",
-		ArgsUsage: "KIND NAME (task RUN or RUN/INDEX, vm NAME, shard NUMBER, change ID, log STREAM, request SERVICE/KIND)",
+		ArgsUsage: "KIND NAME (task RUN or RUN/INDEX, job NAME, vm NAME, shard NUMBER, change ID, log STREAM, request SERVICE/KIND)",
 		Flags:     []cli.Flag{entryFlag, outputFlag},
 		Action: withClient(func(ctx context.Context, c *cli.Command, cl *client.Client) error {
 			if c.Args().Len() != 2 {
