--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -34,8 +34,8 @@
 	requestRing = 16384
 	dutyRing    = 1024
 
-	controlTick = 20 * time.Millisecond
-	requestTick = 5 * time.Millisecond
+	controlTick = 50 * time.Millisecond
+	requestTick = 20 * time.Millisecond
 	reportEvery = 100 * time.Millisecond
 	observeEach = 10 // reports between observations
 	listEvery   = 2 * time.Second
