--- /dev/null
+++ b/internal/batch/interference/interference_test.go
@@ -0,0 +1,28 @@
+package interference_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall/internal/batch/interference"
+)
+
+// TestTellsApart lets a noisy and a calm job meet in changing company. The
+// scores come near the truth of each.
+func TestTellsApart(t *testing.T) {
+	s := interference.New()
+	assert.Assert(t, !s.Known("ledger", "noisy"))
+	companies := []map[string]float64{{"noisy": 2, "calm": 3}, {"noisy": 1}, {"calm": 4}, {"noisy": 3, "calm": 1}}
+	for i := range 200 {
+		tasks := companies[i%len(companies)]
+		s.Learn("ledger", tasks, 0.5*tasks["noisy"]+0.02*tasks["calm"])
+	}
+	assert.Assert(t, s.Known("ledger", "noisy"))
+	noisy, calm := s.Score("ledger", "noisy"), s.Score("ledger", "calm")
+	assert.Assert(t, noisy > 0.45 && noisy < 0.55, "noisy %.3f", noisy)
+	assert.Assert(t, calm < 0.05, "calm %.3f", calm)
+	worst, ok := s.Worst("ledger", map[string]float64{"noisy": 1, "calm": 10})
+	assert.Assert(t, ok && worst == "noisy")
+	assert.Equal(t, s.Score("desk", "noisy"), 0.0, "a pair says nothing of another service")
+}
--- a/internal/batch/scheduler/pressure.go
+++ b/internal/batch/scheduler/pressure.go
@@ -34,6 +34,9 @@
 	// strangers is the number of tasks of a job that a worker gets beside a
 	// busy service before it is known how they get on.
 	strangers = 2
+	// barFor is how long a job is kept off a worker from which its tasks were
+	// evicted for the sake of a service.
+	barFor = time.Minute
 	// busyFor is how long an observation shows that a service is busy.
 	busyFor = 10 * time.Second
 )
@@ -118,6 +121,9 @@
 			tasks[t.Run.Submit.GetJob()] += w.share(t.Run.Submit.GetJob())
 		}
 	}
+	if now.Before(w.barred[job]) {
+		return math.Inf(1)
+	}
 	tasks[job] += w.share(job)
 	worst := 0.0
 	for _, i := range w.vm.Instances {
@@ -177,6 +183,7 @@
 	if per > 0 {
 		left = max(int(math.Ceil((inflation-s.tolerated()*calmPart)/per)), 1)
 	}
+	w.barred[job] = now.Add(barFor)
 	for _, t := range s.openAt(w.vm.ID) {
 		if left == 0 {
 			break
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -52,6 +52,8 @@
 	evict map[bamboofall.TaskID]bool
 	// throttle holds the share of processors of jobs, in thousandths.
 	throttle map[string]int64
+	// barred holds until when a job gets no new tasks here.
+	barred   map[string]time.Time
 	pressure pressure
 	// busyAt is when the services here were last seen to be busy.
 	busyAt time.Time
@@ -64,7 +66,7 @@
 }
 
 func newWorker(now time.Time, vm bamboofall.VM, shard int) *worker {
-	w := &worker{vm: vm, shard: shard, listed: true, throttle: make(map[string]int64)}
+	w := &worker{vm: vm, shard: shard, listed: true, throttle: make(map[string]int64), barred: make(map[string]time.Time)}
 	w.reset(now)
 	return w
 }
--- a/internal/entry/node/stream.go
+++ b/internal/entry/node/stream.go
@@ -99,7 +99,11 @@
 			n.emit(Read{Stream: s.checkpointName(), From: s.checkpointNext})
 			return
 		}
-		n.emit(Read{Stream: s.name, From: n.next(s), Wait: readWait})
+		read := Read{Stream: s.name, From: n.next(s)}
+		if s.ready {
+			read.Wait = readWait
+		}
+		n.emit(read)
 	}
 }
 
--- a/internal/wire/httpserver/httpserver.go
+++ b/internal/wire/httpserver/httpserver.go
@@ -18,9 +18,12 @@
 	maxBody = 32 << 20
 	// maxConnections bounds the open connections of a server.
 	maxConnections = 50_000
-	keepAlive      = 60 * time.Second
 )
 
+// keepAlive bounds the time from one whole request to the next, so that a
+// request that drips in is cut off as well.
+var keepAlive = 60 * time.Second
+
 func init() { logging.SetLevel(logging.LevelNone) }
 
 // Server is a running server. Use Start.
