entry/node: write checkpoints in quiet times too

Cause: found by reading. A checkpoint was written only if something had changed, so after a quiet retention time the log had dropped the last one, and a data centre whose entry VMs were all replaced at once lost its configuration.

--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -103,7 +103,7 @@
 		requests: ring.New[requestItem](requestRing),
 		node:     node.New(node.Config{Settings: set, Incarnation: incarnation, Seed: seed}),
 		router: router.New(router.Config{
-			VM: set.VM, DataCentre: set.DataCentre, Fence: set.Timing.Fence, Seed: seed,
+			VM: set.VM, DataCentre: set.DataCentre, Seed: seed,
 		}),
 		leaving: make(chan struct{}),
 		gone:    make(chan struct{}),
--- a/internal/entry/node/stream.go
+++ b/internal/entry/node/stream.go
@@ -25,8 +25,6 @@
 	checkpointStagger = 5 * time.Second
 	// lookEvery is the time between looks for the others' checkpoints.
 	lookEvery = 15 * time.Second
-	// minCheckpointed entries make a checkpoint worth its while.
-	minCheckpointed = 1
 )
 
 // phase is how far the state of a stream has come.
@@ -58,7 +56,6 @@
 	// checkpointNext is the end of the checkpoint stream as last seen.
 	checkpointNext bamboofall.Offset
 	checkpointAt   time.Time
-	checkpointed   bamboofall.Offset
 	nextLook       time.Time
 	looking        bool
 	writing        bool
@@ -162,7 +159,6 @@
 		s.nextLook = now.Add(lookEvery)
 		if len(e.Page.Entries) > 0 {
 			s.checkpointAt = now
-			s.checkpointed = n.next(s)
 		}
 		s.checkpointNext = e.Page.Next
 	}
@@ -318,7 +314,6 @@
 			s.writing = false
 			if e.Err == nil {
 				s.checkpointAt = now
-				s.checkpointed = n.next(s)
 				n.counters.CheckpointsWritten++
 			}
 		}
@@ -326,9 +321,10 @@
 }
 
 // checkpoint writes the state of a stream well inside the retention time. The
-// daemons wait for each other by their order, and repeats do no harm.
+// daemons wait for each other by their order, and repeats do no harm. It is
+// written in quiet times too, for the log drops old checkpoints as well.
 func (n *Node) checkpoint(now time.Time, s *stream) {
-	if !s.ready || !s.atEnd || s.writing || n.next(s) < s.checkpointed+minCheckpointed && s.checkpointNext > 0 {
+	if !s.ready || !s.atEnd || s.writing {
 		return
 	}
 	every := n.set.Timing.Retention / checkpointPart
--- a/internal/entry/sessions/config_golden_test.go
+++ b/internal/entry/sessions/config_golden_test.go
@@ -103,18 +103,21 @@
 	s.begin()
 	s.publish("north-e1", "second", weightOf5)
 	s.Run(s.Now() + 4*time.Minute)
-	s.line("retention has passed four times; an entry VM starts anew")
-	s.Kill("north-e2")
-	s.StartEntry("north-e2")
-	s.Run(s.Now() + 20*time.Second)
-	s.revisions()
-	s.line("all are replaced at once")
+	s.line("retention has passed four times in quiet; all entry VMs are replaced at once")
 	for _, vm := range s.Entries() {
 		s.Kill(vm)
 		s.StartEntry(vm)
 	}
 	s.Run(s.Now() + 20*time.Second)
 	s.revisions()
+	for _, vm := range s.Entries() {
+		assert.Equal(t, s.Entry(vm).Node.Catalog().Revision(), uint64(2), "%s lost the configuration", vm)
+	}
+	s.line("an entry VM starts anew")
+	s.Kill("north-e2")
+	s.StartEntry("north-e2")
+	s.Run(s.Now() + 20*time.Second)
+	s.revisions()
 	s.finish("retention")
 }
 
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -41,8 +41,6 @@
 type Config struct {
 	VM         bamboofall.VMID
 	DataCentre bamboofall.DataCentre
-	// Fence is the fence time of the data centre's owners.
-	Fence time.Duration
 	// Seed is the seed of the random source.
 	Seed uint64
 }
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -39,7 +39,7 @@
 	assert.Equal(t, len(errs), 0)
 	set, errs := object.NewSet(parsed)
 	assert.Equal(t, len(errs), 0)
-	r := router.New(router.Config{VM: "e1", DataCentre: "north", Fence: 4 * time.Second, Seed: 1})
+	r := router.New(router.Config{VM: "e1", DataCentre: "north", Seed: 1})
 	r.Configure(start, set, 1)
 	v := router.View{
 		FenceUntil: start.Add(24 * time.Hour), Active: map[int]bamboofall.Token{0: 1}, Sharers: sharers,
--- a/internal/standin/bed/entry.go
+++ b/internal/standin/bed/entry.go
@@ -67,7 +67,7 @@
 		}
 	}
 	e.Node = node.New(node.Config{Settings: set, Incarnation: fmt.Sprintf("life%d", e.life), Seed: seed})
-	e.Router = router.New(router.Config{VM: id, DataCentre: e.vm.DataCentre, Fence: set.Timing.Fence, Seed: seed})
+	e.Router = router.New(router.Config{VM: id, DataCentre: e.vm.DataCentre, Seed: seed})
 	b.entries[id] = e
 	b.list(e)
 	e.every(nodeTick, func() { e.step(node.Tick{}) })
