--- a/internal/batch/scheduler/place.go
+++ b/internal/batch/scheduler/place.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"math"
 	"slices"
-	"sort"
-	"strings"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -29,32 +27,6 @@
 	maxAtOnce = 16
 )
 
-// holdFor is how long the room that evictions free is kept for an urgent task.
-const holdFor = 5 * time.Second
-
-// queue holds the pending tasks of a run in a shard. They are alike, so they
-// wait and are put off together.
-type queue struct {
-	run   *ledger.Run
-	tasks []*ledger.Task
-	// rank is the submission time plus the aging of the class, in milliseconds.
-	rank int64
-}
-
-// waiting is what the owner keeps about the pending tasks of a run in a shard.
-type waiting struct {
-	// deferTill is when the run is looked at again.
-	deferTill time.Time
-	deferred  int
-	why       string
-}
-
-// waitKey names the pending tasks of a run in a shard.
-type waitKey struct {
-	shard int
-	run   string
-}
-
 // place starts pending tasks of a shard where there is room.
 func (s *Scheduler) place(now time.Time, shard int) {
 	o := s.shards[shard]
@@ -78,54 +50,6 @@
 	s.wakeAt[shard] = wake
 }
 
-// queues returns the runs with tasks that are due, most pressing first, and
-// when the next one will be.
-func (s *Scheduler) queues(now time.Time, shard int) ([]*queue, time.Time) {
-	wake := now.Add(maxDefer)
-	byRun := make(map[string]*queue)
-	for id, t := range s.ledger.Live(shard) {
-		if t.Status != ledger.TaskPending || s.isWriting(now, id) {
-			continue
-		}
-		q := byRun[id.Run]
-		if q == nil {
-			q = &queue{run: t.Run, rank: t.Run.SubmittedMS + int64(t.Run.Class()-bamboofall.ClassUrgent)*ledger.AgingSpan.Milliseconds()}
-			byRun[id.Run] = q
-		}
-		q.tasks = append(q.tasks, t)
-	}
-	var out []*queue
-	for _, q := range byRun {
-		if till := s.waitingOf(shard, q.run).deferTill; now.Before(till) {
-			if till.Before(wake) {
-				wake = till
-			}
-			continue
-		}
-		out = append(out, q)
-	}
-	slices.SortFunc(out, func(a, b *queue) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), strings.Compare(a.run.Name(), b.run.Name()))
-	})
-	return out, wake
-}
-
-// isWriting reports whether a record about a task is on its way to the log.
-func (s *Scheduler) isWriting(now time.Time, id bamboofall.TaskID) bool {
-	st := s.tasks[id]
-	return st != nil && st.writing != writingNothing && now.Sub(st.wroteAt) < rewriteAfter
-}
-
-func (s *Scheduler) waitingOf(shard int, r *ledger.Run) *waiting {
-	key := waitKey{shard, r.Name()}
-	w := s.waiting[key]
-	if w == nil {
-		w = &waiting{}
-		s.waiting[key] = w
-	}
-	return w
-}
-
 // placeRun starts tasks of a run until one finds no room. It returns how many.
 func (s *Scheduler) placeRun(now time.Time, shard int, q *queue, most int) int {
 	slices.SortFunc(q.tasks, func(a, b *ledger.Task) int { return cmp.Compare(a.ID.Index, b.ID.Index) })
@@ -311,22 +235,6 @@
 	s.note("task", taskName(t.ID), "attempt %d goes to %s", t.Attempt+1, id)
 }
 
-// putOff looks at a run again after a delay that grows.
-func (s *Scheduler) putOff(now time.Time, shard int, r *ledger.Run, why string) {
-	w := s.waitingOf(shard, r)
-	if w.why != why {
-		s.note("task", r.Name(), "shard %d: pending tasks wait: %s", shard, why)
-		w.why = why
-	}
-	s.counters.Deferred[reasonKey(why)]++
-	delay := firstDefer << min(w.deferred, 5)
-	if r.Class() == bamboofall.ClassUrgent {
-		delay = firstDefer / 2
-	}
-	w.deferred++
-	w.deferTill = now.Add(min(delay, maxDefer))
-}
-
 // The reasons for which tasks wait, as operators read them.
 const (
 	whyNoRoom     = "no room"
@@ -335,77 +243,6 @@
 	whyQuotaRoom  = "quota of room is used up"
 )
 
-// reasonKey maps a reason to the name of its counter.
-func reasonKey(why string) string {
-	switch why {
-	case whyNoRoom:
-		return "noRoom"
-	case whyQuotaTasks, whyQuotaRoom:
-		return "quota"
-	case whyTooLarge:
-		return "tooLarge"
-	}
-	return "dependency"
-}
-
-// maybeMove gives a task that finds no room to the next shard.
-func (s *Scheduler) maybeMove(now time.Time, shard int, t *ledger.Task) {
-	st := s.state(t.ID)
-	if s.ledger.Shards() == 1 || s.waitingOf(shard, t.Run).deferred < moveAfter && s.shardTakes(shard, t) {
-		return
-	}
-	to := (shard + 1) % s.ledger.Shards()
-	st.writing, st.wroteAt = writingMove, now
-	s.counters.Moved++
-	s.out.Records = append(s.out.Records, &recordpb.Record{
-		Id: taskName(t.ID) + "/move",
-		Body: &recordpb.Record_Move{Move: &recordpb.Move{
-			Run: t.ID.Run, Index: t.ID.Index, Token: uint64(s.shards[shard].token), ToShard: uint32(to),
-		}},
-	})
-	s.note("task", taskName(t.ID), "moves from shard %d to shard %d: no room", shard, to)
-}
-
-// shardTakes reports whether a worker of a shard could ever take a task.
-func (s *Scheduler) shardTakes(shard int, t *ledger.Task) bool {
-	size := s.sizeOf(t)
-	for _, w := range s.workers {
-		if w.shard == shard && !w.vm.Leaving && size.Fits(w.room) {
-			return true
-		}
-	}
-	return false
-}
-
-// displace evicts less urgent tasks from one worker so that an urgent task
-// fits there. It reports whether evictions are under way that will do.
-func (s *Scheduler) displace(now time.Time, shard int, t *ledger.Task, size bamboofall.Resources) bool {
-	var best *worker
-	var bestVictims []*ledger.Task
-	for _, id := range s.workerIDs() {
-		w := s.workers[id]
-		if w.shard != shard || !s.takesWork(now, w) || s.harm(now, w, t.Run.Submit.GetJob()) > s.maxHarm(now, t) {
-			continue
-		}
-		victims, ok := s.victims(w, t, size)
-		if ok && (best == nil || len(victims) < len(bestVictims)) {
-			best, bestVictims = w, victims
-		}
-	}
-	if best == nil {
-		return false
-	}
-	for _, v := range bestVictims {
-		if !best.evict[v.ID] {
-			best.evict[v.ID] = true
-			s.note("task", taskName(v.ID), "evicted from %s for urgent task %s", best.vm.ID, taskName(t.ID))
-		}
-	}
-	best.held[t.ID] = hold{size, now.Add(holdFor)}
-	s.kick(now, best.vm.ID)
-	return true
-}
-
 // maxHarm returns the inflation of services that a task may bring about. It is
 // below what the ladder acts on. Work that has waited long is let in all the
 // same, so that work which harms its neighbours does not starve.
@@ -415,46 +252,3 @@
 	}
 	return s.tolerated() * easePart
 }
-
-// victims returns the fewest tasks of lower classes whose room, with what is
-// free, takes the size. Those that are being evicted already come first.
-func (s *Scheduler) victims(w *worker, t *ledger.Task, size bamboofall.Resources) ([]*ledger.Task, bool) {
-	var pool []*ledger.Task
-	for _, v := range s.openAt(w.vm.ID) {
-		if v.Run.Class() > t.Run.Class() && !v.Run.Submit.GetStanding() {
-			pool = append(pool, v)
-		}
-	}
-	sort.SliceStable(pool, func(i, j int) bool {
-		a, b := w.evict[pool[i].ID], w.evict[pool[j].ID]
-		if a != b {
-			return a
-		}
-		return pool[i].Granted.MilliProcessors > pool[j].Granted.MilliProcessors
-	})
-	free := s.free(w)
-	for id, h := range w.held {
-		if id != t.ID {
-			free = free.Sub(h.size)
-		}
-	}
-	for n, v := range pool {
-		free = free.Add(v.Granted)
-		if size.Fits(free) {
-			return pool[:n+1], true
-		}
-	}
-	return nil, false
-}
-
-// Why returns why a pending task has not started, or nothing.
-func (s *Scheduler) Why(id bamboofall.TaskID) string {
-	t := s.ledger.Task(id)
-	if t == nil {
-		return ""
-	}
-	if w := s.waiting[waitKey{t.Shard, id.Run}]; w != nil {
-		return w.why
-	}
-	return ""
-}
--- a/internal/request/router/arrive.go
+++ b/internal/request/router/arrive.go
@@ -11,6 +11,7 @@
 	"bamboofall.example/bamboofall/internal/state/ledger"
 )
 
+// Arrive takes a new request.
 func (r *Router) Arrive(now time.Time, req Request) []Action {
 	r.counters.arrived++
 	p, reason := r.check(now, req)
@@ -30,6 +31,7 @@
 	return r.enqueue(now, p)
 }
 
+// check looks at everything that can be wrong with a request by itself.
 func (r *Router) check(now time.Time, req Request) (*pending, Reason) {
 	if r.revision == 0 {
 		return nil, ReasonNotReady
@@ -74,6 +76,9 @@
 	return []Action{Reply{Request: req, Outcome: o, Reason: reason, RetryAfter: after}}
 }
 
+// honest returns what a caller may be told. "Not run" is said of a request, not
+// of one try: if an earlier try with the key may exist, only the key's home can
+// vouch for it. Between entry VMs the word is of the try.
 func honest(req Request, o bamboofall.Outcome, vouched bool) bamboofall.Outcome {
 	edge := !req.Hop && !req.Far
 	if o == bamboofall.OutcomeNotRun && edge && req.Key != "" && !req.First && !vouched {
@@ -82,6 +87,7 @@
 	return o
 }
 
+// arriveOnce takes a request that must run at most once to its key's home.
 func (r *Router) arriveOnce(now time.Time, p *pending) []Action {
 	if p.HomeHeld {
 		return r.enqueue(now, p)
@@ -104,6 +110,7 @@
 	return r.toHome(now, p, shard)
 }
 
+// toHome forwards a request to the owner of its key's shard.
 func (r *Router) toHome(now time.Time, p *pending, shard int) []Action {
 	if p.Hop {
 		return r.finish(now, p, bamboofall.OutcomeNotRun, ReasonNotHome, nil)
@@ -115,6 +122,8 @@
 	return r.forward(p, home.Owner, home.Token)
 }
 
+// park lets a request wait for a home that is moving. A planned move takes less
+// than a second.
 func (r *Router) park(now time.Time, p *pending) []Action {
 	if p.parkedTill.IsZero() {
 		p.parkedTill = now.Add(min(p.Deadline.Sub(now)/parkPart, maxPark))
@@ -124,6 +133,7 @@
 	return nil
 }
 
+// unpark looks again at the requests that wait for a home.
 func (r *Router) unpark(now time.Time) []Action {
 	var out []Action
 	for _, id := range slices.Sorted(maps.Keys(r.parked)) {
@@ -138,6 +148,7 @@
 	return out
 }
 
+// begin asks the home's memory about a request.
 func (r *Router) begin(now time.Time, p *pending, m *memory, shard int) []Action {
 	if p.Hop && p.Token != 0 && p.Token != m.token {
 		return r.finish(now, p, bamboofall.OutcomeNotRun, ReasonNotHome, nil)
@@ -164,6 +175,7 @@
 	return r.finish(now, p, bamboofall.OutcomeNotRun, ReasonKeyMemoryFull, nil)
 }
 
+// enqueue lets a request wait for a slot, or sends it on to a peer with room.
 func (r *Router) enqueue(now time.Time, p *pending) []Action {
 	s := p.service
 	if !s.pool.HasRoom() || s.queue.Len() > 0 || !now.Before(r.view.FenceUntil) {
@@ -184,6 +196,7 @@
 	return r.pump(now, s)
 }
 
+// peerWithRoom returns the entry VM that should take a request instead.
 func (r *Router) peerWithRoom(now time.Time, p *pending) (bamboofall.VMID, bool) {
 	own := r.ownSlots(now, p.service)
 	stranded := p.key != nil && own == 0
@@ -219,6 +232,7 @@
 	}}
 }
 
+// safeOutcome returns what may be said of a request that gets no answer.
 func (r *Router) safeOutcome(p *pending) bamboofall.Outcome {
 	if p.mayHaveRun {
 		return bamboofall.OutcomeUnknown
@@ -226,6 +240,7 @@
 	return bamboofall.OutcomeNotRun
 }
 
+// finish replies to a request and settles its key.
 func (r *Router) finish(now time.Time, p *pending, o bamboofall.Outcome, reason Reason, a *idempotency.Answer) []Action {
 	return r.finishAfter(now, p, o, reason, 0, a)
 }
@@ -253,6 +268,8 @@
 	return out
 }
 
+// finishWaiting replies to a repeat of a request that has just ended. One that
+// was not run may be tried again by its caller.
 func (r *Router) finishWaiting(now time.Time, p *pending, o bamboofall.Outcome, reason Reason, a *idempotency.Answer) []Action {
 	if !now.Before(p.Deadline) && o == bamboofall.OutcomeAnswered {
 		o, reason, a = bamboofall.OutcomeUnknown, ReasonDeadlinePassed, nil
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -244,19 +244,6 @@
 	}
 }
 
-// Arrive takes a new request.
-// check looks at everything that can be wrong with a request by itself.
-// honest returns what a caller may be told. "Not run" is said of a request, not
-// of one try: if an earlier try with the key may exist, only the key's home can
-// vouch for it. Between entry VMs the word is of the try.
-// arriveOnce takes a request that must run at most once to its key's home.
-// toHome forwards a request to the owner of its key's shard.
-// park lets a request wait for a home that is moving. A planned move takes less
-// than a second.
-// unpark looks again at the requests that wait for a home.
-// begin asks the home's memory about a request.
-// enqueue lets a request wait for a slot, or sends it on to a peer with room.
-// peerWithRoom returns the entry VM that should take a request instead.
 func (r *Router) pumpAll(now time.Time) []Action {
 	var out []Action
 	for _, name := range r.names {
@@ -266,14 +253,3 @@
 	}
 	return out
 }
-
-// pump sends waiting requests while there is room.
-// sendAway gives the waiting requests of a VM that lost its instances to peers.
-// Those that peers had forwarded go back to them.
-// send takes a request to an instance on which a slot is taken.
-// attemptTime returns how long an attempt may take. An idempotent request
-// keeps time for a second one.
-// safeOutcome returns what may be said of a request that gets no answer.
-// finish replies to a request and settles its key.
-// finishWaiting replies to a repeat of a request that has just ended. One that
-// was not run may be tried again by its caller.
--- a/internal/request/router/send.go
+++ b/internal/request/router/send.go
@@ -7,6 +7,7 @@
 	"bamboofall.example/bamboofall/internal/request/instance"
 )
 
+// pump sends waiting requests while there is room.
 func (r *Router) pump(now time.Time, s *service) []Action {
 	var out []Action
 	for _, it := range s.queue.Expire(now) {
@@ -37,6 +38,8 @@
 	return out
 }
 
+// sendAway gives the waiting requests of a VM that lost its instances to peers.
+// Those that peers had forwarded go back to them.
 func (r *Router) sendAway(now time.Time, s *service) []Action {
 	var out []Action
 	for s.queue.Len() > 0 {
@@ -65,6 +68,7 @@
 	return nil
 }
 
+// send takes a request to an instance on which a slot is taken.
 func (r *Router) send(now time.Time, p *pending, i *instance.Instance) Action {
 	r.next++
 	a := &attempt{
@@ -86,6 +90,8 @@
 	}
 }
 
+// attemptTime returns how long an attempt may take. An idempotent request
+// keeps time for a second one.
 func (r *Router) attemptTime(now time.Time, p *pending) time.Duration {
 	left := p.Deadline.Sub(now)
 	usual := p.service.pool.Latency()
--- /dev/null
+++ b/internal/state/ledger/apply.go
@@ -0,0 +1,265 @@
+package ledger
+
+import (
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/wire/recordpb"
+)
+
+// maxEnded is how many ended runs are kept. A submission that repeats the name
+// of one is recognized as long as it is.
+const maxEnded = 20_000
+
+// Verdict is what became of a record. An empty Void means that it took effect
+// or had already.
+type Verdict struct {
+	Void string
+	// Repeat is set if the record changed nothing because it had taken effect.
+	Repeat bool
+}
+
+// Apply applies one record of the entry at an offset.
+func (l *Ledger) Apply(offset bamboofall.Offset, r *recordpb.Record) Verdict {
+	switch body := r.GetBody().(type) {
+	case *recordpb.Record_Claim:
+		return l.applyClaim(offset, r.GetId(), body.Claim)
+	case *recordpb.Record_Handover:
+		return l.applyHandover(offset, r.GetId(), body.Handover)
+	case *recordpb.Record_Submit:
+		return l.applySubmit(offset, r.GetWrittenUnixMs(), body.Submit)
+	case *recordpb.Record_Cancel:
+		return l.applyCancel(body.Cancel)
+	case *recordpb.Record_Intent:
+		return l.applyIntent(offset, body.Intent)
+	case *recordpb.Record_Close:
+		return l.applyClose(body.Close)
+	case *recordpb.Record_Move:
+		return l.applyMove(body.Move)
+	case *recordpb.Record_Confirm:
+		return l.applyConfirm(offset, body.Confirm)
+	case *recordpb.Record_Objection:
+		return l.applyObjection(body.Objection)
+	}
+	return Verdict{Void: "unknown record"}
+}
+
+func void(reason string) Verdict { return Verdict{Void: reason} }
+
+func (l *Ledger) applyClaim(offset bamboofall.Offset, id string, c *recordpb.Claim) Verdict {
+	if int(c.GetShards()) != len(l.shards) || int(c.GetShard()) >= len(l.shards) {
+		return void("claim with another number of shards")
+	}
+	s := &l.shards[c.GetShard()]
+	if s.claimID == id || s.Pending.ClaimID == id {
+		return Verdict{Repeat: true}
+	}
+	if uint64(s.Token) != c.GetPreviousToken() {
+		return void("claim lost the race")
+	}
+	claim := Pending{Owner: bamboofall.VMID(c.GetOwner()), Incarnation: c.GetIncarnation(), ClaimID: id}
+	if s.Owner != "" {
+		s.Pending = claim
+		return Verdict{}
+	}
+	*s = claim.owned(offset)
+	s.HandedOver = true
+	return Verdict{}
+}
+
+// owned returns the shard once the claim has won.
+func (p Pending) owned(offset bamboofall.Offset) Shard {
+	return Shard{Owner: p.Owner, Incarnation: p.Incarnation, Token: tokenAt(offset), claimID: p.ClaimID}
+}
+
+func (l *Ledger) applyConfirm(offset bamboofall.Offset, c *recordpb.Confirm) Verdict {
+	if int(c.GetShard()) >= len(l.shards) {
+		return void("unknown shard")
+	}
+	s := &l.shards[c.GetShard()]
+	if s.claimID == c.GetClaimId() {
+		return Verdict{Repeat: true}
+	}
+	if s.Pending.ClaimID == "" || s.Pending.ClaimID != c.GetClaimId() {
+		return void("claim is not pending")
+	}
+	*s = s.Pending.owned(offset)
+	return Verdict{}
+}
+
+func (l *Ledger) applyObjection(o *recordpb.Objection) Verdict {
+	if int(o.GetShard()) >= len(l.shards) {
+		return void("unknown shard")
+	}
+	s := &l.shards[o.GetShard()]
+	if uint64(s.Token) != o.GetToken() {
+		return void("fenced token")
+	}
+	if s.Pending.ClaimID != o.GetClaimId() {
+		return Verdict{Repeat: true}
+	}
+	s.Pending = Pending{}
+	return Verdict{}
+}
+
+// tokenAt returns the token of a claim. Offsets start at zero, tokens at one.
+func tokenAt(offset bamboofall.Offset) bamboofall.Token { return bamboofall.Token(offset) + 1 }
+
+func (l *Ledger) applyHandover(offset bamboofall.Offset, id string, h *recordpb.Handover) Verdict {
+	if int(h.GetShard()) >= len(l.shards) {
+		return void("unknown shard")
+	}
+	s := &l.shards[h.GetShard()]
+	if s.claimID == id {
+		return Verdict{Repeat: true}
+	}
+	if uint64(s.Token) != h.GetToken() {
+		return void("fenced token")
+	}
+	*s = Shard{
+		Owner: bamboofall.VMID(h.GetTo()), Incarnation: h.GetIncarnation(),
+		Token: tokenAt(offset), claimID: id, HandedOver: true,
+	}
+	return Verdict{}
+}
+
+func (l *Ledger) applySubmit(offset bamboofall.Offset, writtenMS int64, s *recordpb.Submit) Verdict {
+	if old := l.runs[s.GetRun()]; old != nil {
+		if old.Submit.GetContentHash() != s.GetContentHash() {
+			return void("run exists with other content")
+		}
+		return Verdict{Repeat: true}
+	}
+	if s.GetRun() == "" || s.GetTasks() == 0 {
+		return void("run without name or tasks")
+	}
+	l.add(&Run{Submit: s, Offset: offset, SubmittedMS: writtenMS})
+	return Verdict{}
+}
+
+// add deals the tasks of a new run out to the shards.
+func (l *Ledger) add(r *Run) {
+	l.runs[r.Name()] = r
+	first := ShardOf(r.Name(), len(l.shards))
+	for i := range r.Submit.GetTasks() {
+		t := &Task{
+			ID:     bamboofall.TaskID{Run: r.Name(), Index: i},
+			Run:    r,
+			Status: TaskPending,
+			Shard:  (first + int(i)) % len(l.shards),
+		}
+		r.Tasks = append(r.Tasks, t)
+		l.live[t.Shard][t.ID] = t
+	}
+	r.open = len(r.Tasks)
+}
+
+func (l *Ledger) applyCancel(c *recordpb.Cancel) Verdict {
+	r := l.runs[c.GetRun()]
+	if r == nil {
+		return void("unknown run")
+	}
+	if r.Cancelled {
+		return Verdict{Repeat: true}
+	}
+	r.Cancelled = true
+	for _, t := range r.Tasks {
+		if t.Status == TaskPending {
+			l.end(t, TaskCancelled)
+		}
+	}
+	return Verdict{}
+}
+
+// end moves a task to a final state and drops old ended runs.
+func (l *Ledger) end(t *Task, status TaskStatus) {
+	t.Status = status
+	if status == TaskFinished {
+		t.Run.finished++
+	}
+	delete(l.live[t.Shard], t.ID)
+	t.Run.open--
+	if t.Run.open > 0 {
+		return
+	}
+	l.ended = append(l.ended, t.Run.Name())
+	if len(l.ended) > maxEnded {
+		delete(l.runs, l.ended[0])
+		l.ended = l.ended[1:]
+	}
+}
+
+// taskUnder returns a task if the token is that of its shard.
+func (l *Ledger) taskUnder(run string, index uint32, token uint64) (*Task, string) {
+	t := l.Task(bamboofall.TaskID{Run: run, Index: index})
+	if t == nil {
+		return nil, "unknown task"
+	}
+	if uint64(l.shards[t.Shard].Token) != token {
+		return nil, "fenced token"
+	}
+	return t, ""
+}
+
+func (l *Ledger) applyIntent(offset bamboofall.Offset, i *recordpb.Intent) Verdict {
+	t, reason := l.taskUnder(i.GetRun(), i.GetIndex(), i.GetToken())
+	if t == nil {
+		return void(reason)
+	}
+	if t.Status == TaskOpen && t.Attempt == i.GetAttempt() && string(t.Worker) == i.GetWorker() {
+		return Verdict{Repeat: true}
+	}
+	if t.Status != TaskPending || i.GetAttempt() != t.Attempt+1 {
+		return void("not the next attempt of a pending task")
+	}
+	t.Status = TaskOpen
+	t.Attempt = i.GetAttempt()
+	t.Worker = bamboofall.VMID(i.GetWorker())
+	t.IntentOffset = offset
+	t.Granted = fromResources(i.GetSize())
+	l.charge(t, 1)
+	return Verdict{}
+}
+
+func (l *Ledger) applyClose(c *recordpb.Close) Verdict {
+	t, reason := l.taskUnder(c.GetRun(), c.GetIndex(), c.GetToken())
+	if t == nil {
+		return void(reason)
+	}
+	if t.Attempt == c.GetAttempt() && t.Status != TaskOpen {
+		return Verdict{Repeat: true}
+	}
+	if t.Status != TaskOpen || t.Attempt != c.GetAttempt() {
+		return void("not the open attempt")
+	}
+	t.ProgressMS = max(t.ProgressMS, c.GetProgressMs())
+	l.charge(t, -1)
+	switch c.GetReason() {
+	case recordpb.CloseReason_CLOSE_REASON_FINISHED:
+		l.end(t, TaskFinished)
+		return Verdict{}
+	case recordpb.CloseReason_CLOSE_REASON_FAILED:
+		t.Failures++
+	}
+	switch {
+	case t.Run.Cancelled:
+		l.end(t, TaskCancelled)
+	case t.Failures > t.Run.Submit.GetMaxFailures() && !t.Run.Submit.GetStanding():
+		l.end(t, TaskFailed)
+	default:
+		t.Status = TaskPending
+	}
+	return Verdict{}
+}
+
+func (l *Ledger) applyMove(m *recordpb.Move) Verdict {
+	t, reason := l.taskUnder(m.GetRun(), m.GetIndex(), m.GetToken())
+	if t == nil {
+		return void(reason)
+	}
+	if t.Status != TaskPending || int(m.GetToShard()) >= len(l.shards) {
+		return void("only a pending task moves, to a shard that exists")
+	}
+	delete(l.live[t.Shard], t.ID)
+	t.Shard = int(m.GetToShard())
+	l.live[t.Shard][t.ID] = t
+	return Verdict{}
+}
