request/router: enforce maxBody, bound an instance's connections by its slots

Cause: found by reading. A service's maxBody was decoded and never looked at, and a timed-out connection stayed open for 30 s however soon its slot was free, so an instance could see more than its 64 connections. Change: bodyTooLarge; a late answer is awaited for maxWork only. Latencies are tagged with the data centre. Tests: a row of TestBadInputIsRefused, red before.

--- a/internal/entry/daemon/callers.go
+++ b/internal/entry/daemon/callers.go
@@ -59,10 +59,11 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxCallBody+1))
 	if err != nil || len(body) > maxCallBody {
-		refuse(w, http.StatusRequestEntityTooLarge, wireRefusal{Outcome: "notRun", Reason: "bodyTooLarge"})
+		refuse(w, http.StatusRequestEntityTooLarge, wireRefusal{Outcome: "notRun", Reason: string(router.ReasonBodyTooLarge)})
 		return
 	}
 	req.Content = xxhash.Sum64(body)
+	req.Size = int64(len(body))
 	reply := d.handle(req, body)
 	d.metrics.call(req, reply, time.Since(now))
 	d.refusals.add(req, reply)
@@ -139,6 +140,8 @@
 		return http.StatusNotFound
 	case router.ReasonUnknownTrade, router.ReasonMissingKey, router.ReasonDeadlinePassed:
 		return http.StatusBadRequest
+	case router.ReasonBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
 	case router.ReasonKeyReused:
 		return http.StatusConflict
 	case router.ReasonLimited:
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -112,7 +112,7 @@
 	d.calls.init()
 	d.sends.init(engine)
 	d.asks.init()
-	d.metrics = newMetrics()
+	d.metrics = newMetrics(string(set.DataCentre))
 	return d
 }
 
--- a/internal/entry/daemon/metrics.go
+++ b/internal/entry/daemon/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -22,14 +23,15 @@
 // metrics holds the counters of a daemon. The scope is tally's test scope: the
 // one that can be read without a reporter to another system.
 type metrics struct {
-	scope tally.TestScope
-	mu    sync.Mutex
+	scope      tally.TestScope
+	dataCentre string
+	mu         sync.Mutex
 	// seen holds the last value of counters that the state machines keep.
 	seen map[string]int64
 }
 
-func newMetrics() *metrics {
-	return &metrics{scope: tally.NewTestScope("", nil), seen: make(map[string]int64)}
+func newMetrics(dataCentre string) *metrics {
+	return &metrics{dataCentre: dataCentre, scope: tally.NewTestScope("", nil), seen: make(map[string]int64)}
 }
 
 // raise moves a counter up to a total that a state machine keeps.
@@ -82,7 +84,7 @@
 	if reply.Outcome != bamboofall.OutcomeAnswered {
 		return
 	}
-	tags := map[string]string{"service": req.Service, "kind": req.Kind}
+	tags := map[string]string{"service": req.Service, "kind": req.Kind, "dataCentre": m.dataCentre}
 	m.scope.Tagged(tags).Histogram("requestLatency", latencyBuckets).RecordDuration(took)
 }
 
@@ -116,7 +118,9 @@
 	for _, h := range snapshot.Histograms() {
 		for bound, n := range h.Durations() {
 			if n > 0 {
-				lines = append(lines, fmt.Sprintf("%s%s le=%v %d", h.Name(), tagText(h.Tags()), bound, n))
+				tags := maps.Clone(h.Tags())
+				tags["le"] = bound.String()
+				lines = append(lines, fmt.Sprintf("%s%s %d", h.Name(), tagText(tags), n))
 			}
 		}
 	}
--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -69,6 +69,7 @@
 		Service: m.GetService(), Kind: m.GetKind(), Trade: m.GetTrade(), Key: m.GetKey(),
 		First: m.GetAttempt() == 1, Content: m.GetContent(), Hop: m.GetHop(), Far: m.GetFar(), HomeHeld: m.GetHomeHeld(),
 		Token:    bamboofall.Token(m.GetToken()),
+		Size:     int64(len(m.GetBody())),
 		Deadline: time.Now().Add(time.Duration(m.GetRemainingMs()) * time.Millisecond),
 	}
 	reply := s.d.handle(req, m.GetBody())
--- a/internal/entry/daemon/sender.go
+++ b/internal/entry/daemon/sender.go
@@ -29,9 +29,8 @@
 	headerRetryAfter = "Retry-After"
 )
 
-// lateSpan is how long the answer to an attempt that timed out is awaited, so
-// that its slot is known to be free.
-const lateSpan = 30 * time.Second
+// maxExchange bounds an exchange on a connection.
+const maxExchange = 15 * time.Minute
 
 // sends keeps the connections to the upstream instances.
 type sends struct {
@@ -65,7 +64,7 @@
 	if ok {
 		return conn, false
 	}
-	return s.engine.NewConn(lateSpan), true
+	return s.engine.NewConn(maxExchange), true
 }
 
 func (s *sends) put(now time.Time, to netip.AddrPort, c *httpclient.Conn) {
@@ -124,7 +123,12 @@
 	case <-timer.C:
 		d.sends.doubt(a.Instance.Address, now)
 		d.sent(a, router.SendResult{Status: router.SendTimeout, Fresh: fresh})
-		<-ended
+		late := time.NewTimer(a.GiveUp - a.Timeout)
+		defer late.Stop()
+		select {
+		case <-ended:
+		case <-late.C:
+		}
 		conn.Close()
 		d.sent(a, router.SendResult{Status: router.SendTimeout})
 	}
--- a/internal/request/router/arrive.go
+++ b/internal/request/router/arrive.go
@@ -44,6 +44,9 @@
 	if !known {
 		return nil, ReasonUnknownKind
 	}
+	if req.Size > s.spec.MaxBody {
+		return nil, ReasonBodyTooLarge
+	}
 	if limit := now.Add(s.spec.MaxDeadline); req.Deadline.After(limit) {
 		req.Deadline = limit
 	}
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -68,6 +68,7 @@
 		router.ReasonUnknownService: func(q *router.Request) { q.Service = "till" },
 		router.ReasonUnknownKind:    func(q *router.Request) { q.Kind = "refund" },
 		router.ReasonUnknownTrade:   func(q *router.Request) { q.Trade = "nobody" },
+		router.ReasonBodyTooLarge:   func(q *router.Request) { q.Size = 2e6 },
 		router.ReasonDeadlinePassed: func(q *router.Request) { q.Deadline = start },
 		router.ReasonMissingKey:     func(q *router.Request) { q.Kind, q.Trade = "tally", "pier" },
 	} {
--- a/internal/request/router/send.go
+++ b/internal/request/router/send.go
@@ -86,6 +86,7 @@
 	}
 	return Send{
 		Request: p.Request, Attempt: a.id, Instance: i.Instance, Before: before, Timeout: timeout,
+		GiveUp:   a.endsBy.Sub(now),
 		Patience: max(patienceFactor*p.service.pool.Latency(), minPatience),
 	}
 }
--- a/internal/request/router/types.go
+++ b/internal/request/router/types.go
@@ -20,8 +20,9 @@
 	Key string
 	// First is set if the caller says that it never sent the key before.
 	First bool
-	// Content is a hash of the body.
+	// Content is a hash of the body, Size its length in bytes.
 	Content uint64
+	Size    int64
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// Hop is set if another entry VM of this data centre forwarded the request.
@@ -44,6 +45,7 @@
 	ReasonUnknownService  Reason = "unknownService"
 	ReasonUnknownKind     Reason = "unknownKind"
 	ReasonUnknownTrade    Reason = "unknownTrade"
+	ReasonBodyTooLarge    Reason = "bodyTooLarge"
 	ReasonMissingKey      Reason = "missingKey"
 	ReasonDeadlinePassed  Reason = "deadlinePassed"
 	ReasonLimited         Reason = "limited"
@@ -121,6 +123,10 @@
 	Before time.Time
 	// Timeout is how long the attempt may take.
 	Timeout time.Duration
+	// GiveUp is when the instance has given up working for certain. A late answer
+	// is not awaited any longer, so that an instance's connections are bounded by
+	// its slots.
+	GiveUp time.Duration
 	// Patience is how long the instance's open connections may leave requests
 	// without an answer before new ones are opened.
 	Patience time.Duration
--- a/internal/standin/bed/requests.go
+++ b/internal/standin/bed/requests.go
@@ -27,9 +27,6 @@
 // ReasonNoConnection is the caller's own word for a try that found nobody.
 const ReasonNoConnection router.Reason = "noConnection"
 
-// lateSpan is how long a late answer is awaited.
-const lateSpan = 30 * time.Second
-
 // Call is a caller's request.
 type Call struct {
 	Service, Kind, Trade string
@@ -211,7 +208,7 @@
 	t.timedOut = true
 	t.pool.Doubt(t.sent)
 	t.entry.sent(t.action, router.SendResult{Status: router.SendTimeout, Fresh: t.fresh})
-	t.entry.bed.after(lateSpan, func() { t.end(router.SendResult{Status: router.SendTimeout}) })
+	t.entry.bed.after(t.action.GiveUp-t.action.Timeout, func() { t.end(router.SendResult{Status: router.SendTimeout}) })
 }
 
 func (t *try) end(r router.SendResult) {
