entry/node, request/fairqueue, standin: drop what nothing uses

Nothing called fairqueue.Cost and Earliest, bed.Events, upstream.Busy, Daemon.VM and the site's list of gone and leaving VMs; a question kept its record, stream and id without need, and a lock guarded what does not change.

--- a/internal/entry/daemon/operators.go
+++ b/internal/entry/daemon/operators.go
@@ -11,7 +11,6 @@
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
 
-	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/config/inifile"
 	"bamboofall.example/bamboofall/internal/config/object"
 	"bamboofall.example/bamboofall/internal/entry/node"
@@ -371,6 +370,3 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	d.metrics.write(w)
 }
-
-// VM returns the name of the daemon's VM.
-func (d *Daemon) VM() bamboofall.VMID { return d.set.VM }
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -50,7 +50,8 @@
 	nextView  time.Time
 	nextClaim time.Time
 	nextWatch time.Time
-	questions map[string]*question
+	// questions holds when operators stop waiting for the log, by id.
+	questions map[string]time.Time
 	// peers holds the other VMs of the data centre as of peersAt.
 	peers    []bamboofall.VMID
 	peersAt  time.Time
@@ -87,7 +88,7 @@
 		config:    newStream(catalog.Stream, commit.New(writer, set.Timing.Commit)),
 		shardLog:  newStream(ledger.Stream(set.DataCentre), commit.New(writer, set.Timing.Commit)),
 		shards:    make([]shardUse, set.Shards),
-		questions: make(map[string]*question),
+		questions: make(map[string]time.Time),
 		counters: Counters{
 			VoidRecords: make(map[string]int64), QuestionsRefused: make(map[string]int64),
 		},
--- a/internal/entry/node/operator.go
+++ b/internal/entry/node/operator.go
@@ -37,7 +37,7 @@
 		n.refuse(id, "queueFull", "too many records wait for the log; nothing was written")
 		return
 	}
-	n.questions[id] = &question{id: id, stream: s.name, expires: now.Add(questionSpan), record: r}
+	n.questions[id] = now.Add(questionSpan)
 }
 
 func (n *Node) refuse(id, counter, reason string) {
@@ -47,7 +47,7 @@
 
 // answer answers the question with an id, if it waits.
 func (n *Node) answer(id string, r Result) {
-	if n.questions[id] == nil {
+	if _, waits := n.questions[id]; !waits {
 		return
 	}
 	delete(n.questions, id)
@@ -56,8 +56,7 @@
 
 func (n *Node) expireQuestions(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(n.questions)) {
-		q := n.questions[id]
-		if !now.Before(q.expires) {
+		if !now.Before(n.questions[id]) {
 			n.answer(id, Result{Status: ResultUnknown, Reason: "the log has not answered; ask again with this id"})
 		}
 	}
@@ -68,7 +67,7 @@
 		n.emit(Answer{p.ID, OutcomeResult(o)})
 		return
 	}
-	if n.questions[p.ID] != nil {
+	if _, waits := n.questions[p.ID]; waits {
 		return
 	}
 	change := n.catalog.Change(p.Puts, p.Deletes, p.Author)
--- a/internal/entry/node/types.go
+++ b/internal/entry/node/types.go
@@ -8,7 +8,6 @@
 	"bamboofall.example/bamboofall/internal/config/object"
 	"bamboofall.example/bamboofall/internal/request/router"
 	"bamboofall.example/bamboofall/internal/state/member"
-	"bamboofall.example/bamboofall/internal/wire/recordpb"
 )
 
 // Event is something that happened: one of the types below.
@@ -215,11 +214,3 @@
 	// Elsewhere holds VMs of the data centre that can answer the question.
 	Elsewhere []bamboofall.VMID
 }
-
-// question is an operator's question that waits for the log.
-type question struct {
-	id      string
-	stream  string
-	expires time.Time
-	record  *recordpb.Record
-}
--- a/internal/request/fairqueue/fairqueue.go
+++ b/internal/request/fairqueue/fairqueue.go
@@ -98,12 +98,6 @@
 	q.cost[kind] = old + (held.Seconds()-old)/32
 }
 
-// Cost returns the smoothed time for which items of a kind hold the resource,
-// or zero if none was seen.
-func (q *Queue) Cost(kind string) time.Duration {
-	return time.Duration(q.cost[kind] * float64(time.Second))
-}
-
 // child returns a child by name. It makes the child if it is missing.
 func (n *node) child(name string, weight float64) *node {
 	if n.children == nil {
@@ -284,14 +278,6 @@
 	}
 }
 
-// Earliest returns the earliest deadline, or false if nothing waits.
-func (q *Queue) Earliest() (time.Time, bool) {
-	if len(q.deadlines) == 0 {
-		return time.Time{}, false
-	}
-	return q.deadlines[0].Deadline, true
-}
-
 type deadlineHeap []*Item
 
 func (h deadlineHeap) Len() int           { return len(h) }
--- a/internal/standin/bed/bed.go
+++ b/internal/standin/bed/bed.go
@@ -122,7 +122,6 @@
 	gone      map[bamboofall.VMID]bool
 	cuts      map[[2]string]bool
 	callers   uint64
-	events    int
 }
 
 // New returns a bed whose entry VMs have just started.
@@ -204,9 +203,6 @@
 // Now returns the time since the start.
 func (b *Bed) Now() time.Duration { return b.now.Sub(Epoch) }
 
-// Events returns the number of events so far.
-func (b *Bed) Events() int { return b.events }
-
 // At runs a function at a moment.
 func (b *Bed) At(at time.Duration, f func()) { b.schedule(Epoch.Add(at), f) }
 
@@ -233,7 +229,6 @@
 	for len(b.queue) > 0 && !b.queue[0].at.After(end) {
 		e := heap.Pop(&b.queue).(event)
 		b.now = e.at
-		b.events++
 		e.do()
 	}
 	b.now = end
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -56,11 +56,7 @@
 	links     []*link.Link
 	cut       atomic.Bool
 	stop      context.CancelFunc
-
-	mu      sync.Mutex
-	vms     []bamboofall.VM
-	gone    map[bamboofall.VMID]bool
-	leaving map[bamboofall.VMID]bool
+	vms       []bamboofall.VM
 	// far holds the address of an entry VM as seen from another data centre.
 	far map[bamboofall.VMID]netip.AddrPort
 }
@@ -73,8 +69,6 @@
 		Store:      logstore.New(d.Log.Retention, d.Log.Appends, 1),
 		workers:    make(map[bamboofall.VMID]*worker.Worker),
 		upstreams:  make(map[string]*upstream.Instance),
-		gone:       make(map[bamboofall.VMID]bool),
-		leaving:    make(map[bamboofall.VMID]bool),
 		far:        make(map[bamboofall.VMID]netip.AddrPort),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -293,20 +287,11 @@
 // Worker returns a worker, or nil.
 func (s *Site) Worker(id bamboofall.VMID) *worker.Worker { return s.workers[id] }
 
-// Workers returns all workers by name. The caller must not change the map.
-func (s *Site) Workers() map[bamboofall.VMID]*worker.Worker { return s.workers }
-
 // Fleet returns the platform's list as a data centre sees it. Entry VMs of
 // other data centres stand behind links.
 func (s *Site) Fleet(dc bamboofall.DataCentre) bamboofall.Fleet {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var f bamboofall.Fleet
 	for _, vm := range s.vms {
-		if s.gone[vm.ID] {
-			continue
-		}
-		vm.Leaving = s.leaving[vm.ID]
 		if vm.Entry.IsValid() && dc != "" && vm.DataCentre != dc {
 			vm.Entry = s.far[vm.ID]
 		}
@@ -315,20 +300,6 @@
 	return f
 }
 
-// SetGone takes a VM off the list or puts it back.
-func (s *Site) SetGone(id bamboofall.VMID, gone bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.gone[id] = gone
-}
-
-// SetLeaving marks a VM as leaving.
-func (s *Site) SetLeaving(id bamboofall.VMID, leaving bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving[id] = leaving
-}
-
 // Cut cuts the links between data centres, or mends them.
 func (s *Site) Cut(cut bool) { s.cut.Store(cut) }
 
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -104,10 +104,3 @@
 	defer i.mu.Unlock()
 	i.busy--
 }
-
-// Busy returns the number of requests under way.
-func (i *Instance) Busy() int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.busy
-}
