--- /dev/null
+++ b/internal/entry/front/front.go
@@ -0,0 +1,282 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/run/clock"
+	"bamboofall.example/bamboofall/internal/state/lease"
+	"bamboofall.example/bamboofall/internal/wire/httpclient"
+	"bamboofall.example/bamboofall/internal/wire/httpserver"
+	"bamboofall.example/bamboofall/platform"
+)
+
+const (
+	// cellPart is the partition of the one cell.
+	cellPart = 0
+	// exitMargin is the part of the grace period that is left for the end.
+	exitMargin = 700 * time.Millisecond
+	// storeRetry is the time between tries while the store does not answer.
+	storeRetry = 100 * time.Millisecond
+	// maxLease bounds the lease of workers: a take-over has to fit into it.
+	maxLease = 6 * time.Second
+	// leaseShare is the part of the platform's longest lease that is used.
+	leaseShare = 0.95
+)
+
+// Front is an entry VM. Use New.
+type Front struct {
+	set      *platform.Settings
+	log      *Log
+	process  string
+	store    bamboofall.KeyedStore
+	workers  bamboofall.TaskWorkers
+	peers    *peers
+	config   atomic.Pointer[bamboofall.Configuration]
+	metrics  *metrics
+	settings string
+
+	leaseMu sync.Mutex
+	lease   *lease.Lease
+	owner   atomic.Pointer[owner]
+
+	leaving   chan struct{}
+	leaveOnce sync.Once
+}
+
+// New returns an entry VM that has not started. Path names its settings file.
+func New(path string, set *platform.Settings, engine *httpclient.Engine, log *Log) *Front {
+	client := httpclient.New(engine)
+	process := string(set.VM) + "/" + uuid.NewString()[:8]
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(process))
+	rank := float64(h.Sum32()%1024) / 1024
+	f := &Front{
+		set: set, log: log, process: process, settings: path,
+		store:   platform.NewStore(client, set.Store),
+		workers: platform.NewWorkers(client),
+		peers:   newPeers(client),
+		metrics: newMetrics(string(set.DataCentre)),
+		lease:   lease.New(lease.DefaultTiming(), process, set.Peers, rank),
+		leaving: make(chan struct{}),
+	}
+	return f
+}
+
+// Run serves until it is told to stop by a signal or the context.
+func (f *Front) Run(ctx context.Context, metricsPort uint16) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	stop, err := f.listen(metricsPort)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	f.log.Event("start", logrus.Fields{"process": f.process, "callers": f.set.Callers, "peers": f.set.Peers, "store": f.set.Store})
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, inner := errgroup.WithContext(inner)
+	group.Go(func() error { return f.followConfiguration(inner) })
+	group.Go(func() error { return f.followOwner(inner) })
+	group.Go(func() error {
+		defer cancel()
+		return f.waitForEnd(inner, signals)
+	})
+	err = group.Wait()
+	f.log.Event("stop", logrus.Fields{"process": f.process})
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (f *Front) listen(metricsPort uint16) (func(), error) {
+	var servers []*httpserver.Server
+	stop := func() {
+		for _, s := range servers {
+			s.Stop()
+		}
+	}
+	listeners := []struct {
+		name    string
+		at      netip.AddrPort
+		handler http.Handler
+	}{
+		{"callers", f.set.Callers, http.HandlerFunc(f.serveCaller)},
+		{"readiness", f.set.Ready, http.HandlerFunc(f.serveReadiness)},
+		{"peers", f.set.Peers, f.peersHandler()},
+		{"metrics", netip.AddrPortFrom(f.set.Peers.Addr(), metricsPort), http.HandlerFunc(f.serveMetrics)},
+	}
+	for _, l := range listeners {
+		s, err := httpserver.Start(l.at, l.handler)
+		if err != nil {
+			stop()
+			return nil, fmt.Errorf("%s: %w", l.name, err)
+		}
+		servers = append(servers, s)
+	}
+	return stop, nil
+}
+
+// waitForEnd handles signals until the process has to end.
+func (f *Front) waitForEnd(ctx context.Context, signals <-chan os.Signal) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				f.reload()
+				continue
+			}
+			f.log.Event("stopping", logrus.Fields{"signal": s.String()})
+			f.leave()
+			select {
+			case <-ctx.Done():
+			case <-time.After(f.set.Bounds.Grace - exitMargin):
+			}
+			return nil
+		}
+	}
+}
+
+// reload checks the settings file again. Addresses cannot change while the
+// process runs, so a change of them is logged and waits for a restart.
+func (f *Front) reload() {
+	set, err := platform.ReadSettings(f.settings)
+	if err != nil {
+		f.log.Event("reload failed", logrus.Fields{"error": err.Error()})
+		return
+	}
+	f.log.Event("reload", logrus.Fields{"changed": *set != *f.set})
+}
+
+// leave stops taking part: no new callers, no ownership.
+func (f *Front) leave() { f.leaveOnce.Do(func() { close(f.leaving) }) }
+
+func (f *Front) isLeaving() bool {
+	select {
+	case <-f.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+func (f *Front) leaseTime() time.Duration {
+	return min(maxLease, time.Duration(leaseShare*float64(f.set.Bounds.MaxLease)))
+}
+
+// followConfiguration keeps the newest configuration.
+func (f *Front) followConfiguration(ctx context.Context) error {
+	return f.follow(ctx, platform.TopicOperator, cellPart, 20*time.Second, func(r bamboofall.StoredRecord) {
+		if !platform.IsConfiguration(r.Key) || len(r.Value) == 0 {
+			return
+		}
+		conf, err := platform.DecodeConfiguration(r.Value)
+		if err != nil {
+			f.log.Event("configuration rejected", logrus.Fields{"offset": r.Offset, "error": err.Error()})
+			return
+		}
+		if old := f.config.Load(); old != nil && old.Version >= conf.Version {
+			return
+		}
+		f.config.Store(conf)
+		f.log.Event("configuration", logrus.Fields{"version": conf.Version, "queues": len(conf.Queues)})
+		if o := f.owner.Load(); o != nil {
+			o.setConfiguration(conf)
+		}
+	}, nil)
+}
+
+// follow reads a keyed topic: first the newest record of each key, then what is
+// added. It never ends before the context does. The function idle is called
+// after each read that succeeded, with the offset behind all that was seen.
+func (f *Front) follow(ctx context.Context, topic string, part int, wait time.Duration, take func(bamboofall.StoredRecord), idle func(end int64)) error {
+	next := int64(-1)
+	lost := false
+	for ctx.Err() == nil {
+		var err error
+		if next < 0 {
+			next, err = f.readNewest(ctx, topic, part, take)
+		} else {
+			next, err = f.readOn(ctx, topic, part, next, wait, take)
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			if !lost {
+				lost = true
+				f.log.Event("store lost", logrus.Fields{"topic": topic, "error": err.Error()})
+			}
+			sleep(ctx, storeRetry)
+			continue
+		}
+		if lost {
+			lost = false
+			f.log.Event("store regained", logrus.Fields{"topic": topic})
+		}
+		if idle != nil {
+			idle(next)
+		}
+	}
+	return nil
+}
+
+// readNewest reads the newest records. On an error it returns -1.
+func (f *Front) readNewest(ctx context.Context, topic string, part int, take func(bamboofall.StoredRecord)) (int64, error) {
+	records, end, err := f.store.Newest(ctx, topic, part)
+	if err != nil {
+		return -1, err
+	}
+	for _, r := range records {
+		take(r)
+	}
+	return end, nil
+}
+
+// readOn reads what was added. If records have expired it returns -1, so that
+// the newest are read again.
+func (f *Front) readOn(ctx context.Context, topic string, part int, from int64, wait time.Duration, take func(bamboofall.StoredRecord)) (int64, error) {
+	page, err := f.store.Read(ctx, topic, part, from, wait)
+	var trimmed *bamboofall.TrimmedError
+	if errors.As(err, &trimmed) {
+		f.log.Event("records expired", logrus.Fields{"topic": topic, "from": from, "first": trimmed.First})
+		return -1, nil
+	}
+	if err != nil {
+		return from, err
+	}
+	for _, r := range page.Records {
+		take(r)
+	}
+	return page.Next, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func now() time.Time { return clock.Now() }
--- /dev/null
+++ b/internal/entry/front/log.go
@@ -0,0 +1,101 @@
+package front
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/run/asyncwriter"
+)
+
+const (
+	// linesPerSecond bounds all lines, routinePerSecond those of runs that
+	// start and end as they should. A line costs some 10 us of a processor.
+	linesPerSecond   = 500
+	routinePerSecond = 150
+	// burstSeconds is how long a burst of lines may be.
+	burstSeconds = 3
+)
+
+// Log writes one structured line for each decision. It never waits, and it
+// counts the lines that it leaves out. Use NewLog.
+type Log struct {
+	logger  *logrus.Entry
+	writer  *asyncwriter.Writer
+	all     *rate.Limiter
+	routine *rate.Limiter
+
+	mu      sync.Mutex
+	skipped int64
+}
+
+// NewLog returns a log that writes nothing before Run is called.
+func NewLog(out io.Writer, vm bamboofall.VMID) *Log {
+	w := asyncwriter.New(out)
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	return &Log{
+		logger: l.WithField("vm", vm), writer: w,
+		all:     rate.NewLimiter(linesPerSecond, linesPerSecond*burstSeconds),
+		routine: rate.NewLimiter(routinePerSecond, routinePerSecond*burstSeconds),
+	}
+}
+
+// Run writes lines until the context ends.
+func (l *Log) Run(ctx context.Context) error { return l.writer.Run(ctx) }
+
+// Event writes a line about the process or its dependencies.
+func (l *Log) Event(event string, fields logrus.Fields) { l.logger.WithFields(fields).Info(event) }
+
+// Note writes a line about a decision of the cell.
+func (l *Log) Note(epoch uint64, n cell.Note) {
+	if !l.allow(n.Routine) {
+		return
+	}
+	fields := logrus.Fields{"epoch": epoch}
+	add := func(key, value string) {
+		if value != "" {
+			fields[key] = value
+		}
+	}
+	add("job", string(n.Job))
+	add("task", n.Task)
+	add("worker", n.Worker)
+	add("detail", n.Detail)
+	if n.Run > 0 {
+		fields["run"] = n.Run
+	}
+	l.logger.WithFields(fields).Info(n.Event)
+}
+
+// Call writes a line about a call of a caller.
+func (l *Log) Call(routine bool, fields logrus.Fields) {
+	if l.allow(routine) {
+		l.logger.WithFields(fields).Info("call")
+	}
+}
+
+func (l *Log) allow(routine bool) bool {
+	at := time.Now()
+	if (!routine || l.routine.AllowN(at, 1)) && l.all.AllowN(at, 1) {
+		return true
+	}
+	l.mu.Lock()
+	l.skipped++
+	l.mu.Unlock()
+	return false
+}
+
+// LeftOut returns the number of lines that were not written.
+func (l *Log) LeftOut() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.skipped + l.writer.Dropped()
+}
--- /dev/null
+++ b/internal/entry/front/owner.go
@@ -0,0 +1,391 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/run/ring"
+	"bamboofall.example/bamboofall/internal/state/lease"
+	"bamboofall.example/bamboofall/internal/wire/jobpb"
+	"bamboofall.example/bamboofall/platform"
+)
+
+const (
+	// ownerRing bounds the events that wait for the owner's loop.
+	ownerRing = 8192
+	// ownerTick is the time between steps without events.
+	ownerTick = 20 * time.Millisecond
+	// stepEvents is the number of events that share a step.
+	stepEvents = 64
+	// inboxWait and workersWait are how long reads wait for news.
+	inboxWait   = 10 * time.Second
+	workersWait = 10 * time.Second
+	// keyEpoch is the key by which an owner fences the cell's partition.
+	keyEpoch = "e"
+)
+
+// errDeposed says that another owner has taken over.
+var errDeposed = errors.New("another owner has taken over")
+
+// owner runs the cell. Use newOwner.
+type owner struct {
+	front  *Front
+	record lease.Record
+	cell   *cell.Cell
+	events *ring.Ring[func(now time.Time)]
+	// ready is set once the cell has been restored.
+	ready     atomic.Bool
+	releasing chan struct{}
+	released  atomic.Bool
+
+	// Of the loop:
+	sequence uint64
+	storing  bool
+	waiters  []waiter
+	ctx      context.Context
+	inbox    map[string]bool
+	failed   error
+}
+
+// waiter is a call that is answered once a flush is stored.
+type waiter struct {
+	flush uint64
+	done  func()
+}
+
+func newOwner(f *Front, r lease.Record, former time.Time) *owner {
+	return &owner{
+		front: f, record: r, events: ring.New[func(time.Time)](ownerRing),
+		releasing: make(chan struct{}), sequence: 1, inbox: make(map[string]bool),
+		cell: cell.New(cell.Config{
+			Token: bamboofall.Token(r.Epoch), Lease: f.leaseTime(), FormerLeases: former,
+			KeepEnded:    f.set.Bounds.KeepEnded + 10*time.Second,
+			RemoteFactor: f.set.Bounds.RemoteFactor, HarmAfter: f.set.Bounds.HarmAfter,
+		}),
+	}
+}
+
+// run restores the cell and owns it until it is deposed, released or stopped.
+func (o *owner) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	o.ctx = ctx
+	group.Go(func() error { return o.renewals(ctx) })
+	group.Go(func() error {
+		began := now()
+		if err := o.restore(ctx); err != nil {
+			return err
+		}
+		o.front.metrics.took("takeOver", now().Sub(began))
+		group.Go(func() error { return o.followWorkers(ctx) })
+		group.Go(func() error { return o.followInbox(ctx) })
+		o.ready.Store(true)
+		return o.loop(ctx)
+	})
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-o.front.leaving:
+			o.released.Store(true)
+			close(o.releasing)
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// restore fences former owners and reads what they stored.
+func (o *owner) restore(ctx context.Context) error {
+	fence := []bamboofall.StoreRecord{{Key: keyEpoch, Value: fmt.Appendf(nil, "%d", o.record.Epoch)}}
+	if err := o.append(ctx, fence); err != nil {
+		return err
+	}
+	records, err := retry(ctx, func() ([]bamboofall.StoredRecord, error) {
+		records, _, err := o.front.store.Newest(ctx, topicCells, cellPart)
+		return records, err
+	})
+	if err != nil {
+		return err
+	}
+	o.cell.SetConfiguration(o.front.config.Load())
+	kept := records[:0]
+	for _, r := range records {
+		if r.Key != keyEpoch {
+			kept = append(kept, r)
+		}
+	}
+	for _, err := range o.cell.Restore(now(), kept) {
+		o.front.log.Event("record left out", logrus.Fields{"error": err.Error()})
+	}
+	known, open := o.cell.Jobs()
+	o.front.log.Event("restored", logrus.Fields{"epoch": o.record.Epoch, "records": len(records), "jobs": known, "open": open})
+	return nil
+}
+
+// retry calls a function until it succeeds.
+func retry[T any](ctx context.Context, f func() (T, error)) (T, error) {
+	for {
+		v, err := f()
+		if err == nil || ctx.Err() != nil {
+			return v, err
+		}
+		sleep(ctx, storeRetry)
+	}
+}
+
+// append adds records to the cell's partition. It tries until it is done or
+// another owner has fenced it: the sequence number makes tries one append.
+func (o *owner) append(ctx context.Context, records []bamboofall.StoreRecord) error {
+	first := true
+	for {
+		began := now()
+		_, err := o.front.store.Append(ctx, bamboofall.StoreAppend{
+			Topic: topicCells, Part: cellPart, Records: records, At: -1,
+			Producer: producerName, Epoch: o.record.Epoch, Sequence: o.sequence,
+		})
+		var fenced *bamboofall.FencedError
+		switch {
+		case err == nil:
+			o.front.metrics.took("storeAppend", now().Sub(began))
+			o.sequence++
+			return nil
+		case errors.As(err, &fenced):
+			if fenced.Sequence && !first && fenced.Expected == o.sequence+1 {
+				o.sequence++ // an earlier try was done
+				return nil
+			}
+			return fmt.Errorf("%w: %w", errDeposed, err)
+		case ctx.Err() != nil:
+			return ctx.Err()
+		}
+		if first {
+			o.front.log.Event("append failed", logrus.Fields{"epoch": o.record.Epoch, "records": len(records), "error": err.Error()})
+		}
+		first = false
+		sleep(ctx, storeRetry)
+	}
+}
+
+// loop takes events in and lets the cell decide.
+func (o *owner) loop(ctx context.Context) error {
+	ticker := time.NewTicker(ownerTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case f := <-o.events.Items():
+			f(now())
+			o.drainEvents()
+		}
+		if o.failed != nil {
+			return o.failed
+		}
+		if err := o.step(now()); err != nil {
+			return err
+		}
+	}
+}
+
+func (o *owner) drainEvents() {
+	for range stepEvents {
+		select {
+		case f := <-o.events.Items():
+			f(now())
+		default:
+			return
+		}
+	}
+}
+
+func (o *owner) step(at time.Time) error {
+	out := o.cell.Step(at)
+	for _, n := range out.Notes {
+		o.front.log.Note(o.record.Epoch, n)
+	}
+	if out.Deposed {
+		return errDeposed
+	}
+	for _, order := range out.Orders {
+		go o.carryOut(order, at)
+	}
+	o.front.metrics.takeCell(o.cell.Counters())
+	if o.storing {
+		return nil
+	}
+	records, flush, err := o.cell.Flush()
+	if err != nil {
+		return err
+	}
+	if len(records) > 0 {
+		o.storing = true
+		go o.storeRecords(records, flush)
+	}
+	return nil
+}
+
+func (o *owner) storeRecords(records []bamboofall.StoreRecord, flush uint64) {
+	err := o.append(o.ctx, records)
+	o.events.Push(o.ctx, func(at time.Time) {
+		o.storing = false
+		if err != nil {
+			o.failed = err
+			return
+		}
+		o.cell.Stored(at, flush)
+		kept := o.waiters[:0]
+		for _, w := range o.waiters {
+			if o.cell.IsStored(w.flush) {
+				w.done()
+				continue
+			}
+			kept = append(kept, w)
+		}
+		o.waiters = kept
+	})
+}
+
+// staleOrder is the age at which an order is not sent any more: the process may
+// have slept since it was decided.
+const staleOrder = 500 * time.Millisecond
+
+// carryOut sends an order to its worker and gives the result back.
+func (o *owner) carryOut(order cell.Order, decided time.Time) {
+	f := o.front
+	ctx := o.ctx
+	var sighting bamboofall.Sighting
+	var report bamboofall.HoldReport
+	var err error
+	began := now()
+	switch {
+	case o.released.Load() || !f.mayAct(o.record.Epoch):
+		err = &bamboofall.NotDoneError{Call: "order", Reason: "the owner is not confirmed"}
+	case began.Sub(decided) > staleOrder:
+		err = &bamboofall.NotDoneError{Call: "order", Reason: "the process has slept"}
+	default:
+		s := order.Start
+		switch order.Kind {
+		case cell.OrderStart:
+			sighting, err = f.workers.Start(ctx, order.Worker, s)
+			f.metrics.took("startOrder", now().Sub(began))
+		case cell.OrderStop:
+			sighting, err = f.workers.Stop(ctx, order.Worker, s.Task, s.Run, s.Token)
+		case cell.OrderPace:
+			sighting, err = f.workers.Pace(ctx, order.Worker, s.Task, s.Run, order.Percent, s.Token)
+		case cell.OrderHold:
+			report, err = f.workers.Hold(ctx, order.Worker, order.Hold)
+		}
+	}
+	o.events.Push(ctx, func(at time.Time) {
+		switch order.Kind {
+		case cell.OrderStart:
+			o.cell.Started(at, order, sighting, err)
+		case cell.OrderStop:
+			o.cell.Stopped(at, order, sighting, err)
+		case cell.OrderPace:
+			o.cell.Paced(at, order, sighting, err)
+		case cell.OrderHold:
+			o.cell.Held(at, order, report, err)
+		}
+	})
+}
+
+func (o *owner) setConfiguration(conf *bamboofall.Configuration) {
+	o.events.Push(o.ctx, func(time.Time) { o.cell.SetConfiguration(conf) })
+}
+
+// followWorkers follows the announcements of workers.
+func (o *owner) followWorkers(ctx context.Context) error {
+	return o.front.follow(ctx, platform.TopicWorkers, cellPart, workersWait, func(r bamboofall.StoredRecord) {
+		if len(r.Value) == 0 {
+			o.events.Push(ctx, func(at time.Time) { o.cell.RemoveWorker(at, r.Key) })
+			return
+		}
+		w, err := platform.DecodeWorker(r.Key, r.Value)
+		if err != nil {
+			o.front.metrics.count("workerEntriesRejected", nil)
+			o.front.log.Event("worker entry rejected", logrus.Fields{"worker": r.Key, "error": err.Error()})
+			return
+		}
+		o.events.Push(ctx, func(at time.Time) { o.cell.SetWorker(at, w) })
+	}, nil)
+}
+
+// followInbox takes over what entry VMs stored while they reached no owner.
+func (o *owner) followInbox(ctx context.Context) error {
+	return o.front.follow(ctx, topicInbox, cellPart, inboxWait, func(r bamboofall.StoredRecord) {
+		if len(r.Value) == 0 {
+			return
+		}
+		m := &jobpb.Deferred{}
+		if err := proto.Unmarshal(r.Value, m); err != nil {
+			o.front.log.Event("inbox record rejected", logrus.Fields{"key": r.Key, "error": err.Error()})
+			return
+		}
+		o.events.Push(ctx, func(at time.Time) { o.takeDeferred(at, r.Key, m) })
+	}, nil)
+}
+
+// takeDeferred takes over a call from the inbox, and removes it there once it
+// is stored with the cell.
+func (o *owner) takeDeferred(at time.Time, key string, m *jobpb.Deferred) {
+	var flush uint64
+	if m.GetJob() != nil {
+		flush, _ = o.cell.Submit(at, cell.DecodeSpec(m.GetJob()), true)
+	} else {
+		flush, _ = o.cell.Cancel(at, bamboofall.JobID(m.GetCancel()))
+	}
+	o.whenStored(flush, func() { go o.clearInbox(key) })
+}
+
+func (o *owner) clearInbox(key string) {
+	_, err := o.front.store.Append(o.ctx, bamboofall.StoreAppend{
+		Topic: topicInbox, Part: cellPart, Records: []bamboofall.StoreRecord{{Key: key}}, At: -1,
+	})
+	if err != nil {
+		// It is taken over again by the next owner, which knows the job.
+		o.front.log.Event("inbox not cleared", logrus.Fields{"key": key, "error": err.Error()})
+	}
+}
+
+// whenStored calls a function once a flush is stored.
+func (o *owner) whenStored(flush uint64, done func()) {
+	if o.cell.IsStored(flush) {
+		done()
+		return
+	}
+	o.waiters = append(o.waiters, waiter{flush, done})
+}
+
+// ask runs a function in the owner's loop. The function gets what to call with
+// the answer.
+func ask[T any](ctx context.Context, o *owner, f func(at time.Time, answer func(T))) (T, error) {
+	var none T
+	if !o.ready.Load() || o.released.Load() {
+		return none, errNotOwner
+	}
+	done := make(chan T, 1)
+	if !o.events.TryPush(func(at time.Time) { f(at, func(v T) { done <- v }) }) {
+		return none, errNotOwner
+	}
+	select {
+	case v := <-done:
+		return v, nil
+	case <-ctx.Done():
+		return none, &bamboofall.UnknownOutcomeError{Call: "owner", Err: ctx.Err()}
+	case <-o.ctx.Done():
+		return none, &bamboofall.UnknownOutcomeError{Call: "owner", Err: errDeposed}
+	}
+}
+
+// errNotOwner says that nothing was done as this VM does not own the cell.
+var errNotOwner = errors.New("this VM does not own the cell")
--- /dev/null
+++ b/internal/entry/front/ownership.go
@@ -0,0 +1,193 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/state/lease"
+	"bamboofall.example/bamboofall/internal/wire/jobpb"
+)
+
+// The topics of the project in the platform's store. The partition is the cell.
+const (
+	topicOwners = "keyed.bamboofall-owners"
+	topicCells  = "keyed.bamboofall-cells"
+	topicInbox  = "keyed.bamboofall-inbox"
+)
+
+const (
+	keyOwner = "owner"
+	// producerName names the owners' appends.
+	producerName = "owner"
+	// ownerWait is how long a read for a new owner waits: the time to notice
+	// that an owner is silent is a multiple of it.
+	ownerWait = 500 * time.Millisecond
+)
+
+// followOwner follows who owns the cell, and claims it when it should.
+func (f *Front) followOwner(ctx context.Context) error {
+	take := func(r bamboofall.StoredRecord) {
+		record, err := decodeOwner(r)
+		if err != nil {
+			f.log.Event("owner record rejected", logrus.Fields{"offset": r.Offset, "error": err.Error()})
+			return
+		}
+		f.leaseMu.Lock()
+		before, _ := f.lease.Owner()
+		f.lease.Observe(now(), record, r.Offset+1)
+		f.leaseMu.Unlock()
+		if before.Epoch != record.Epoch || before.Released != record.Released {
+			f.log.Event("owner", logrus.Fields{"epoch": record.Epoch, "address": record.Address, "process": record.Process, "released": record.Released})
+		}
+	}
+	return f.follow(ctx, topicOwners, cellPart, ownerWait, take, func(end int64) { f.considerClaim(ctx, end) })
+}
+
+func decodeOwner(r bamboofall.StoredRecord) (lease.Record, error) {
+	m := &jobpb.Ownership{}
+	if err := proto.Unmarshal(r.Value, m); err != nil {
+		return lease.Record{}, err
+	}
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return lease.Record{}, err
+	}
+	return lease.Record{Epoch: m.GetEpoch(), Address: address, Process: m.GetProcess(), Released: m.GetReleased()}, nil
+}
+
+func encodeOwner(r lease.Record) (bamboofall.StoreRecord, error) {
+	value, err := proto.Marshal(&jobpb.Ownership{Epoch: r.Epoch, Address: r.Address.String(), Process: r.Process, Released: r.Released})
+	return bamboofall.StoreRecord{Key: keyOwner, Value: value}, err
+}
+
+// considerClaim claims the cell if its owner is silent, and becomes its owner.
+func (f *Front) considerClaim(ctx context.Context, end int64) {
+	f.leaseMu.Lock()
+	f.lease.Seen(now(), end)
+	record, at, claim := f.lease.Claim(now())
+	f.leaseMu.Unlock()
+	if !claim || f.config.Load() == nil || f.isLeaving() || f.owner.Load() != nil {
+		return
+	}
+	stored, err := encodeOwner(record)
+	if err != nil {
+		f.log.Event("claim failed", logrus.Fields{"error": err.Error()})
+		return
+	}
+	sent := now()
+	end, err = f.store.Append(ctx, bamboofall.StoreAppend{
+		Topic: topicOwners, Part: cellPart, Records: []bamboofall.StoreRecord{stored}, At: at,
+		Producer: producerName, Epoch: record.Epoch, Sequence: 1,
+	})
+	if err != nil {
+		// If the claim was written after all, it is read as this process's own
+		// and the cell goes to another claim once it has been silent.
+		f.log.Event("claim lost", logrus.Fields{"epoch": record.Epoch, "error": err.Error()})
+		return
+	}
+	f.leaseMu.Lock()
+	f.lease.Claimed(sent, record, end)
+	former := f.lease.FormerGrants(f.leaseTime())
+	f.leaseMu.Unlock()
+	f.log.Event("claimed", logrus.Fields{"epoch": record.Epoch})
+	o := newOwner(f, record, former)
+	f.owner.Store(o)
+	go func() {
+		err := o.run(ctx)
+		f.owner.Store(nil)
+		f.leaseMu.Lock()
+		if f.lease.Epoch() == record.Epoch {
+			f.lease.Lost()
+		}
+		f.leaseMu.Unlock()
+		fields := logrus.Fields{"epoch": record.Epoch}
+		if err != nil {
+			fields["error"] = err.Error()
+		}
+		f.log.Event("ownership ended", fields)
+	}()
+}
+
+// mayAct reports whether the owner of an epoch may give orders.
+func (f *Front) mayAct(epoch uint64) bool {
+	f.leaseMu.Lock()
+	defer f.leaseMu.Unlock()
+	return f.lease.MayAct(now(), epoch)
+}
+
+// ownerAddress returns where the owner answers, if one is known.
+func (f *Front) ownerAddress() (lease.Record, bool) {
+	f.leaseMu.Lock()
+	defer f.leaseMu.Unlock()
+	return f.lease.Owner()
+}
+
+// renewals appends to the owners' partition until the owner stops, and then
+// releases the cell if it was told to leave.
+func (o *owner) renewals(ctx context.Context) error {
+	f := o.front
+	sequence := uint64(2)
+	append1 := func(ctx context.Context, r lease.Record) error {
+		stored, err := encodeOwner(r)
+		if err != nil {
+			return err
+		}
+		sent := now()
+		_, err = f.store.Append(ctx, bamboofall.StoreAppend{
+			Topic: topicOwners, Part: cellPart, Records: []bamboofall.StoreRecord{stored}, At: -1,
+			Producer: producerName, Epoch: r.Epoch, Sequence: sequence,
+		})
+		if err == nil {
+			sequence++
+			f.leaseMu.Lock()
+			f.lease.Confirmed(r.Epoch, sent)
+			f.leaseMu.Unlock()
+		}
+		return err
+	}
+	every := lease.DefaultTiming().Renew
+	for ctx.Err() == nil && !o.released.Load() {
+		var fenced *bamboofall.FencedError
+		switch err := append1(ctx, o.record); {
+		case err == nil:
+			sleepUntil(ctx, o.releasing, every)
+		case errors.As(err, &fenced):
+			return err
+		default:
+			sleepUntil(ctx, o.releasing, storeRetry)
+		}
+		select {
+		case <-o.releasing:
+			released := o.record
+			released.Released = true
+			for try := 0; try < 10 && ctx.Err() == nil; try++ {
+				if err := append1(ctx, released); err == nil || errors.As(err, &fenced) {
+					break
+				}
+				sleep(ctx, storeRetry)
+			}
+			return errReleased
+		default:
+		}
+	}
+	return nil
+}
+
+// errReleased says that the owner gave the cell up.
+var errReleased = errors.New("the cell was released")
+
+func sleepUntil(ctx context.Context, signal <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-signal:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/jobs/cell/attempt.go
@@ -0,0 +1,499 @@
+package cell
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"bamboofall.example/bamboofall"
+)
+
+type attemptState uint8
+
+const (
+	// attemptGated waits for the store before it is ordered.
+	attemptGated attemptState = iota
+	// attemptStarting is ordered.
+	attemptStarting
+	// attemptUnsure may run, or may be started later by an order under way.
+	attemptUnsure
+	attemptRunning
+)
+
+// attempt is a run of a task at a worker.
+type attempt struct {
+	task   *task
+	worker *worker
+	run    uint32
+	state  attemptState
+	// gate is the flush that must be stored before the start is ordered.
+	gate uint64
+	// confirmedAt is when the worker last confirmed the run, by the time that
+	// the call was sent.
+	confirmedAt time.Time
+	startedAt   time.Time
+	percent     int
+	gauge       int64
+	checkpoint  string
+
+	// stopping is set once the run must end. stopOrdered is when the last stop
+	// was ordered, stopped when one was confirmed.
+	stopping    bool
+	stopWhy     string
+	stopOrdered time.Time
+	stopOpen    bool
+	stopped     time.Time
+	paced       int
+	pacing      bool
+}
+
+// size is what the attempt reserves: what fills reserves no processors.
+func (a *attempt) size() bamboofall.Resources {
+	r := a.task.step.Size
+	if a.task.step.Fills {
+		r.MilliProcessors = 0
+	}
+	return r
+}
+
+// sorted returns the attempts at a worker in the order of their names.
+func (w *worker) sorted() []*attempt {
+	if len(w.attempts) == 0 {
+		return nil
+	}
+	out := make([]*attempt, 0, len(w.attempts))
+	for a := range w.attempts {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, func(a, b *attempt) int {
+		return compareStrings(a.task.name().String(), b.task.name().String())
+	})
+	return out
+}
+
+// reserve puts an attempt at a worker.
+func (c *Cell) reserve(w *worker, t *task, run uint32) *attempt {
+	a := &attempt{task: t, worker: w, run: run, percent: fullPace, paced: fullPace}
+	w.attempts[a] = true
+	w.used = w.used.Add(a.size())
+	if t.step.Fills {
+		w.fillCPU += t.step.Size.MilliProcessors
+	}
+	t.attempts = append(t.attempts, a)
+	t.lastRun = max(t.lastRun, run)
+	return a
+}
+
+// release takes an attempt from its worker.
+func (c *Cell) release(a *attempt) {
+	w := a.worker
+	if !w.attempts[a] {
+		return
+	}
+	delete(w.attempts, a)
+	w.used = w.used.Sub(a.size())
+	if a.task.step.Fills {
+		w.fillCPU -= a.task.step.Size.MilliProcessors
+	}
+	a.task.attempts = slices.DeleteFunc(a.task.attempts, func(b *attempt) bool { return a == b })
+	c.unsettled = true
+}
+
+// nextRun returns a run number above all that the task can have had.
+func (c *Cell) nextRun(t *task) uint32 {
+	base := uint32(c.cfg.Token-1) * runsPerEpoch
+	return max(base, t.lastRun) + 1
+}
+
+// start puts a task at a worker and orders its start as soon as the store has
+// what a successor must know.
+func (c *Cell) start(now time.Time, w *worker, t *task, run uint32) {
+	a := c.reserve(w, t, run)
+	s := t.step
+	if !s.released {
+		s.released = true
+		c.pending.touch(s.occ.job)
+		s.releasedAt = s.occ.job.storedAt
+	}
+	j := s.occ.job
+	if !j.started {
+		j.started = true
+		if j.state == bamboofall.JobQueued {
+			j.state = bamboofall.JobRunning
+		}
+		c.pending.touch(j)
+	}
+	a.gate = max(s.releasedAt, w.recordedAt)
+	if c.IsStored(a.gate) {
+		c.orderStart(now, a)
+		return
+	}
+	c.gated = append(c.gated, a)
+}
+
+// openGates orders the starts that waited for the store.
+func (c *Cell) openGates(now time.Time) {
+	kept := c.gated[:0]
+	for _, a := range c.gated {
+		switch {
+		case !a.worker.attempts[a] || a.state != attemptGated:
+		case a.stopping:
+			c.release(a)
+		case c.IsStored(a.gate):
+			c.orderStart(now, a)
+		default:
+			kept = append(kept, a)
+		}
+	}
+	clear(c.gated[len(kept):])
+	c.gated = kept
+}
+
+func (c *Cell) orderStart(now time.Time, a *attempt) {
+	w, t := a.worker, a.task
+	if !w.synced {
+		// The worker started again meanwhile, so the attempt is gone with it.
+		c.lost(now, a, "the worker has to answer first")
+		return
+	}
+	a.state = attemptStarting
+	a.startedAt = now
+	checkpoint := t.checkpoint
+	if t.step.gang != nil {
+		checkpoint = t.step.gang.checkpoint
+	}
+	c.counters.Started++
+	c.out.Orders = append(c.out.Orders, Order{
+		Kind: OrderStart, Worker: w.info.WorkerRef, attempt: a, worker: w, sent: now, born: w.born,
+		Start: bamboofall.StartOrder{
+			Task: t.name(), Run: a.run, Payload: t.step.occ.job.Payload, Checkpoint: checkpoint,
+			LeaseUntil: c.grant(now, w), Token: c.cfg.Token,
+		},
+	})
+	c.note(Note{
+		Event: "start", Job: t.step.occ.job.ID, Task: t.name().String(), Worker: w.info.ID, Run: a.run, Routine: true,
+		Detail: fmt.Sprintf("waited %v, worker uses %d of %d", now.Sub(t.step.readyAt).Round(time.Millisecond), w.used.MilliProcessors, w.info.Room.MilliProcessors),
+	})
+}
+
+// Started takes over the answer to a start order.
+func (c *Cell) Started(now time.Time, o Order, s bamboofall.Sighting, err error) {
+	a, w := o.attempt, o.worker
+	if err == nil && !c.sighted(now, o, s) {
+		return
+	}
+	if !w.attempts[a] || a.state != attemptStarting {
+		return
+	}
+	if err == nil {
+		a.state = attemptRunning
+		a.confirmedAt = o.sent
+		if len(w.attempts) == 1 || !w.holding {
+			w.wake(now)
+		}
+		return
+	}
+	var rejected *bamboofall.RejectedError
+	var notDone *bamboofall.NotDoneError
+	name := a.task.name().String()
+	switch {
+	case errors.As(err, &rejected):
+		c.counters.StartsRejected++
+		c.note(Note{Event: "start rejected", Job: a.task.step.occ.job.ID, Task: name, Worker: w.info.ID, Run: a.run, Detail: string(rejected.Cause)})
+		c.release(a)
+		w.health.avoid(now)
+		w.wake(now)
+		c.rejected(now, w, rejected)
+		c.enqueue(a.task)
+	case errors.As(err, &notDone):
+		c.note(Note{Event: "start not done", Job: a.task.step.occ.job.ID, Task: name, Worker: w.info.ID, Run: a.run, Detail: err.Error()})
+		c.release(a)
+		w.health.avoid(now)
+		w.failures++
+		w.wake(now)
+		c.enqueue(a.task)
+	default:
+		c.counters.StartsUnknown++
+		c.note(Note{Event: "start unanswered", Job: a.task.step.occ.job.ID, Task: name, Worker: w.info.ID, Run: a.run, Detail: err.Error()})
+		a.state = attemptUnsure
+		w.health.avoid(now)
+		w.wake(now)
+	}
+}
+
+// stop makes a run end.
+func (c *Cell) stop(now time.Time, a *attempt, why string) {
+	if a.stopping {
+		return
+	}
+	a.stopping = true
+	a.stopWhy = why
+	if a.state == attemptGated {
+		c.release(a)
+		return
+	}
+	c.orderStop(now, a)
+}
+
+func (c *Cell) orderStop(now time.Time, a *attempt) {
+	a.stopOrdered = now
+	a.stopOpen = true
+	c.out.Orders = append(c.out.Orders, Order{
+		Kind: OrderStop, Worker: a.worker.info.WorkerRef, attempt: a, worker: a.worker, sent: now, born: a.worker.born,
+		Start: bamboofall.StartOrder{Task: a.task.name(), Run: a.run, Token: c.cfg.Token},
+	})
+	c.note(Note{Event: "stop", Job: a.task.step.occ.job.ID, Task: a.task.name().String(), Worker: a.worker.info.ID, Run: a.run, Detail: a.stopWhy, Routine: true})
+}
+
+// Stopped takes over the answer to a stop order.
+func (c *Cell) Stopped(now time.Time, o Order, s bamboofall.Sighting, err error) {
+	a := o.attempt
+	a.stopOpen = false
+	if err == nil && !c.sighted(now, o, s) {
+		return
+	}
+	if !a.worker.attempts[a] {
+		return
+	}
+	var rejected *bamboofall.RejectedError
+	if errors.As(err, &rejected) {
+		c.rejected(now, a.worker, rejected)
+	}
+	if err != nil {
+		return
+	}
+	a.stopped = o.sent
+	a.worker.wake(now)
+}
+
+// watchAttempt orders stops again that were not answered.
+func (c *Cell) watchAttempt(now time.Time, a *attempt) {
+	if a.stopping && !a.stopOpen && now.Sub(a.stopOrdered) >= stopRetry && !a.worker.silent() {
+		if a.stopped.IsZero() {
+			c.orderStop(now, a)
+		}
+	}
+	c.suspect(now, a)
+}
+
+// lost takes a run off whose end nobody will report.
+func (c *Cell) lost(now time.Time, a *attempt, why string) {
+	if !a.worker.attempts[a] {
+		return
+	}
+	c.counters.Lapsed++
+	c.note(Note{Event: "run lost", Job: a.task.step.occ.job.ID, Task: a.task.name().String(), Worker: a.worker.info.ID, Run: a.run, Detail: why})
+	c.release(a)
+	if a.checkpoint != "" {
+		c.keepCheckpoint(a.task, a.checkpoint)
+	}
+	c.enqueue(a.task)
+}
+
+// keepCheckpoint notes the newest checkpoint of a task.
+func (c *Cell) keepCheckpoint(t *task, checkpoint string) {
+	if checkpoint == "" || t.done {
+		return
+	}
+	if g := t.step.gang; g != nil {
+		g.checkpoint = checkpoint
+		return
+	}
+	t.checkpoint = checkpoint
+}
+
+// takeEnds takes over the ends that a worker lists.
+func (c *Cell) takeEnds(now time.Time, w *worker, ends []bamboofall.End) {
+	for _, e := range ends {
+		if e.Number <= w.got {
+			continue
+		}
+		w.got = e.Number
+		w.gotAt = c.pending.next
+		c.end(now, w, e)
+	}
+	if w.got > w.seen && c.pending.empty() {
+		// These ends changed nothing; earlier ones may be under way.
+		w.gotAt = c.pending.next - 1
+	}
+}
+
+func (c *Cell) end(now time.Time, w *worker, e bamboofall.End) {
+	j := c.jobs[e.Task.Job]
+	t := c.find(e.Task)
+	if t == nil {
+		return
+	}
+	var a *attempt
+	for b := range w.attempts {
+		if b.task == t && b.run == e.Run {
+			a = b
+		}
+	}
+	c.note(Note{Event: "end " + e.Cause.String(), Job: j.ID, Task: e.Task.String(), Worker: w.info.ID, Run: e.Run, Routine: e.Cause == bamboofall.EndDone})
+	if a != nil {
+		c.release(a)
+	}
+	c.keepCheckpoint(t, e.Checkpoint)
+	switch e.Cause {
+	case bamboofall.EndDone:
+		c.counters.Done++
+		c.learnDone(now, w, a, t)
+		if t.step.gang != nil {
+			c.gangDone(now, t.step)
+		} else {
+			c.doneTask(now, t)
+		}
+		for _, other := range slices.Clone(t.attempts) {
+			c.stop(now, other, "another copy is done")
+		}
+	case bamboofall.EndFailed:
+		c.counters.TaskFailures++
+		c.learnFailure(now, w, t)
+		c.countFailure(now, t, e.Run)
+	case bamboofall.EndLapsed:
+		c.counters.Lapsed++
+	default:
+		c.counters.Stopped++
+	}
+	if !j.state.Ended() {
+		c.pending.touch(j)
+	}
+	c.enqueue(t)
+}
+
+// gangDone ends all tasks of a gang, for one end stands for all.
+func (c *Cell) gangDone(now time.Time, s *step) {
+	for i := range s.tasks {
+		c.doneTask(now, &s.tasks[i])
+	}
+}
+
+// countFailure counts a failed run once and fails the job if none is left.
+func (c *Cell) countFailure(now time.Time, t *task, run uint32) {
+	s := t.step
+	j := s.occ.job
+	if s.Standing || t.done {
+		return
+	}
+	runs := &t.failedRuns
+	if s.gang != nil {
+		runs = &s.gang.failedRuns
+	}
+	if slices.Contains(*runs, run) {
+		return
+	}
+	*runs = append(*runs, run)
+	if q := j.queue; q != nil && len(*runs) >= q.MaxAttempts {
+		c.finish(now, j, bamboofall.JobFailed, fmt.Sprintf("task %v has failed %d times, at last on worker %s", t.name(), len(*runs), t.lastWorker))
+	}
+}
+
+// find returns a task of an open occurrence, or nil.
+func (c *Cell) find(name bamboofall.TaskName) *task {
+	j := c.jobs[name.Job]
+	if j == nil {
+		return nil
+	}
+	o := j.occurrences[name.Occurrence]
+	if o == nil || name.Step >= len(o.steps) || name.Index >= len(o.steps[name.Step].tasks) {
+		return nil
+	}
+	return &o.steps[name.Step].tasks[name.Index]
+}
+
+// adopt takes over what a worker runs that this owner has not started.
+func (c *Cell) adopt(now time.Time, w *worker, report bamboofall.HoldReport) {
+	ended := make(map[string]uint32)
+	for _, e := range report.Ends {
+		ended[e.Task.String()] = max(ended[e.Task.String()], e.Run)
+	}
+	for _, p := range report.Running {
+		t := c.find(p.Task)
+		if t == nil {
+			c.orphan(now, w, p)
+			continue
+		}
+		a := c.reserve(w, t, p.Run)
+		a.state = attemptRunning
+		a.confirmedAt = now
+		a.startedAt = now
+		c.counters.Adopted++
+		if t.queued {
+			t.queued = false
+			t.step.waiting = slices.DeleteFunc(t.step.waiting, func(x *task) bool { return x == t })
+		}
+		if t.done || t.step.occ.job.state.Ended() {
+			c.stop(now, a, "the task needs no run")
+		}
+		if j := t.step.occ.job; !j.started {
+			j.started = true
+			c.pending.touch(j)
+		}
+		t.step.released = true
+	}
+	c.note(Note{Event: "worker answers", Worker: w.info.ID, Detail: fmt.Sprintf("runs %d tasks, lists %d ends", len(report.Running), len(report.Ends))})
+}
+
+// orphan stops a run of a task that is not known or needs no run.
+func (c *Cell) orphan(now time.Time, w *worker, p bamboofall.Placed) {
+	c.counters.Orphans++
+	s := &step{occ: &occurrence{job: &job{Job: &bamboofall.Job{ID: p.Task.Job}, state: bamboofall.JobCancelled}, number: p.Task.Occurrence}, index: p.Task.Step, Step: &bamboofall.Step{Size: w.info.Room}}
+	t := &task{step: s, index: p.Task.Index, done: true}
+	a := c.reserve(w, t, p.Run)
+	a.state = attemptRunning
+	c.stop(now, a, "the job is not known or has ended")
+}
+
+// compare holds what a worker says it runs against what it should run.
+func (c *Cell) compare(now time.Time, o Order, w *worker, running []bamboofall.Placed) {
+	type key struct {
+		task bamboofall.TaskName
+		run  uint32
+	}
+	listed := make(map[key]*bamboofall.Placed, len(running))
+	for i := range running {
+		listed[key{running[i].Task, running[i].Run}] = &running[i]
+	}
+	for _, a := range w.sorted() {
+		p := listed[key{a.task.name(), a.run}]
+		delete(listed, key{a.task.name(), a.run})
+		switch {
+		case p != nil:
+			c.runs(now, o, a, p)
+		case a.state == attemptRunning && a.confirmedAt.Before(o.sent) && (!a.stopping || !a.stopped.IsZero() && a.stopped.Before(o.sent)):
+			c.lost(now, a, "the worker does not run it any more")
+		case a.state == attemptUnsure && !a.stopped.IsZero() && a.stopped.Before(o.sent):
+			// The stop was confirmed before, so the start cannot happen any more.
+			c.lost(now, a, "the start was not done")
+		case a.state == attemptUnsure && !a.stopping && a.startedAt.Before(o.sent):
+			c.stop(now, a, "the start was not answered")
+		}
+	}
+	for _, p := range listed {
+		if t := c.find(p.Task); t != nil && slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.worker == w && a.run == p.Run }) {
+			continue
+		}
+		c.unexpected(now, w, *p)
+	}
+}
+
+// runs takes over that a worker runs what it should.
+func (c *Cell) runs(now time.Time, o Order, a *attempt, p *bamboofall.Placed) {
+	if a.state != attemptRunning {
+		a.state = attemptRunning
+	}
+	a.confirmedAt = o.sent
+	a.percent, a.gauge = p.Percent, p.Gauge
+	if p.Checkpoint != "" {
+		a.checkpoint = p.Checkpoint
+	}
+}
+
+// unexpected stops a run that this owner gave up, or that an order of it
+// started late.
+func (c *Cell) unexpected(now time.Time, w *worker, p bamboofall.Placed) {
+	c.note(Note{Event: "unexpected run", Job: p.Task.Job, Task: p.Task.String(), Worker: w.info.ID, Run: p.Run})
+	c.orphan(now, w, p)
+}
--- /dev/null
+++ b/internal/jobs/cell/cell.go
@@ -0,0 +1,177 @@
+package cell
+
+import (
+	"time"
+
+	"bamboofall.example/bamboofall"
+)
+
+const (
+	// clockDrift is how much slower a worker's clock may run, as a share.
+	clockDrift = 0.02
+	// leaseMargin is added to the end of a lease against pauses of the worker
+	// between its clock and its tasks.
+	leaseMargin = 300 * time.Millisecond
+	// runsPerEpoch separates the run numbers of successive owners.
+	runsPerEpoch = 1000
+)
+
+// Config is what a cell knows from the start.
+type Config struct {
+	// Token is the owner's epoch.
+	Token bamboofall.Token
+	// Lease is how long workers run tasks without a renewal.
+	Lease time.Duration
+	// FormerLeases is when the leases that former owners granted have ended.
+	FormerLeases time.Time
+	// KeepEnded is how long an ended job is known.
+	KeepEnded time.Duration
+	// RemoteFactor is how much longer a task takes away from its data.
+	RemoteFactor float64
+	// HarmAfter is how long a standing task may miss its target.
+	HarmAfter time.Duration
+}
+
+// Cell is the state machine. Use New.
+type Cell struct {
+	cfg     Config
+	queues  map[string]*bamboofall.Queue
+	pools   map[string]bamboofall.WorkerPool
+	version uint64
+	jobs    map[bamboofall.JobID]*job
+	workers map[string]*worker
+	// ready holds the steps with tasks that could start.
+	ready map[*step]bool
+	// timed holds the jobs with occurrences that are not due yet.
+	timed map[*job]bool
+	// ended holds the ended jobs in the order of their ends.
+	ended []*job
+	// inDoubt is set while released tasks may run at workers that have not
+	// answered this owner.
+	inDoubt bool
+	// unsettled is set when placement may find something to do.
+	unsettled bool
+	gated     []*attempt
+	pending   changes
+	counters  Counters
+	out       Output
+	nextScan  time.Time
+	learned   learned
+}
+
+// Counters counts what an owner did.
+type Counters struct {
+	Accepted, Refused, Completed, Failed, Cancelled  int64
+	Started, Done, TaskFailures, Lapsed, Stopped     int64
+	StartsRejected, StartsUnknown, HoldFailures      int64
+	Quarantines, Duplicates, Paced, Adopted, Orphans int64
+}
+
+// Note is a decision worth a line in the log.
+type Note struct {
+	Event  string
+	Job    bamboofall.JobID
+	Task   string
+	Worker string
+	Run    uint32
+	// Detail tells the inputs and the outcome.
+	Detail string
+	// Routine notes may be left out under load.
+	Routine bool
+}
+
+// OrderKind says what an order asks of a worker.
+type OrderKind uint8
+
+// The kinds of orders.
+const (
+	OrderStart OrderKind = iota + 1
+	OrderStop
+	OrderHold
+	OrderPace
+)
+
+// Order is an order for a worker. Its result must be given back.
+type Order struct {
+	Kind    OrderKind
+	Worker  bamboofall.WorkerRef
+	Start   bamboofall.StartOrder
+	Hold    bamboofall.HoldOrder
+	Percent int
+
+	attempt *attempt
+	worker  *worker
+	sent    time.Time
+	// born is the life of the worker that the order is meant for.
+	born time.Time
+}
+
+// Output is what a step decided.
+type Output struct {
+	Orders []Order
+	Notes  []Note
+	// Deposed is set once a worker has seen a larger token.
+	Deposed bool
+}
+
+// New returns a cell without jobs and workers.
+func New(cfg Config) *Cell {
+	return &Cell{
+		cfg:     cfg,
+		queues:  make(map[string]*bamboofall.Queue),
+		jobs:    make(map[bamboofall.JobID]*job),
+		workers: make(map[string]*worker),
+		ready:   make(map[*step]bool),
+		timed:   make(map[*job]bool),
+		pending: newChanges(),
+		learned: newLearned(),
+	}
+}
+
+// Counters returns the counters.
+func (c *Cell) Counters() Counters { return c.counters }
+
+// SetConfiguration takes over what operators have published. Queues that are
+// no longer there keep their last settings for the jobs that they have.
+func (c *Cell) SetConfiguration(conf *bamboofall.Configuration) {
+	if conf.Version < c.version {
+		return
+	}
+	c.version = conf.Version
+	c.pools = conf.Services
+	for i := range conf.Queues {
+		c.queues[conf.Queues[i].Name] = &conf.Queues[i]
+	}
+	c.unsettled = true
+}
+
+// Step decides what is due.
+func (c *Cell) Step(now time.Time) Output {
+	c.scan(now)
+	c.place(now)
+	c.hold(now)
+	out := c.out
+	c.out = Output{}
+	return out
+}
+
+// scanEvery is the time between looks at what only time changes.
+const scanEvery = 50 * time.Millisecond
+
+func (c *Cell) scan(now time.Time) {
+	if now.Before(c.nextScan) {
+		return
+	}
+	c.nextScan = now.Add(scanEvery)
+	c.settleDoubt(now)
+	c.dueOccurrences(now)
+	c.expireEnded(now)
+	for _, w := range c.sortedWorkers() {
+		c.watchWorker(now, w)
+	}
+}
+
+func (c *Cell) note(n Note) { c.out.Notes = append(c.out.Notes, n) }
+
+// Jobs returns the number of jobs that are known and that have not ended.
+func (c *Cell) Jobs() (known, open int) { return len(c.jobs), len(c.jobs) - len(c.ended) }
--- /dev/null
+++ b/internal/jobs/cell/job.go
@@ -0,0 +1,264 @@
+package cell
+
+import (
+	"time"
+
+	"bamboofall.example/bamboofall"
+)
+
+// job is a job and how far it is.
+type job struct {
+	*bamboofall.Job
+	queue    *bamboofall.Queue
+	accepted time.Time
+	state    bamboofall.JobState
+	endedAt  time.Time
+	// occurrences are those that have begun and are not done.
+	occurrences map[int]*occurrence
+	nextDue     int
+	doneCount   int
+	// started is set once a task was started.
+	started bool
+	// storedAt is the flush that makes the newest state durable.
+	storedAt uint64
+	// shown is the state that is durable and that callers see.
+	shown bamboofall.JobState
+	chain time.Duration
+	due   time.Time
+}
+
+// occurrence is one run of the steps of a job.
+type occurrence struct {
+	job    *job
+	number int
+	steps  []*step
+	left   int
+}
+
+// step is a step of an occurrence.
+type step struct {
+	occ   *occurrence
+	index int
+	*bamboofall.Step
+	tasks []task
+	// waitsFor counts the earlier steps that are not done.
+	waitsFor int
+	left     int
+	// released is set once a task may have been started; releasedAt is the
+	// flush that makes it durable.
+	released   bool
+	releasedAt uint64
+	// waiting are the tasks that need a run.
+	waiting []*task
+	readyAt time.Time
+	// rack is where the tasks of a step of one rack go.
+	rack string
+	gang *gangState
+}
+
+// gangState is what the tasks of a gang share.
+type gangState struct {
+	failedRuns []uint32
+	checkpoint string
+	run        uint32
+}
+
+// task is one task of a step.
+type task struct {
+	step       *step
+	index      int
+	done       bool
+	queued     bool
+	failedRuns []uint32
+	checkpoint string
+	lastRun    uint32
+	attempts   []*attempt
+	// lastWorker is where the task failed last.
+	lastWorker string
+}
+
+func (t *task) name() bamboofall.TaskName {
+	return bamboofall.TaskName{Job: t.step.occ.job.ID, Occurrence: t.step.occ.number, Step: t.step.index, Index: t.index}
+}
+
+// newJob returns a job without open occurrences.
+func newJob(spec *bamboofall.Job, q *bamboofall.Queue, accepted time.Time) *job {
+	j := &job{
+		Job: spec, queue: q, accepted: accepted, state: bamboofall.JobQueued, shown: bamboofall.JobQueued,
+		occurrences: make(map[int]*occurrence),
+	}
+	j.chain = longestChain(spec)
+	stretch := 1.0
+	if q != nil {
+		stretch = q.Stretch
+		j.due = accepted.Add(time.Duration(stretch*float64(j.chain)) + q.Slack)
+	}
+	return j
+}
+
+// longestChain returns the longest declared chain of work of a job.
+func longestChain(spec *bamboofall.Job) time.Duration {
+	until := make([]time.Duration, len(spec.Steps))
+	longest := time.Duration(0)
+	for i, s := range spec.Steps {
+		from := time.Duration(0)
+		for _, a := range s.After {
+			from = max(from, until[a])
+		}
+		until[i] = from + s.Estimate
+		longest = max(longest, until[i])
+	}
+	return longest
+}
+
+// begin opens an occurrence.
+func (c *Cell) begin(now time.Time, j *job, number int) *occurrence {
+	o := &occurrence{job: j, number: number, left: len(j.Steps)}
+	j.occurrences[number] = o
+	for i := range j.Steps {
+		s := &step{occ: o, index: i, Step: &j.Steps[i], left: j.Steps[i].Count}
+		s.tasks = make([]task, s.Count)
+		for k := range s.tasks {
+			s.tasks[k] = task{step: s, index: k}
+		}
+		if s.Gang {
+			s.gang = &gangState{}
+		}
+		s.waitsFor = len(s.After)
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+// open makes the tasks of all steps ready that wait for nothing.
+func (c *Cell) open(now time.Time, o *occurrence) {
+	for _, s := range o.steps {
+		if s.waitsFor == 0 && s.left > 0 {
+			c.openStep(now, s)
+		}
+	}
+}
+
+func (c *Cell) openStep(now time.Time, s *step) {
+	s.readyAt = now
+	for i := range s.tasks {
+		c.enqueue(&s.tasks[i])
+	}
+}
+
+// enqueue makes a task wait for a run, unless it has one or needs none.
+func (c *Cell) enqueue(t *task) {
+	s := t.step
+	if t.done || t.queued || len(t.attempts) > 0 || s.waitsFor > 0 || s.occ.job.state.Ended() {
+		return
+	}
+	t.queued = true
+	s.waiting = append(s.waiting, t)
+	c.ready[s] = true
+	c.unsettled = true
+}
+
+// dequeue takes the tasks of a step off the queue.
+func (c *Cell) dequeue(s *step) {
+	for _, t := range s.waiting {
+		t.queued = false
+	}
+	s.waiting = nil
+	delete(c.ready, s)
+}
+
+// doneTask records that a task has ended as done.
+func (c *Cell) doneTask(now time.Time, t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.checkpoint = ""
+	s := t.step
+	s.left--
+	if s.left > 0 {
+		return
+	}
+	c.dequeue(s)
+	o := s.occ
+	o.left--
+	for _, later := range o.steps[s.index+1:] {
+		for _, a := range later.After {
+			if a != s.index {
+				continue
+			}
+			later.waitsFor--
+			if later.waitsFor == 0 {
+				c.openStep(now, later)
+			}
+		}
+	}
+	if o.left > 0 {
+		return
+	}
+	delete(o.job.occurrences, o.number)
+	o.job.doneCount++
+	if o.job.doneCount >= o.job.Occurrences() {
+		c.finish(now, o.job, bamboofall.JobCompleted, "")
+	}
+}
+
+// finish ends a job and stops what still runs of it.
+func (c *Cell) finish(now time.Time, j *job, state bamboofall.JobState, why string) {
+	if j.state.Ended() {
+		return
+	}
+	j.state = state
+	j.endedAt = now
+	c.ended = append(c.ended, j)
+	delete(c.timed, j)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			c.dequeue(s)
+			for i := range s.tasks {
+				for _, a := range s.tasks[i].attempts {
+					c.stop(now, a, state.String())
+				}
+			}
+		}
+	}
+	switch state {
+	case bamboofall.JobCompleted:
+		c.counters.Completed++
+	case bamboofall.JobFailed:
+		c.counters.Failed++
+	case bamboofall.JobCancelled:
+		c.counters.Cancelled++
+	}
+	c.pending.touch(j)
+	c.note(Note{Event: "job " + state.String(), Job: j.ID, Detail: why})
+}
+
+// dueOccurrences opens the occurrences whose time has come.
+func (c *Cell) dueOccurrences(now time.Time) {
+	for j := range c.timed {
+		for j.nextDue < j.Occurrences() && !now.Before(j.FirstRun.Add(time.Duration(j.nextDue)*j.Interval)) {
+			o := c.begin(now, j, j.nextDue)
+			j.nextDue++
+			c.open(now, o)
+			c.pending.touch(j)
+		}
+		if j.nextDue >= j.Occurrences() {
+			delete(c.timed, j)
+		}
+	}
+}
+
+// expireEnded forgets jobs that ended long ago and of which nothing runs.
+func (c *Cell) expireEnded(now time.Time) {
+	n := 0
+	for _, j := range c.ended {
+		if now.Sub(j.endedAt) < c.cfg.KeepEnded {
+			break
+		}
+		delete(c.jobs, j.ID)
+		c.pending.forget(j.ID)
+		n++
+	}
+	c.ended = c.ended[n:]
+}
--- /dev/null
+++ b/internal/jobs/cell/place.go
@@ -0,0 +1,384 @@
+package cell
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/admission"
+	"bamboofall.example/bamboofall/internal/jobs/placement"
+)
+
+// copies bounds the runs of a task that allows copies.
+const copies = 2
+
+// place gives waiting tasks to workers.
+func (c *Cell) place(now time.Time) {
+	if !c.unsettled || len(c.ready) == 0 {
+		return
+	}
+	c.unsettled = false
+	steps := make([]*step, 0, len(c.ready))
+	for s := range c.ready {
+		steps = append(steps, s)
+	}
+	slices.SortFunc(steps, compareUrgency)
+	workers := c.sortedWorkers()
+	full := make(map[fitKey]bool)
+	for _, s := range steps {
+		if c.inDoubt && s.released {
+			continue // a worker that has not answered may run its tasks
+		}
+		q := s.occ.job.queue
+		if q == nil {
+			continue
+		}
+		key := fitKey{q.Service, s.Size, s.Fills, s.Label}
+		if s.plain() && full[key] {
+			continue
+		}
+		if s.gang != nil {
+			c.placeGang(now, s, workers)
+			continue
+		}
+		if !c.placeStep(now, s, workers) && s.plain() {
+			full[key] = true
+		}
+	}
+}
+
+// fitKey names what decides whether a plain task finds room.
+type fitKey struct {
+	service string
+	size    bamboofall.Resources
+	fills   bool
+	label   string
+}
+
+// plain reports whether only the size and the label of a task bind where it goes.
+func (s *step) plain() bool { return s.MaxPerWorker == 0 && s.gang == nil }
+
+// compareUrgency orders steps: by priority, then by how near the objective is.
+func compareUrgency(a, b *step) int {
+	return cmp.Or(
+		cmp.Compare(a.priority(), b.priority()),
+		a.occ.job.due.Compare(b.occ.job.due),
+		cmp.Compare(a.occ.job.ID, b.occ.job.ID),
+		cmp.Compare(a.occ.number, b.occ.number),
+		cmp.Compare(a.index, b.index),
+	)
+}
+
+func (s *step) priority() int {
+	if q := s.occ.job.queue; q != nil {
+		return q.Priority
+	}
+	return 0
+}
+
+// placeStep places the waiting tasks of a step. It reports false if one found
+// no room.
+func (c *Cell) placeStep(now time.Time, s *step, workers []*worker) bool {
+	fits := true
+	waiting := s.waiting[:0]
+	for _, t := range s.waiting {
+		if t.done || len(t.attempts) >= copies {
+			t.queued = false
+			continue
+		}
+		var w *worker
+		if fits {
+			w = c.choose(now, t, workers)
+		}
+		if w == nil {
+			fits = false
+			waiting = append(waiting, t)
+			continue
+		}
+		t.queued = false
+		if s.SameRack && s.rack == "" {
+			s.rack = w.rack()
+		}
+		c.start(now, w, t, c.nextRun(t))
+	}
+	s.waiting = waiting
+	if len(waiting) == 0 {
+		delete(c.ready, s)
+	}
+	return fits
+}
+
+// placeGang places all tasks of a gang or none.
+func (c *Cell) placeGang(now time.Time, s *step, workers []*worker) {
+	for i := range s.tasks {
+		if len(s.tasks[i].attempts) > 0 {
+			return // the former run has not ended everywhere
+		}
+	}
+	if len(s.waiting) < s.left {
+		return
+	}
+	run := s.gang.run
+	chosen := make([]*worker, 0, len(s.tasks))
+	var trial []*attempt
+	for i := range s.tasks {
+		run = max(run, c.nextRun(&s.tasks[i])-1)
+	}
+	run++
+	for i := range s.tasks {
+		w := c.choose(now, &s.tasks[i], workers)
+		if w == nil {
+			break
+		}
+		chosen = append(chosen, w)
+		if s.SameRack && s.rack == "" {
+			s.rack = w.rack()
+		}
+		trial = append(trial, c.reserve(w, &s.tasks[i], run))
+	}
+	for _, a := range trial {
+		c.release(a)
+	}
+	if len(chosen) < len(s.tasks) {
+		s.rack = ""
+		return
+	}
+	c.dequeue(s)
+	s.gang.run = run
+	for i, w := range chosen {
+		c.start(now, w, &s.tasks[i], run)
+	}
+}
+
+// choose returns the best worker for a task, or nil.
+func (c *Cell) choose(now time.Time, t *task, workers []*worker) *worker {
+	var best *worker
+	bestScore := 0.0
+	s := t.step
+	rack := s.Rack
+	if s.rack != "" {
+		rack = s.rack
+	}
+	kind := placement.Normal
+	switch {
+	case s.Fills:
+		kind = placement.Filling
+	case s.TailTarget > 0:
+		kind = placement.Serving
+	}
+	for _, w := range workers {
+		if !c.fits(now, t, w) {
+			continue
+		}
+		score := placement.Score(kind, s.Size, placement.Worker{
+			Room: w.info.Room, Free: w.free(), OnRack: rack != "" && w.rack() == rack,
+			Serves: w.serves(), Fills: w.fillCPU > 0,
+			Doubt: w.health.Failures(), Slow: w.health.slow,
+		})
+		if t.lastWorker == w.info.ID {
+			score -= 10
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (w *worker) serves() bool {
+	for a := range w.attempts {
+		if a.task.step.TailTarget > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether a task may start at a worker now.
+func (c *Cell) fits(now time.Time, t *task, w *worker) bool {
+	s := t.step
+	if !w.listed || !w.synced || w.silent() || w.info.Draining || w.info.Service != s.occ.job.queue.Service {
+		return false
+	}
+	free := w.free()
+	need := s.Size
+	if s.Fills {
+		free.MilliProcessors -= w.fillCPU
+	}
+	if !need.Fits(free) {
+		return false
+	}
+	if !w.health.takes(now, len(w.attempts)) {
+		return false
+	}
+	if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
+		return false
+	}
+	here := 0
+	for a := range w.attempts {
+		if a.task.step == s {
+			here++
+			if a.task == t {
+				return false
+			}
+		}
+	}
+	return s.MaxPerWorker == 0 || here < s.MaxPerWorker
+}
+
+// Refusal says why a job was not accepted.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Reasons of a refusal.
+const (
+	ReasonBacklog  = "backlog"
+	ReasonTooLarge = "noWorkerIsLargeEnough"
+	ReasonQueue    = "noSuchQueue"
+)
+
+// Submit decides on a job. It returns the flush that makes it durable, or why
+// it is refused.
+func (c *Cell) Submit(now time.Time, spec *bamboofall.Job, mustAccept bool) (uint64, *Refusal) {
+	if j := c.jobs[spec.ID]; j != nil {
+		return j.storedAt, nil
+	}
+	q := c.queues[spec.Queue]
+	if q == nil && !mustAccept {
+		return 0, &Refusal{Reason: ReasonQueue}
+	}
+	j := newJob(spec, q, now)
+	load, work, d := c.judge(now, j)
+	if !d.Accept && !mustAccept {
+		c.counters.Refused++
+		c.note(Note{Event: "refused", Job: j.ID, Detail: fmt.Sprintf(
+			"queue %s, %v of work ahead on %d milliprocessors, wait %v, retry after %v", q.Name,
+			load.Ahead.Round(time.Second), load.MilliProcessors, d.Wait.Round(time.Millisecond), d.RetryAfter.Round(time.Millisecond))})
+		return 0, &Refusal{Reason: ReasonBacklog, RetryAfter: d.RetryAfter}
+	}
+	c.counters.Accepted++
+	c.jobs[j.ID] = j
+	c.pending.add(j)
+	if spec.Repetitions > 0 {
+		c.timed[j] = true
+		c.dueOccurrences(now)
+	} else {
+		j.nextDue = 1
+		c.open(now, c.begin(now, j, 0))
+	}
+	c.note(Note{Event: "accepted", Job: j.ID, Detail: fmt.Sprintf(
+		"queue %s, %v of work, %v ahead on %d milliprocessors, due in %v", spec.Queue, work.Round(time.Millisecond),
+		load.Ahead.Round(time.Second), load.MilliProcessors, j.due.Sub(now).Round(time.Millisecond))})
+	return j.storedAt, nil
+}
+
+// judge weighs a job against the load.
+func (c *Cell) judge(now time.Time, j *job) (admission.Load, time.Duration, admission.Decision) {
+	var l admission.Load
+	if j.queue == nil || j.Repetitions > 0 {
+		return l, 0, admission.Decision{Accept: true}
+	}
+	for _, w := range c.workers {
+		if !w.listed || !w.synced || w.silent() || w.info.Draining || w.info.Service != j.queue.Service {
+			continue
+		}
+		room := w.info.Room.MilliProcessors
+		free := w.free().MilliProcessors
+		for a := range w.attempts {
+			if a.task.step.Standing {
+				room -= a.size().MilliProcessors
+			}
+		}
+		l.MilliProcessors += room
+		l.FreeMilliProcessors += max(0, free-w.fillCPU)
+	}
+	for _, other := range c.jobs {
+		if !other.state.Ended() && other.queue != nil && other.queue.Service == j.queue.Service && other.queue.Priority <= j.queue.Priority {
+			l.Ahead += c.remaining(now, other)
+		}
+	}
+	var own admission.Job
+	standing := false
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		standing = standing || s.Standing
+		own.Work += workOf(s.Size, s.Estimate) * time.Duration(s.Count)
+		if len(s.After) == 0 {
+			own.FirstMilliProcessors += s.Size.MilliProcessors * int64(s.Count)
+		}
+	}
+	if standing {
+		own.Work = 0
+	}
+	own.Chain = j.chain
+	own.Until = j.due.Sub(now)
+	return l, own.Work, admission.Decide(l, own)
+}
+
+// workOf returns processor time: whole processors times run time.
+func workOf(size bamboofall.Resources, d time.Duration) time.Duration {
+	return time.Duration(float64(size.MilliProcessors) / 1000 * float64(d))
+}
+
+// remaining returns the processor time that a job still needs. Standing tasks
+// count as room that is gone, not as work.
+func (c *Cell) remaining(now time.Time, j *job) time.Duration {
+	total := time.Duration(0)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.Standing || s.left == 0 {
+				continue
+			}
+			expected := c.expected(s)
+			total += workOf(s.Size, expected) * time.Duration(s.left)
+			for i := range s.tasks {
+				for _, a := range s.tasks[i].attempts {
+					if a.state == attemptRunning && !s.tasks[i].done {
+						total -= workOf(s.Size, min(now.Sub(a.startedAt), expected*8/10))
+					}
+				}
+			}
+		}
+	}
+	return max(total, 0)
+}
+
+// Cancel cancels a job. It returns the flush that makes it durable and false if
+// the job is not known.
+func (c *Cell) Cancel(now time.Time, id bamboofall.JobID) (uint64, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return 0, false
+	}
+	if !j.state.Ended() {
+		c.finish(now, j, bamboofall.JobCancelled, "asked by the caller")
+	}
+	return j.storedAt, true
+}
+
+// Lookup returns the state of a job as the store has it.
+func (c *Cell) Lookup(id bamboofall.JobID) (bamboofall.JobState, bool) {
+	j := c.jobs[id]
+	if j == nil || j.storedAt > c.pending.stored && c.pending.specs[id] != nil {
+		return 0, false
+	}
+	if j.shown == bamboofall.JobQueued && j.started {
+		return bamboofall.JobRunning, true
+	}
+	return j.shown, true
+}
+
+// Pending returns the number of jobs of a queue of which no task was started.
+func (c *Cell) Pending(queue string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.Job.Queue == queue && !j.started && !j.state.Ended() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/jobs/cell/records.go
@@ -0,0 +1,395 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/wire/jobpb"
+)
+
+// The first letter of a key tells what the record holds.
+const (
+	keyJob      = "j"
+	keyProgress = "p"
+	keyWorker   = "w"
+)
+
+// changes are the records that are not in the store yet. Only the newest
+// record of a key is kept.
+type changes struct {
+	// next is the number of the flush that will take them.
+	next    uint64
+	stored  uint64
+	specs   map[bamboofall.JobID]*job
+	jobs    map[bamboofall.JobID]*job
+	gone    map[string]bool
+	workers map[string]*worker
+	shown   []shown
+}
+
+// shown is a state that callers see once a flush is stored.
+type shown struct {
+	flush uint64
+	job   *job
+	state bamboofall.JobState
+}
+
+func newChanges() changes {
+	return changes{
+		next:  1,
+		specs: make(map[bamboofall.JobID]*job), jobs: make(map[bamboofall.JobID]*job),
+		gone: make(map[string]bool), workers: make(map[string]*worker),
+	}
+}
+
+func (p *changes) touch(j *job) {
+	p.jobs[j.ID] = j
+	j.storedAt = p.next
+}
+
+func (p *changes) add(j *job) {
+	p.specs[j.ID] = j
+	delete(p.gone, keyJob+string(j.ID))
+	delete(p.gone, keyProgress+string(j.ID))
+	p.touch(j)
+}
+
+func (p *changes) forget(id bamboofall.JobID) {
+	delete(p.specs, id)
+	delete(p.jobs, id)
+	p.gone[keyJob+string(id)] = true
+	p.gone[keyProgress+string(id)] = true
+}
+
+func (p *changes) empty() bool {
+	return len(p.specs) == 0 && len(p.jobs) == 0 && len(p.gone) == 0 && len(p.workers) == 0
+}
+
+// Flush returns the records to store and the number to give to Stored. It
+// returns no records if nothing has changed.
+func (c *Cell) Flush() ([]bamboofall.StoreRecord, uint64, error) {
+	p := &c.pending
+	if p.empty() {
+		return nil, 0, nil
+	}
+	var out []bamboofall.StoreRecord
+	add := func(key string, m proto.Message) error {
+		value, err := proto.Marshal(m)
+		if err != nil {
+			return fmt.Errorf("record %s: %w", key, err)
+		}
+		out = append(out, bamboofall.StoreRecord{Key: key, Value: value})
+		return nil
+	}
+	for id, w := range p.workers {
+		if err := add(keyWorker+id, &jobpb.Worker{Address: w.info.Address.String(), BornUnixMs: unixMS(w.born)}); err != nil {
+			return nil, 0, err
+		}
+	}
+	for id, j := range p.specs {
+		if err := add(keyJob+string(id), encodeJob(j)); err != nil {
+			return nil, 0, err
+		}
+	}
+	for id, j := range p.jobs {
+		if err := add(keyProgress+string(id), encodeProgress(j)); err != nil {
+			return nil, 0, err
+		}
+		if j.state.Ended() {
+			p.gone[keyJob+string(id)] = true
+		}
+		if j.state != j.shown {
+			p.shown = append(p.shown, shown{p.next, j, j.state})
+		}
+	}
+	for key := range p.gone {
+		out = append(out, bamboofall.StoreRecord{Key: key})
+	}
+	slices.SortStableFunc(out, func(a, b bamboofall.StoreRecord) int { return strings.Compare(a.Key, b.Key) })
+	clear(p.workers)
+	clear(p.specs)
+	clear(p.jobs)
+	clear(p.gone)
+	p.next++
+	return out, p.next - 1, nil
+}
+
+// Stored tells the cell that all flushes up to a number are in the store.
+func (c *Cell) Stored(now time.Time, flush uint64) {
+	p := &c.pending
+	p.stored = max(p.stored, flush)
+	n := 0
+	for _, s := range p.shown {
+		if s.flush > p.stored {
+			break
+		}
+		s.job.shown = s.state
+		n++
+	}
+	p.shown = p.shown[n:]
+	c.openGates(now)
+}
+
+// IsStored reports whether a flush is in the store.
+func (c *Cell) IsStored(flush uint64) bool { return flush <= c.pending.stored }
+
+func unixMS(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func fromUnixMS(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+// EncodeSpec returns the record of a job.
+func EncodeSpec(j *bamboofall.Job) *jobpb.Job {
+	m := &jobpb.Job{
+		Id: string(j.ID), Queue: j.Queue, Payload: j.Payload,
+		FirstRunUnixMs: unixMS(j.FirstRun), IntervalMs: j.Interval.Milliseconds(), Repetitions: uint32(j.Repetitions),
+	}
+	for _, s := range j.Steps {
+		step := &jobpb.Step{
+			Count: uint32(s.Count), MilliProcessors: s.Size.MilliProcessors, MemoryBytes: s.Size.MemoryBytes,
+			Accelerators: s.Size.Accelerators, EstimateMs: s.Estimate.Milliseconds(), Checkpointing: s.Checkpointing,
+			Gang: s.Gang, SameRack: s.SameRack, Speculative: s.Speculative, Standing: s.Standing, Fills: s.Fills,
+			Label: s.Label, Rack: s.Rack, MaxPerWorker: uint32(s.MaxPerWorker), Image: s.Image,
+			TailTargetMs: s.TailTarget.Milliseconds(), MaxUnavailable: uint32(s.MaxUnavailable),
+		}
+		for _, a := range s.After {
+			step.After = append(step.After, uint32(a))
+		}
+		m.Steps = append(m.Steps, step)
+	}
+	return m
+}
+
+// DecodeSpec returns the job of a record.
+func DecodeSpec(m *jobpb.Job) *bamboofall.Job {
+	ms := func(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
+	j := &bamboofall.Job{
+		ID: bamboofall.JobID(m.GetId()), Queue: m.GetQueue(), Payload: m.GetPayload(),
+		FirstRun: fromUnixMS(m.GetFirstRunUnixMs()), Interval: ms(m.GetIntervalMs()), Repetitions: int(m.GetRepetitions()),
+	}
+	for _, s := range m.GetSteps() {
+		step := bamboofall.Step{
+			Count:    int(s.GetCount()),
+			Size:     bamboofall.Resources{MilliProcessors: s.GetMilliProcessors(), MemoryBytes: s.GetMemoryBytes(), Accelerators: s.GetAccelerators()},
+			Estimate: ms(s.GetEstimateMs()), Checkpointing: s.GetCheckpointing(), Gang: s.GetGang(), SameRack: s.GetSameRack(),
+			Speculative: s.GetSpeculative(), Standing: s.GetStanding(), Fills: s.GetFills(), Label: s.GetLabel(), Rack: s.GetRack(),
+			MaxPerWorker: int(s.GetMaxPerWorker()), Image: s.GetImage(), TailTarget: ms(s.GetTailTargetMs()),
+			MaxUnavailable: int(s.GetMaxUnavailable()),
+		}
+		for _, a := range s.GetAfter() {
+			step.After = append(step.After, int(a))
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	return j
+}
+
+func encodeJob(j *job) *jobpb.Job {
+	m := EncodeSpec(j.Job)
+	m.AcceptedUnixMs = unixMS(j.accepted)
+	if q := j.queue; q != nil {
+		m.Settings = &jobpb.Queue{
+			Service: q.Service, Priority: uint32(q.Priority), MaxAttempts: uint32(q.MaxAttempts),
+			Stretch: q.Stretch, SlackMs: q.Slack.Milliseconds(),
+		}
+	}
+	return m
+}
+
+// queueOf returns the queue of a restored job: as it is configured, or as it
+// was when the job was accepted.
+func (c *Cell) queueOf(m *jobpb.Job) *bamboofall.Queue {
+	if q := c.queues[m.GetQueue()]; q != nil {
+		return q
+	}
+	s := m.GetSettings()
+	if s == nil {
+		return nil
+	}
+	return &bamboofall.Queue{
+		Name: m.GetQueue(), Service: s.GetService(), Priority: int(s.GetPriority()), MaxAttempts: int(s.GetMaxAttempts()),
+		Stretch: s.GetStretch(), Slack: time.Duration(s.GetSlackMs()) * time.Millisecond,
+	}
+}
+
+func encodeProgress(j *job) *jobpb.Progress {
+	m := &jobpb.Progress{
+		State: uint32(j.state), OccurrencesDone: uint32(j.doneCount), EndedUnixMs: unixMS(j.endedAt),
+		Queue: j.Job.Queue, Started: j.started,
+	}
+	if j.state.Ended() {
+		return m
+	}
+	for number, o := range j.occurrences {
+		out := &jobpb.Occurrence{Number: uint32(number)}
+		for _, s := range o.steps {
+			out.Steps = append(out.Steps, encodeStep(s))
+		}
+		m.Open = append(m.Open, out)
+	}
+	slices.SortFunc(m.Open, func(a, b *jobpb.Occurrence) int { return int(a.Number) - int(b.Number) })
+	return m
+}
+
+func encodeStep(s *step) *jobpb.StepProgress {
+	m := &jobpb.StepProgress{Released: s.released}
+	if s.left < s.Count {
+		m.Done = make([]byte, (s.Count+7)/8)
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.done {
+			m.Done[i/8] |= 1 << (i % 8)
+			continue
+		}
+		failed, checkpoint := t.failedRuns, t.checkpoint
+		if s.gang != nil && i == 0 {
+			failed, checkpoint = s.gang.failedRuns, s.gang.checkpoint
+		}
+		if len(failed) > 0 || checkpoint != "" {
+			m.Tasks = append(m.Tasks, &jobpb.Task{Index: uint32(i), FailedRuns: failed, Checkpoint: checkpoint})
+		}
+	}
+	return m
+}
+
+// RecordError says that a record of the store could not be restored.
+type RecordError struct {
+	Key string
+	Err error
+}
+
+func (e *RecordError) Error() string { return fmt.Sprintf("record %q: %v", e.Key, e.Err) }
+
+// Unwrap returns the cause.
+func (e *RecordError) Unwrap() error { return e.Err }
+
+// Restore takes over what former owners stored. It must come after
+// SetConfiguration and before anything else. It returns what it left out.
+func (c *Cell) Restore(now time.Time, records []bamboofall.StoredRecord) []error {
+	var errs []error
+	specs := make(map[string]*jobpb.Job)
+	progress := make(map[string]*jobpb.Progress)
+	for _, r := range records {
+		if r.Key == "" || len(r.Value) == 0 {
+			continue
+		}
+		var err error
+		id := r.Key[1:]
+		switch r.Key[:1] {
+		case keyJob:
+			m := &jobpb.Job{}
+			err = proto.Unmarshal(r.Value, m)
+			specs[id] = m
+		case keyProgress:
+			m := &jobpb.Progress{}
+			err = proto.Unmarshal(r.Value, m)
+			progress[id] = m
+		case keyWorker:
+			err = c.restoreWorker(id, r.Value)
+		}
+		if err != nil {
+			errs = append(errs, &RecordError{r.Key, err})
+		}
+	}
+	for id, p := range progress {
+		if err := c.restoreJob(now, id, specs[id], p); err != nil {
+			errs = append(errs, &RecordError{keyProgress + id, err})
+		}
+	}
+	slices.SortFunc(c.ended, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
+	c.inDoubt = len(c.workers) > 0
+	c.unsettled = true
+	return errs
+}
+
+func (c *Cell) restoreJob(now time.Time, id string, spec *jobpb.Job, p *jobpb.Progress) error {
+	state := bamboofall.JobState(p.GetState())
+	if state < bamboofall.JobQueued || state > bamboofall.JobCancelled {
+		return fmt.Errorf("state %d", p.GetState())
+	}
+	if spec == nil {
+		if !state.Ended() {
+			return fmt.Errorf("the job is %v and its steps are missing", state)
+		}
+		spec = &jobpb.Job{Id: id, Queue: p.GetQueue()}
+	}
+	j := newJob(DecodeSpec(spec), c.queueOf(spec), fromUnixMS(spec.GetAcceptedUnixMs()))
+	j.state, j.shown, j.started = state, state, p.GetStarted()
+	j.doneCount = int(p.GetOccurrencesDone())
+	j.nextDue = j.doneCount
+	c.jobs[j.ID] = j
+	if state.Ended() {
+		j.endedAt = fromUnixMS(p.GetEndedUnixMs())
+		c.ended = append(c.ended, j)
+		return nil
+	}
+	for _, m := range p.GetOpen() {
+		o := c.begin(now, j, int(m.GetNumber()))
+		j.nextDue = max(j.nextDue, o.number+1)
+		for i, sm := range m.GetSteps() {
+			if i < len(o.steps) {
+				restoreStep(o.steps[i], sm)
+			}
+		}
+		c.reopen(now, o)
+	}
+	if j.nextDue < j.Occurrences() {
+		c.timed[j] = true
+	}
+	return nil
+}
+
+func restoreStep(s *step, m *jobpb.StepProgress) {
+	s.released = m.GetReleased()
+	done := m.GetDone()
+	for i := range s.tasks {
+		if i/8 < len(done) && done[i/8]&(1<<(i%8)) != 0 {
+			s.tasks[i].done = true
+			s.left--
+		}
+	}
+	for _, t := range m.GetTasks() {
+		if int(t.GetIndex()) >= len(s.tasks) {
+			continue
+		}
+		if s.gang != nil {
+			s.gang.failedRuns, s.gang.checkpoint = t.GetFailedRuns(), t.GetCheckpoint()
+			continue
+		}
+		task := &s.tasks[t.GetIndex()]
+		task.failedRuns, task.checkpoint = t.GetFailedRuns(), t.GetCheckpoint()
+	}
+}
+
+// reopen recounts what the steps of a restored occurrence wait for.
+func (c *Cell) reopen(now time.Time, o *occurrence) {
+	for _, s := range o.steps {
+		if s.left == 0 {
+			o.left--
+		}
+	}
+	for _, s := range o.steps {
+		s.waitsFor = 0
+		for _, a := range s.After {
+			if o.steps[a].left > 0 {
+				s.waitsFor++
+			}
+		}
+	}
+	c.open(now, o)
+}
--- /dev/null
+++ b/internal/jobs/cell/worker.go
@@ -0,0 +1,370 @@
+package cell
+
+import (
+	"errors"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/wire/jobpb"
+)
+
+const (
+	// holdWait is how long a worker may wait for an end before it answers. The
+	// platform allows 2 s.
+	holdWait = 2 * time.Second
+	// holdWaitBeside is holdWait at a worker with tasks that fill beside tasks
+	// that serve, whose tail latency must be watched.
+	holdWaitBeside = 500 * time.Millisecond
+	// holdRetry is the time to the next try after a call that failed.
+	holdRetry = 200 * time.Millisecond
+	// holdUnstored is the time between calls while ends wait for the store, for
+	// the worker repeats them at once.
+	holdUnstored = 400 * time.Millisecond
+	// stopRetry is the time after which a stop is ordered again.
+	stopRetry = 400 * time.Millisecond
+	// silentAfter is how many calls must fail before a worker gets no new work.
+	silentAfter = 1
+)
+
+// worker is one address of a worker through its lives.
+type worker struct {
+	info bamboofall.Worker
+	// born is the life that attempts belong to.
+	born time.Time
+	// listed is set while the platform lists the worker.
+	listed     bool
+	unlistedAt time.Time
+	recordedAt uint64
+
+	attempts map[*attempt]bool
+	// used is what normal tasks reserve; fills use fillCPU beside it.
+	used    bamboofall.Resources
+	fillCPU int64
+
+	// synced is set once this life has answered this owner.
+	synced bool
+	// clock is the worker's clock at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// leasesEnd is when all that this owner granted has ended for certain.
+	leasesEnd time.Time
+
+	holding  bool
+	nextHold time.Time
+	failures int
+	// seen is the last end that is stored, got the last that was taken in.
+	seen, got uint64
+	gotAt     uint64
+	health    health
+	lastPace  time.Time
+	percent   int
+}
+
+func (w *worker) free() bamboofall.Resources { return w.info.Room.Sub(w.used) }
+
+func (w *worker) rack() string {
+	for _, l := range w.info.Labels {
+		if len(l) > 1 && l[0] == 'r' && l[1] >= '0' && l[1] <= '9' {
+			return l
+		}
+	}
+	return ""
+}
+
+func (w *worker) silent() bool { return w.failures >= silentAfter }
+
+// clockNow estimates the worker's clock.
+func (w *worker) clockNow(now time.Time) time.Duration { return w.clock + now.Sub(w.clockAt) }
+
+// grant returns the end of a lease that begins now, and notes it.
+func (c *Cell) grant(now time.Time, w *worker) time.Duration {
+	age := now.Sub(w.clockAt)
+	end := now.Add(time.Duration(float64(c.cfg.Lease+age)*(1+clockDrift)) - age + leaseMargin)
+	if end.After(w.leasesEnd) {
+		w.leasesEnd = end
+	}
+	return w.clockNow(now) + c.cfg.Lease
+}
+
+// SetWorker takes over the announcement of a worker.
+func (c *Cell) SetWorker(now time.Time, info bamboofall.Worker) {
+	w := c.workers[info.ID]
+	if w == nil {
+		w = &worker{attempts: make(map[*attempt]bool), percent: fullPace}
+		c.workers[info.ID] = w
+		w.born = info.Born
+		w.info = info
+		c.record(w)
+	}
+	if info.Draining && !w.info.Draining {
+		c.note(Note{Event: "worker draining", Worker: info.ID, Detail: "remaining " + info.Remaining.String()})
+	}
+	w.listed = true
+	if info.Born.After(w.born) {
+		c.reborn(now, w, info.Born)
+	} else if info.Born.Before(w.born) {
+		return // an announcement of an earlier life
+	}
+	w.info = info
+	c.unsettled = true
+}
+
+// record makes the life of a worker durable before anything is started there.
+func (c *Cell) record(w *worker) {
+	c.pending.workers[w.info.ID] = w
+	delete(c.pending.gone, keyWorker+w.info.ID)
+	w.recordedAt = c.pending.next
+}
+
+// RemoveWorker takes over that a worker is no longer listed. It may still run.
+func (c *Cell) RemoveWorker(now time.Time, id string) {
+	w := c.workers[id]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed = false
+	w.unlistedAt = now
+	c.note(Note{Event: "worker unlisted", Worker: id})
+}
+
+func (c *Cell) restoreWorker(id string, data []byte) error {
+	m := &jobpb.Worker{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return err
+	}
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return err
+	}
+	c.workers[id] = &worker{
+		info:      bamboofall.Worker{WorkerRef: bamboofall.WorkerRef{ID: id, Address: address}, Born: fromUnixMS(m.GetBornUnixMs())},
+		born:      fromUnixMS(m.GetBornUnixMs()),
+		attempts:  make(map[*attempt]bool),
+		leasesEnd: c.cfg.FormerLeases,
+		percent:   fullPace,
+	}
+	return nil
+}
+
+// reborn notes that a new life of a worker has begun: what ran is gone.
+func (c *Cell) reborn(now time.Time, w *worker, born time.Time) {
+	if !w.born.IsZero() {
+		c.note(Note{Event: "worker reborn", Worker: w.info.ID, Detail: "born " + born.UTC().Format(time.RFC3339Nano)})
+	}
+	for _, a := range w.sorted() {
+		c.lost(now, a, "the worker started again")
+	}
+	w.born = born
+	w.info.Born = born
+	w.synced = false
+	w.seen, w.got, w.gotAt = 0, 0, 0
+	w.leasesEnd = time.Time{}
+	w.nextHold = now
+	w.health = health{}
+	c.record(w)
+}
+
+// watchWorker drops what only time ends: leases, and workers that are gone.
+func (c *Cell) watchWorker(now time.Time, w *worker) {
+	c.pace(now, w)
+	if len(w.attempts) > 0 && w.silent() && now.After(w.leasesEnd) {
+		c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the worker did not answer"})
+		for _, a := range w.sorted() {
+			c.lost(now, a, "the lease ended unseen")
+		}
+	}
+	for _, a := range w.sorted() {
+		c.watchAttempt(now, a)
+	}
+	// Wait for entries that lapsed while the store was away.
+	const unlistedGrace = 5 * time.Second
+	if !w.listed && w.unlistedAt.IsZero() {
+		w.unlistedAt = now
+	}
+	if !w.listed && len(w.attempts) == 0 && now.After(w.leasesEnd) && now.Sub(w.unlistedAt) > unlistedGrace && !w.holding {
+		delete(c.workers, w.info.ID)
+		delete(c.pending.workers, w.info.ID)
+		c.pending.gone[keyWorker+w.info.ID] = true
+	}
+}
+
+// settleDoubt ends the doubt about released tasks once every worker has told
+// what it runs, or its leases have ended.
+func (c *Cell) settleDoubt(now time.Time) {
+	if !c.inDoubt {
+		return
+	}
+	if now.Before(c.cfg.FormerLeases) {
+		for _, w := range c.workers {
+			if !w.synced {
+				return
+			}
+		}
+	}
+	c.inDoubt = false
+	c.unsettled = true
+	c.note(Note{Event: "recovery complete", Detail: "every worker has answered or its leases have ended"})
+}
+
+func (c *Cell) sortedWorkers() []*worker {
+	return slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int {
+		return compareStrings(a.info.ID, b.info.ID)
+	})
+}
+
+func compareStrings(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// hold renews leases and asks workers what they run.
+func (c *Cell) hold(now time.Time) {
+	for _, w := range c.workers {
+		if w.holding || now.Before(w.nextHold) {
+			continue
+		}
+		unstored := w.got > w.seen && !c.IsStored(w.gotAt)
+		if !unstored {
+			w.seen = w.got
+		}
+		if w.synced && len(w.attempts) == 0 && !w.mustAcknowledge() {
+			continue
+		}
+		if !w.synced && !w.listed && now.After(w.leasesEnd) {
+			continue
+		}
+		o := bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.seen}
+		if w.synced {
+			o.LeaseUntil = c.grant(now, w)
+			if !unstored && len(w.attempts) > 0 && !w.silent() && !w.unsure() {
+				o.Wait = holdWait
+				if w.mixed() {
+					o.Wait = holdWaitBeside
+				}
+			}
+		}
+		w.holding = true
+		w.health.acknowledged = max(w.health.acknowledged, o.Seen)
+		c.out.Orders = append(c.out.Orders, Order{
+			Kind: OrderHold, Worker: w.info.WorkerRef, Hold: o, worker: w, sent: now, born: w.born,
+		})
+	}
+}
+
+// mustAcknowledge reports whether the worker lists ends that are stored.
+func (w *worker) mustAcknowledge() bool { return w.got > w.health.acknowledged }
+
+// unsure reports whether a start or stop is open, so that an answer is
+// needed soon.
+func (w *worker) unsure() bool {
+	for a := range w.attempts {
+		if a.state == attemptUnsure {
+			return true
+		}
+	}
+	return false
+}
+
+// mixed reports whether tasks that fill work beside tasks that serve.
+func (w *worker) mixed() bool {
+	fills, serves := false, false
+	for a := range w.attempts {
+		fills = fills || a.task.step.Fills
+		serves = serves || a.task.step.TailTarget > 0
+	}
+	return fills && serves
+}
+
+// Held takes over the answer to a hold order.
+func (c *Cell) Held(now time.Time, o Order, report bamboofall.HoldReport, err error) {
+	w := o.worker
+	if c.workers[w.info.ID] != w {
+		return
+	}
+	w.holding = false
+	if err != nil {
+		c.holdFailed(now, w, err)
+		return
+	}
+	if !c.sighted(now, o, report.Sighting) {
+		return
+	}
+	if !w.synced {
+		w.synced = true
+		w.nextHold = now
+		c.adopt(now, w, report)
+	}
+	c.takeEnds(now, w, report.Ends)
+	c.compare(now, o, w, report.Running)
+	w.nextHold = now
+	if w.got > w.seen {
+		w.nextHold = now.Add(holdUnstored)
+		if c.IsStored(w.gotAt) {
+			w.nextHold = now
+		}
+	}
+}
+
+func (c *Cell) holdFailed(now time.Time, w *worker, err error) {
+	c.counters.HoldFailures++
+	w.nextHold = now.Add(holdRetry)
+	var rejected *bamboofall.RejectedError
+	if errors.As(err, &rejected) {
+		c.rejected(now, w, rejected)
+		return
+	}
+	w.failures++
+	if w.failures == silentAfter {
+		c.note(Note{Event: "worker silent", Worker: w.info.ID, Detail: err.Error()})
+	}
+}
+
+// rejected takes over a rejection that says something of the worker itself.
+func (c *Cell) rejected(now time.Time, w *worker, r *bamboofall.RejectedError) {
+	switch r.Cause {
+	case bamboofall.RejectFenced:
+		c.out.Deposed = true
+		c.note(Note{Event: "fenced", Worker: w.info.ID, Detail: "the worker has seen a larger token"})
+	case bamboofall.RejectLife:
+		if r.Born.After(w.born) {
+			c.reborn(now, w, r.Born)
+		}
+	}
+}
+
+// sighted takes over the clock and the life that an answer shows. It reports
+// false if the answer is of another life than the order.
+func (c *Cell) sighted(now time.Time, o Order, s bamboofall.Sighting) bool {
+	w := o.worker
+	if !s.Born.IsZero() && s.Born.After(w.born) {
+		c.reborn(now, w, s.Born)
+	}
+	if !s.Born.IsZero() && s.Born.Before(w.born) || !o.born.Equal(w.born) && s.Born.IsZero() {
+		return false
+	}
+	if w.failures >= silentAfter {
+		c.note(Note{Event: "worker answers again", Worker: w.info.ID})
+	}
+	w.failures = 0
+	if s.Clock > 0 {
+		w.clock, w.clockAt = s.Clock, now
+	}
+	return true
+}
+
+// wake makes the next hold of a worker due.
+func (w *worker) wake(now time.Time) {
+	if now.Before(w.nextHold) {
+		w.nextHold = now
+	}
+}
--- /dev/null
+++ b/internal/jobs/placement/placement.go
@@ -0,0 +1,76 @@
+// Package placement picks a worker for a task of a job.
+//
+// It answers mixed sizes at full load: normal tasks are packed where they leave
+// the least room, so that wide tasks still find a whole worker. It answers tasks
+// that disturb those that serve: tasks that fill go where nothing serves, and
+// tasks that serve are kept together. Among fit workers it avoids those that
+// have failed lately, and prefers the rack with the data.
+package placement
+
+import "bamboofall.example/bamboofall"
+
+// Weights of the parts of a score. The fill part is between 0 and 1.
+const (
+	rackWeight    = 4.0
+	togetherBonus = 1.0
+	apartPenalty  = 2.0
+	doubtPenalty  = 1.5
+	slowWeight    = 1.0
+)
+
+// Kind is how a task behaves beside others.
+type Kind uint8
+
+// The kinds of tasks.
+const (
+	// Normal tasks run for a while on room of their own.
+	Normal Kind = iota
+	// Serving tasks have a tail latency to keep.
+	Serving
+	// Filling tasks use what others leave.
+	Filling
+)
+
+// Worker is what a choice looks at.
+type Worker struct {
+	Room, Free bamboofall.Resources
+	// OnRack is set if the worker stands on the rack that the task wants.
+	OnRack bool
+	// Serves and Fills tell what kinds of tasks run there.
+	Serves, Fills bool
+	// Doubt is the number of failures in a row.
+	Doubt int
+	// Slow is how much longer than usual tasks take, minus one.
+	Slow float64
+}
+
+// Score returns how well a worker suits a task. A larger score is better.
+func Score(kind Kind, size bamboofall.Resources, w Worker) float64 {
+	score := -doubtPenalty*float64(w.Doubt) - slowWeight*max(0, w.Slow)
+	if w.OnRack {
+		score += rackWeight
+	}
+	left := 1.0
+	if w.Room.MilliProcessors > 0 {
+		left = float64(w.Free.MilliProcessors-size.MilliProcessors) / float64(w.Room.MilliProcessors)
+	}
+	switch kind {
+	case Filling:
+		// Spread: what fills is better off with much room around it.
+		score += left
+		if w.Serves {
+			score -= apartPenalty
+		}
+	case Serving:
+		score -= left
+		if w.Serves {
+			score += togetherBonus
+		}
+		if w.Fills {
+			score -= apartPenalty
+		}
+	default:
+		score -= left
+	}
+	return score
+}
--- /dev/null
+++ b/internal/jobs/suspicion/suspicion.go
@@ -0,0 +1,73 @@
+// Package suspicion tells sick workers from sick jobs by how runs end.
+//
+// It answers workers that fail or stall whatever they start while they look
+// healthy, beside jobs that fail everywhere. A worker that fails several runs in
+// a row is left alone for a while, then tried with one task. Failures of a job
+// that fails on several workers say nothing of the worker.
+package suspicion
+
+import "time"
+
+const (
+	// failuresInRow make a worker suspect. One failure is common: tasks fail by
+	// themselves at some percent.
+	failuresInRow = 2
+	// firstPause and maxPause bound how long a suspect worker is left alone.
+	firstPause = 3 * time.Second
+	maxPause   = 12 * time.Second
+	// overdueFactor and overdueSlack tell a stalled run from a slow one:
+	// declared times are off by up to a half.
+	overdueFactor = 3
+	overdueSlack  = 1500 * time.Millisecond
+	// copyFactor and copySlack tell when a copy of a run is worth its room.
+	copyFactor = 1.7
+	copySlack  = 300 * time.Millisecond
+)
+
+// Worker is what is held against a worker. The zero value trusts it.
+type Worker struct {
+	failures int
+	pause    time.Duration
+	until    time.Time
+}
+
+// Failed notes a failure that the job is not to blame for. It reports true if
+// the worker is suspect from now on.
+func (w *Worker) Failed(now time.Time, stalled bool) bool {
+	w.failures++
+	if w.failures < failuresInRow && !stalled {
+		return false
+	}
+	if now.Before(w.until) {
+		return false
+	}
+	w.pause = min(max(firstPause, 2*w.pause), maxPause)
+	w.until = now.Add(w.pause)
+	w.failures = max(w.failures, failuresInRow)
+	return true
+}
+
+// Succeeded notes a run that ended well.
+func (w *Worker) Succeeded() { *w = Worker{} }
+
+// Failures returns the number of failures in a row.
+func (w *Worker) Failures() int { return w.failures }
+
+// Takes reports whether a worker that runs a number of tasks may be given
+// another. A suspect worker is tried with one task at a time.
+func (w *Worker) Takes(now time.Time, running int) bool {
+	if now.Before(w.until) {
+		return false
+	}
+	return w.failures < failuresInRow || running == 0
+}
+
+// Overdue reports whether a run has taken so long that it is stalled.
+func Overdue(ran, expected time.Duration) bool {
+	return ran > overdueFactor*expected+overdueSlack
+}
+
+// WorthCopy reports whether a copy of a run may be done first.
+func WorthCopy(ran, expected time.Duration) bool {
+	return ran > time.Duration(copyFactor*float64(expected))+copySlack
+}
--- /dev/null
+++ b/internal/state/lease/lease.go
@@ -0,0 +1,154 @@
+// Package lease decides who owns a cell and when an owner may act.
+//
+// The owner appends to a partition from time to time. A process that reads the
+// partition without trouble and sees nothing for a while claims the cell: it
+// appends a higher epoch on the condition that nothing was added meanwhile, so
+// one claim wins. The epoch fences what the former owner still writes.
+//
+// It answers owners that die, freeze or lose the store while others still reach
+// it. An owner that has not been confirmed for some time stops acting, so that a
+// successor knows when what the former owner granted has ended.
+package lease
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Timing holds the bounds of the protocol.
+type Timing struct {
+	// Renew is the time between two appends of the owner.
+	Renew time.Duration
+	// Expire is the silence after which the cell is claimed.
+	Expire time.Duration
+	// Act is how long an owner acts after its last confirmed append.
+	Act time.Duration
+	// Stagger spreads claims, so that most processes see the first one.
+	Stagger time.Duration
+}
+
+// DefaultTiming returns bounds for a store that answers in milliseconds.
+func DefaultTiming() Timing {
+	return Timing{
+		Renew:  400 * time.Millisecond,
+		Expire: 1600 * time.Millisecond,
+		// An outage of the store of 4.5 s is common; work goes on meanwhile.
+		Act:     5 * time.Second,
+		Stagger: 150 * time.Millisecond,
+	}
+}
+
+// Record is what an owner appends.
+type Record struct {
+	Epoch    uint64
+	Address  netip.AddrPort
+	Process  string
+	Released bool
+}
+
+// Lease is the view of one process on the owner of a cell. Use New.
+type Lease struct {
+	timing  Timing
+	process string
+	address netip.AddrPort
+	stagger time.Duration
+
+	newest Record
+	known  bool
+	// heardAt is when the newest record was seen.
+	heardAt time.Time
+	// formerHeardAt is heardAt of the owner before this process.
+	formerHeardAt time.Time
+	end           int64
+	// confirmedAt is when the last confirmed append of this owner was sent.
+	confirmedAt time.Time
+	ownEpoch    uint64
+	leaving     bool
+}
+
+// New returns a view that knows nothing. Rank is between 0 and 1 and should
+// differ between processes.
+func New(t Timing, process string, address netip.AddrPort, rank float64) *Lease {
+	return &Lease{timing: t, process: process, address: address, stagger: time.Duration(rank * float64(t.Stagger))}
+}
+
+// Observe takes over a record, and the end of the partition behind it.
+func (l *Lease) Observe(now time.Time, r Record, end int64) {
+	l.end = max(l.end, end)
+	if l.known && r.Epoch < l.newest.Epoch {
+		return
+	}
+	l.newest, l.known, l.heardAt = r, true, now
+	if r.Epoch > l.ownEpoch {
+		l.ownEpoch = 0
+	}
+}
+
+// Seen takes over that a read found nothing more before an offset.
+func (l *Lease) Seen(now time.Time, end int64) {
+	l.end = max(l.end, end)
+	if l.heardAt.IsZero() {
+		l.heardAt = now
+	}
+}
+
+// Owner returns the newest record.
+func (l *Lease) Owner() (Record, bool) { return l.newest, l.known && !l.newest.Released }
+
+// Claim returns the record to append and the offset at which the partition must
+// end, if the cell should be claimed now. The reads must have succeeded up to now.
+func (l *Lease) Claim(now time.Time) (Record, int64, bool) {
+	if l.leaving || l.ownEpoch != 0 || l.heardAt.IsZero() {
+		return Record{}, 0, false
+	}
+	wait := l.stagger
+	if l.known && !l.newest.Released {
+		wait += l.timing.Expire
+	}
+	if now.Sub(l.heardAt) < wait {
+		return Record{}, 0, false
+	}
+	return Record{Epoch: l.newest.Epoch + 1, Address: l.address, Process: l.process}, l.end, true
+}
+
+// Claimed takes over that a claim sent at a time has won.
+func (l *Lease) Claimed(sent time.Time, r Record, end int64) {
+	l.formerHeardAt = time.Time{}
+	if l.known {
+		l.formerHeardAt = l.heardAt
+	}
+	l.newest, l.known, l.heardAt = r, true, sent
+	l.end = max(l.end, end)
+	l.ownEpoch, l.confirmedAt = r.Epoch, sent
+}
+
+// Lost takes over that a newer owner exists or that a claim failed.
+func (l *Lease) Lost() { l.ownEpoch = 0 }
+
+// Confirmed takes over that a renewal, sent at a time, succeeded.
+func (l *Lease) Confirmed(epoch uint64, sent time.Time) {
+	if epoch == l.ownEpoch && sent.After(l.confirmedAt) {
+		l.confirmedAt = sent
+	}
+}
+
+// Epoch returns the epoch that this process owns, or zero.
+func (l *Lease) Epoch() uint64 { return l.ownEpoch }
+
+// MayAct reports whether the owner of an epoch may give orders.
+func (l *Lease) MayAct(now time.Time, epoch uint64) bool {
+	return l.ownEpoch == epoch && epoch != 0 && now.Sub(l.confirmedAt) < l.timing.Act
+}
+
+// Leave stops claims by this process.
+func (l *Lease) Leave() { l.leaving = true }
+
+// FormerGrants returns when the last lease that a former owner granted has
+// ended, given how long a lease is at most. A former owner was confirmed at the
+// latest when it was last heard. It returns zero if there was none.
+func (l *Lease) FormerGrants(lease time.Duration) time.Time {
+	if l.formerHeardAt.IsZero() {
+		return time.Time{}
+	}
+	return l.formerHeardAt.Add(l.timing.Act + lease)
+}
