jobs/pressure, jobs/placement: learn which images disturb each other

Cause: all tasks of one queue fill, and tasks that serve reserve four fifths of the processors and use half of them. Keeping the two apart left 120 of 2,464 processors for what fills. A regression over the workers' figures shows that some pairs of images disturb strongly and most not at all. Change: pressures are learned by pair, placement expects tails from them, only what disturbs is paced, and what is held back moves. Also: an absence at a worker counts only in an answer to a later call (one task ran twice), and claims have sequence numbers of their own (two owners).

--- a/internal/entry/front/callers.go
+++ b/internal/entry/front/callers.go
@@ -23,8 +23,10 @@
 const (
 	// defaultTimeout is how long a caller waits that does not say.
 	defaultTimeout = 3 * time.Second
-	// answerMargin is the part of a caller's time that is left for the answer.
-	answerMargin = 150 * time.Millisecond
+	// answerMargin is the part of a caller's time that is left for the answer,
+	// but at most a share of it.
+	answerMargin      = 150 * time.Millisecond
+	answerMarginShare = 4
 	// ownerRetry is the time between questions for an owner.
 	ownerRetry = 60 * time.Millisecond
 	// takeOverTime is how long callers are told to wait while there is no owner.
@@ -62,7 +64,7 @@
 		a = answer{status: http.StatusNotFound, reason: "noSuchQueue"}
 	} else {
 		id, queue = rest, q.Name
-		ctx, cancel := context.WithTimeout(r.Context(), platform.Timeout(r, defaultTimeout)-answerMargin)
+		ctx, cancel := context.WithTimeout(r.Context(), callerTime(r))
 		a = f.serveQueue(ctx, conf, q, rest, r)
 		cancel()
 	}
@@ -98,6 +100,12 @@
 	_, _ = w.Write(body)
 }
 
+// callerTime returns how long the work for a call may take.
+func callerTime(r *http.Request) time.Duration {
+	d := platform.Timeout(r, defaultTimeout)
+	return d - min(answerMargin, d/answerMarginShare)
+}
+
 // findQueue returns the queue of a call and what follows its prefix.
 func findQueue(conf *bamboofall.Configuration, r *http.Request) (*bamboofall.Queue, string, bool) {
 	host := strings.ToLower(r.Host)
@@ -176,6 +184,9 @@
 	if err != nil {
 		return answer{status: http.StatusBadRequest, reason: err.Error()}
 	}
+	if notRun && ctx.Err() != nil {
+		return answer{status: http.StatusServiceUnavailable, reason: "noTime", retryAfter: takeOverTime}
+	}
 	_, err = f.store.Append(ctx, bamboofall.StoreAppend{
 		Topic: topicInbox, Part: cellPart, Records: []bamboofall.StoreRecord{{Key: key, Value: value}}, At: -1,
 	})
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -47,12 +47,14 @@
 	releasing chan struct{}
 	released  atomic.Bool
 
+	// renewal is the sequence number of the first renewal.
+	renewal uint64
+
 	// Of the loop:
 	sequence uint64
 	storing  bool
 	waiters  []waiter
 	ctx      context.Context
-	inbox    map[string]bool
 	failed   error
 }
 
@@ -62,10 +64,10 @@
 	done  func()
 }
 
-func newOwner(f *Front, r lease.Record, former time.Time) *owner {
+func newOwner(f *Front, r lease.Record, former time.Time, sequence uint64) *owner {
 	return &owner{
 		front: f, record: r, events: ring.New[func(time.Time)](ownerRing),
-		releasing: make(chan struct{}), sequence: 1, inbox: make(map[string]bool),
+		releasing: make(chan struct{}), renewal: sequence, sequence: sequence,
 		cell: cell.New(cell.Config{
 			Token: bamboofall.Token(r.Epoch), Lease: f.leaseTime(), FormerLeases: former,
 			KeepEnded:    f.set.Bounds.KeepEnded + 10*time.Second,
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -81,9 +82,12 @@
 		return
 	}
 	sent := now()
+	// A repeat of a sequence number gets the first answer again, so each claim
+	// begins with a number of its own.
+	sequence := uint64(rand.Uint32())
 	end, err = f.store.Append(ctx, bamboofall.StoreAppend{
 		Topic: topicOwners, Part: cellPart, Records: []bamboofall.StoreRecord{stored}, At: at,
-		Producer: producerName, Epoch: record.Epoch, Sequence: 1,
+		Producer: producerName, Epoch: record.Epoch, Sequence: sequence,
 	})
 	if err != nil {
 		// If the claim was written after all, it is read as this process's own
@@ -96,7 +100,7 @@
 	former := f.lease.FormerGrants(f.leaseTime())
 	f.leaseMu.Unlock()
 	f.log.Event("claimed", logrus.Fields{"epoch": record.Epoch})
-	o := newOwner(f, record, former)
+	o := newOwner(f, record, former, sequence+1)
 	f.owner.Store(o)
 	go func() {
 		err := o.run(ctx)
@@ -132,7 +136,7 @@
 // releases the cell if it was told to leave.
 func (o *owner) renewals(ctx context.Context) error {
 	f := o.front
-	sequence := uint64(2)
+	sequence := o.renewal
 	append1 := func(ctx context.Context, r lease.Record) error {
 		stored, err := encodeOwner(r)
 		if err != nil {
--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -29,13 +29,16 @@
 	state  attemptState
 	// gate is the flush that must be stored before the start is ordered.
 	gate uint64
-	// confirmedAt is when the worker last confirmed the run, by the time that
-	// the call was sent.
+	// confirmedAt is when the worker last confirmed the run. Only an answer to a
+	// call that was sent later can show that it is gone: calls overtake each
+	// other.
 	confirmedAt time.Time
-	startedAt   time.Time
-	percent     int
-	gauge       int64
-	checkpoint  string
+	// doubtedAt is when the start was left unanswered.
+	doubtedAt  time.Time
+	startedAt  time.Time
+	percent    int
+	gauge      int64
+	checkpoint string
 
 	// stopping is set once the run must end. stopOrdered is when the last stop
 	// was ordered, stopped when one was confirmed.
@@ -44,8 +47,13 @@
 	stopOrdered time.Time
 	stopOpen    bool
 	stopped     time.Time
-	paced       int
+	// want is the share that is decided, paced the one that was last ordered.
+	want, paced int
 	pacing      bool
+	// heldSince is since when the share has been zero.
+	heldSince time.Time
+	// resumed is set for a run that began from a checkpoint.
+	resumed bool
 }
 
 // size is what the attempt reserves: what fills reserves no processors.
@@ -74,7 +82,7 @@
 
 // reserve puts an attempt at a worker.
 func (c *Cell) reserve(w *worker, t *task, run uint32) *attempt {
-	a := &attempt{task: t, worker: w, run: run, percent: fullPace, paced: fullPace}
+	a := &attempt{task: t, worker: w, run: run, want: fullPace, paced: fullPace}
 	w.attempts[a] = true
 	w.used = w.used.Add(a.size())
 	if t.step.Fills {
@@ -163,6 +171,7 @@
 	if t.step.gang != nil {
 		checkpoint = t.step.gang.checkpoint
 	}
+	a.resumed = checkpoint != ""
 	c.counters.Started++
 	c.out.Orders = append(c.out.Orders, Order{
 		Kind: OrderStart, Worker: w.info.WorkerRef, attempt: a, worker: w, sent: now, born: w.born,
@@ -188,7 +197,7 @@
 	}
 	if err == nil {
 		a.state = attemptRunning
-		a.confirmedAt = o.sent
+		a.confirmedAt = now
 		if len(w.attempts) == 1 || !w.holding {
 			w.wake(now)
 		}
@@ -217,6 +226,7 @@
 		c.counters.StartsUnknown++
 		c.note(Note{Event: "start unanswered", Job: a.task.step.occ.job.ID, Task: name, Worker: w.info.ID, Run: a.run, Detail: err.Error()})
 		a.state = attemptUnsure
+		a.doubtedAt = now
 		w.health.avoid(now)
 		w.wake(now)
 	}
@@ -263,7 +273,7 @@
 	if err != nil {
 		return
 	}
-	a.stopped = o.sent
+	a.stopped = now
 	a.worker.wake(now)
 }
 
@@ -461,16 +471,19 @@
 		delete(listed, key{a.task.name(), a.run})
 		switch {
 		case p != nil:
-			c.runs(now, o, a, p)
+			c.runs(now, a, p)
 		case a.state == attemptRunning && a.confirmedAt.Before(o.sent) && (!a.stopping || !a.stopped.IsZero() && a.stopped.Before(o.sent)):
 			c.lost(now, a, "the worker does not run it any more")
 		case a.state == attemptUnsure && !a.stopped.IsZero() && a.stopped.Before(o.sent):
 			// The stop was confirmed before, so the start cannot happen any more.
 			c.lost(now, a, "the start was not done")
-		case a.state == attemptUnsure && !a.stopping && a.startedAt.Before(o.sent):
+		case a.state == attemptUnsure && !a.stopping && a.doubtedAt.Before(o.sent):
 			c.stop(now, a, "the start was not answered")
 		}
 	}
+	if w.mixed() {
+		c.observe(now, w)
+	}
 	for _, p := range listed {
 		if t := c.find(p.Task); t != nil && slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.worker == w && a.run == p.Run }) {
 			continue
@@ -480,11 +493,9 @@
 }
 
 // runs takes over that a worker runs what it should.
-func (c *Cell) runs(now time.Time, o Order, a *attempt, p *bamboofall.Placed) {
-	if a.state != attemptRunning {
-		a.state = attemptRunning
-	}
-	a.confirmedAt = o.sent
+func (c *Cell) runs(now time.Time, a *attempt, p *bamboofall.Placed) {
+	a.state = attemptRunning
+	a.confirmedAt = now
 	a.percent, a.gauge = p.Percent, p.Gauge
 	if p.Checkpoint != "" {
 		a.checkpoint = p.Checkpoint
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -1,9 +1,11 @@
 package cell
 
 import (
+	"fmt"
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/pressure"
 )
 
 const (
@@ -56,7 +58,10 @@
 	counters  Counters
 	out       Output
 	nextScan  time.Time
-	learned   learned
+	// lastSummary is when the last summary was noted.
+	lastSummary time.Time
+	learned     learned
+	pressure    *pressure.Model
 }
 
 // Counters counts what an owner did.
@@ -124,7 +129,7 @@
 		ready:   make(map[*step]bool),
 		timed:   make(map[*job]bool),
 		pending: newChanges(),
-		learned: newLearned(),
+		learned: newLearned(), pressure: pressure.New(),
 	}
 }
 
@@ -169,6 +174,42 @@
 	for _, w := range c.sortedWorkers() {
 		c.watchWorker(now, w)
 	}
+	if now.Sub(c.lastSummary) >= summaryEvery {
+		c.lastSummary = now
+		c.summarize()
+	}
+}
+
+// summaryEvery is the time between lines that sum up the cell.
+const summaryEvery = 2 * time.Second
+
+// summarize notes what the workers have, and what they do with it.
+func (c *Cell) summarize() {
+	var room, used, fills, standing int64
+	usable, serving, silent, waiting := 0, 0, 0, 0
+	for _, w := range c.workers {
+		if w.silent() {
+			silent++
+		}
+		if !w.listed || !w.synced || w.silent() || w.info.Draining {
+			continue
+		}
+		usable++
+		room += w.info.Room.MilliProcessors
+		used += w.used.MilliProcessors
+		fills += w.fillCPU
+		if n := w.standingCPU(); n > 0 {
+			serving++
+			standing += n
+		}
+	}
+	for s := range c.ready {
+		waiting += len(s.waiting)
+	}
+	known, open := c.Jobs()
+	c.note(Note{Event: "summary", Detail: fmt.Sprintf(
+		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, filling %d; jobs %d known %d open; tasks waiting %d",
+		usable, serving, silent, room, used, standing, fills, known, open, waiting)})
 }
 
 func (c *Cell) note(n Note) { c.out.Notes = append(c.out.Notes, n) }
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -10,6 +11,11 @@
 
 const (
 	fullPace = pacing.Full
+	// settleTime is how long a task that serves must have run for its tail to
+	// be its own.
+	settleTime = 1500 * time.Millisecond
+	// moveAfter is how long a task that fills is held back before it is moved.
+	moveAfter = 600 * time.Millisecond
 	// rateWeight is the weight of a new sample in a running mean.
 	rateWeight = 0.1
 	// slowWeight is the same for a worker, of which there are fewer samples.
@@ -62,7 +68,7 @@
 func (c *Cell) learnDone(now time.Time, w *worker, a *attempt, t *task) {
 	w.health.Succeeded()
 	s := t.step
-	if a == nil || s.Estimate <= 0 || s.Standing || t.checkpoint != "" || s.Fills {
+	if a == nil || s.Estimate <= 0 || s.Standing || a.resumed || a.want < fullPace {
 		return
 	}
 	took := float64(now.Sub(a.startedAt))
@@ -139,35 +145,68 @@
 	}
 }
 
-// pace sets the share of tasks that fill beside tasks that serve.
-func (c *Cell) pace(now time.Time, w *worker) {
-	if now.Sub(w.lastPace) < pacing.Every || !w.synced {
+// observe learns from what a worker shows and decides on the shares of what
+// fills there.
+func (c *Cell) observe(now time.Time, w *worker) {
+	if now.Sub(w.observedAt) < pacing.Every {
 		return
 	}
-	w.lastPace = now
+	w.observedAt = now
+	shares := w.fillShares(true)
 	load := 0.0
-	serves := false
-	for a := range w.attempts {
-		if target := a.task.step.TailTarget; target > 0 && a.state == attemptRunning {
-			serves = true
-			load = max(load, float64(a.gauge)/float64(target.Milliseconds()))
+	var worst *step
+	for _, a := range w.sorted() {
+		s := a.task.step
+		if s.TailTarget <= 0 || a.state != attemptRunning || a.percent < fullPace || now.Sub(a.startedAt) < settleTime {
+			continue
 		}
+		tail := float64(a.gauge) / float64(s.TailTarget.Milliseconds())
+		c.pressure.Observe(s.Image, tail, shares)
+		if tail > load {
+			load, worst = tail, s
+		}
+	}
+	if load < 1 {
+		w.overSince = now
 	}
-	if !serves {
-		w.percent = fullPace
-	} else if w.fillCPU > 0 {
-		w.percent = pacing.Next(w.percent, load)
+	for _, a := range w.sorted() {
+		s := a.task.step
+		if !s.Fills || a.state != attemptRunning || a.stopping {
+			continue
+		}
+		if worst == nil {
+			a.want = fullPace
+			continue
+		}
+		share := float64(s.Size.MilliProcessors) / float64(w.info.Room.MilliProcessors)
+		disturbs := share*c.pressure.Pressure(worst.Image, s.Image) >= pacing.Disturbing
+		a.want = pacing.Next(a.want, load, disturbs, now.Sub(w.overSince))
+		if a.want > 0 {
+			a.heldSince = now
+		}
 	}
+}
+
+// pace orders the shares that are decided, and moves tasks that are held back.
+func (c *Cell) pace(now time.Time, w *worker) {
 	for _, a := range w.sorted() {
-		if !a.task.step.Fills || a.state != attemptRunning || a.pacing || a.stopping || a.paced == w.percent {
+		if !a.task.step.Fills || a.state != attemptRunning || a.pacing || a.stopping {
+			continue
+		}
+		if a.want == 0 && a.task.step.Checkpointing && now.Sub(a.heldSince) >= moveAfter && c.choose(now, a.task, c.sortedWorkers()) != nil {
+			c.stop(now, a, "it disturbs tasks that serve, and there is room elsewhere")
+			continue
+		}
+		if a.paced == a.want {
 			continue
 		}
 		a.pacing = true
 		c.counters.Paced++
 		c.out.Orders = append(c.out.Orders, Order{
-			Kind: OrderPace, Worker: w.info.WorkerRef, attempt: a, worker: w, sent: now, born: w.born, Percent: w.percent,
+			Kind: OrderPace, Worker: w.info.WorkerRef, attempt: a, worker: w, sent: now, born: w.born, Percent: a.want,
 			Start: bamboofall.StartOrder{Task: a.task.name(), Run: a.run, Token: c.cfg.Token},
 		})
+		c.note(Note{Event: "pace", Job: a.task.step.occ.job.ID, Task: a.task.name().String(), Worker: w.info.ID, Run: a.run, Detail: fmt.Sprintf("%d%%", a.want), Routine: true})
 	}
 }
 
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -4,11 +4,13 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/admission"
 	"bamboofall.example/bamboofall/internal/jobs/placement"
+	"bamboofall.example/bamboofall/internal/jobs/pressure"
 )
 
 // copies bounds the runs of a task that allows copies.
@@ -168,15 +170,25 @@
 	case s.TailTarget > 0:
 		kind = placement.Serving
 	}
-	for _, w := range workers {
+	for i, w := range workers {
 		if !c.fits(now, t, w) {
 			continue
 		}
-		score := placement.Score(kind, s.Size, placement.Worker{
+		view := placement.Worker{
 			Room: w.info.Room, Free: w.free(), OnRack: rack != "" && w.rack() == rack,
-			Serves: w.serves(), Fills: w.fillCPU > 0,
+			Rank:  float64(i) / float64(len(workers)),
 			Doubt: w.health.Failures(), Slow: w.health.slow,
-		})
+		}
+		if kind == placement.Serving {
+			view.SameImage, view.OtherImage = w.servesImage(s.Image)
+		}
+		if kind != placement.Normal {
+			view.Tail = c.expectedTail(w, s)
+			if kind == placement.Filling && view.Tail > maxExpectedTail {
+				continue
+			}
+		}
+		score := placement.Score(kind, s.Size, view)
 		if t.lastWorker == w.info.ID {
 			score -= 10
 		}
@@ -187,13 +199,77 @@
 	return best
 }
 
-func (w *worker) serves() bool {
+// servingUse is the share of its processors that a standing task uses at most
+// for long: a load of 0.45 that swings by a half.
+const servingUse = 0.6
+
+// standingCPU returns the processors that standing tasks reserve.
+func (w *worker) standingCPU() int64 {
+	n := int64(0)
+	for a := range w.attempts {
+		if a.task.step.Standing {
+			n += a.size().MilliProcessors
+		}
+	}
+	return n
+}
+
+// unusedCPU returns the processors that are left for tasks that fill.
+func (w *worker) unusedCPU() int64 {
+	return w.free().MilliProcessors + int64((1-servingUse)*float64(w.standingCPU()))
+}
+
+// servesImage reports whether tasks of an image serve at a worker, and tasks of
+// other images.
+func (w *worker) servesImage(image string) (same, other bool) {
+	for a := range w.attempts {
+		if s := a.task.step; s.TailTarget > 0 {
+			same = same || s.Image == image
+			other = other || s.Image != image
+		}
+	}
+	return same, other
+}
+
+// maxExpectedTail is the expected tail, as a share of its target, up to which a
+// task that fills is placed.
+const maxExpectedTail = 0.9
+
+// expectedTail returns the largest tail that is expected at a worker with one
+// more task of a step, as a share of its target.
+func (c *Cell) expectedTail(w *worker, s *step) float64 {
+	shares := w.fillShares(false)
+	if s.Fills {
+		shares[s.Image] += float64(s.Size.MilliProcessors) / float64(w.info.Room.MilliProcessors)
+	}
+	worst := 0.0
+	if s.TailTarget > 0 && len(shares) > 0 {
+		worst = c.pressure.Expect(s.Image, shares)
+	}
 	for a := range w.attempts {
 		if a.task.step.TailTarget > 0 {
-			return true
+			worst = max(worst, c.pressure.Expect(a.task.step.Image, shares))
+		}
+	}
+	return worst
+}
+
+// fillShares returns the shares of a worker's processors that tasks that fill
+// take: what they use now, or what they may use.
+func (w *worker) fillShares(now bool) pressure.Shares {
+	shares := make(pressure.Shares)
+	for a := range w.attempts {
+		s := a.task.step
+		if !s.Fills {
+			continue
+		}
+		use := float64(s.Size.MilliProcessors)
+		if now {
+			use = float64(a.gauge)
 		}
+		shares[s.Image] += use / float64(w.info.Room.MilliProcessors)
 	}
-	return false
+	return shares
 }
 
 // fits reports whether a task may start at a worker now.
@@ -205,7 +281,7 @@
 	free := w.free()
 	need := s.Size
 	if s.Fills {
-		free.MilliProcessors -= w.fillCPU
+		free.MilliProcessors = w.unusedCPU() - w.fillCPU
 	}
 	if !need.Fits(free) {
 		return false
@@ -271,7 +347,7 @@
 		c.open(now, c.begin(now, j, 0))
 	}
 	c.note(Note{Event: "accepted", Job: j.ID, Detail: fmt.Sprintf(
-		"queue %s, %v of work, %v ahead on %d milliprocessors, due in %v", spec.Queue, work.Round(time.Millisecond),
+		"queue %s, steps %s, %v of work, %v ahead on %d milliprocessors, due in %v", spec.Queue, describe(spec), work.Round(time.Millisecond),
 		load.Ahead.Round(time.Second), load.MilliProcessors, j.due.Sub(now).Round(time.Millisecond))})
 	return j.storedAt, nil
 }
@@ -282,18 +358,19 @@
 	if j.queue == nil || j.Repetitions > 0 {
 		return l, 0, admission.Decision{Accept: true}
 	}
+	fills := slices.ContainsFunc(j.Steps, func(s bamboofall.Step) bool { return s.Fills })
 	for _, w := range c.workers {
 		if !w.listed || !w.synced || w.silent() || w.info.Draining || w.info.Service != j.queue.Service {
 			continue
 		}
 		room := w.info.Room.MilliProcessors
 		free := w.free().MilliProcessors
-		for a := range w.attempts {
-			if a.task.step.Standing {
-				room -= a.size().MilliProcessors
-			}
+		standing := w.standingCPU()
+		if fills {
+			standing = int64(servingUse * float64(standing))
+			free = w.unusedCPU()
 		}
-		l.MilliProcessors += room
+		l.MilliProcessors += room - standing
 		l.FreeMilliProcessors += max(0, free-w.fillCPU)
 	}
 	for _, other := range c.jobs {
@@ -382,3 +459,26 @@
 	}
 	return n
 }
+
+// describe sums up the steps of a job for the log.
+func describe(spec *bamboofall.Job) string {
+	var b strings.Builder
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		fmt.Fprintf(&b, "[%dx%dm %v", s.Count, s.Size.MilliProcessors, s.Estimate)
+		for _, flag := range []struct {
+			name string
+			set  bool
+		}{
+			{"gang", s.Gang}, {"sameRack", s.SameRack}, {"speculative", s.Speculative}, {"standing", s.Standing}, {"fills", s.Fills},
+			{"checkpointing", s.Checkpointing}, {s.Label, s.Label != ""}, {"near " + s.Rack, s.Rack != ""},
+			{fmt.Sprintf("apart %d", s.MaxPerWorker), s.MaxPerWorker > 0}, {"image " + s.Image, s.Image != ""},
+		} {
+			if flag.set {
+				b.WriteString(" " + flag.name)
+			}
+		}
+		b.WriteString("]")
+	}
+	return b.String()
+}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -61,8 +61,9 @@
 	seen, got uint64
 	gotAt     uint64
 	health    health
-	lastPace  time.Time
-	percent   int
+	// observedAt is when tails were last taken into account, overSince since
+	// when one has been over its target.
+	observedAt, overSince time.Time
 }
 
 func (w *worker) free() bamboofall.Resources { return w.info.Room.Sub(w.used) }
@@ -95,7 +96,7 @@
 func (c *Cell) SetWorker(now time.Time, info bamboofall.Worker) {
 	w := c.workers[info.ID]
 	if w == nil {
-		w = &worker{attempts: make(map[*attempt]bool), percent: fullPace}
+		w = &worker{attempts: make(map[*attempt]bool)}
 		c.workers[info.ID] = w
 		w.born = info.Born
 		w.info = info
@@ -146,7 +147,6 @@
 		born:      fromUnixMS(m.GetBornUnixMs()),
 		attempts:  make(map[*attempt]bool),
 		leasesEnd: c.cfg.FormerLeases,
-		percent:   fullPace,
 	}
 	return nil
 }
--- a/internal/jobs/pacing/pacing.go
+++ b/internal/jobs/pacing/pacing.go
@@ -1,9 +1,10 @@
 // Package pacing slows tasks that fill beside tasks that serve.
 //
 // It answers interference that differs by image and changes within seconds,
-// seen through rough and late figures: the share of work is halved as soon as
-// a tail nears its target, taken away when it is over it, and given back step by
-// step while all tails are well below.
+// seen through rough and late figures: the share of work of what disturbs is
+// halved as soon as a tail nears its target, taken away when it is over it, and
+// given back step by step while all tails are well below. What does not disturb
+// is left alone unless the tail stays high without it.
 package pacing
 
 import "time"
@@ -17,20 +18,28 @@
 	well = 0.6
 	// backoff and raise change the share, in percent.
 	backoff = 2
-	raise   = 15
+	raise   = 25
 	// least is the share below which work is stopped.
 	least = 20
+	// blameAll is how long a tail may be over its target before all that fills
+	// is slowed, disturbing or not: half of the time that the platform allows.
+	blameAll = 2 * time.Second
 	// Every is the least time between changes: figures cover half a second.
 	Every = 400 * time.Millisecond
 )
 
-// Next returns the share for the tasks that fill at a worker, given the largest
-// tail there as a share of its target.
-func Next(percent int, load float64) int {
+// Disturbing is the part of a target that a task must be expected to take for
+// it to be slowed.
+const Disturbing = 0.03
+
+// Next returns the share for a task that fills, given the largest tail at its
+// worker as a share of its target, and whether the task is held to disturb.
+// Since is how long the tail has been over its target.
+func Next(percent int, load float64, disturbs bool, since time.Duration) int {
 	switch {
-	case load >= 1:
+	case load >= 1 && (disturbs || since >= blameAll):
 		return 0
-	case load >= near:
+	case load >= near && disturbs:
 		percent /= backoff
 		if percent < least {
 			percent = 0
--- a/internal/jobs/placement/placement.go
+++ b/internal/jobs/placement/placement.go
@@ -2,20 +2,24 @@
 //
 // It answers mixed sizes at full load: normal tasks are packed where they leave
 // the least room, so that wide tasks still find a whole worker. It answers tasks
-// that disturb those that serve: tasks that fill go where nothing serves, and
-// tasks that serve are kept together. Among fit workers it avoids those that
-// have failed lately, and prefers the rack with the data.
+// that disturb those that serve: tasks that serve go beside others of their
+// image, so that each image that fills finds workers whose tasks it does not
+// disturb, and tasks that fill go where they are expected to disturb least. Among
+// fit workers it avoids those that have failed lately, and prefers the rack with
+// the data.
 package placement
 
 import "bamboofall.example/bamboofall"
 
-// Weights of the parts of a score. The fill part is between 0 and 1.
+// Weights of the parts of a score. The fill part and the rank are between 0 and 1.
 const (
-	rackWeight    = 4.0
-	togetherBonus = 1.0
-	apartPenalty  = 2.0
-	doubtPenalty  = 1.5
-	slowWeight    = 1.0
+	rackWeight   = 6.0
+	sameBonus    = 2.0
+	otherPenalty = 1.0
+	tailWeight   = 3.0
+	rankWeight   = 0.5
+	doubtPenalty = 1.5
+	slowWeight   = 1.0
 )
 
 // Kind is how a task behaves beside others.
@@ -36,8 +40,13 @@
 	Room, Free bamboofall.Resources
 	// OnRack is set if the worker stands on the rack that the task wants.
 	OnRack bool
-	// Serves and Fills tell what kinds of tasks run there.
-	Serves, Fills bool
+	// SameImage and OtherImage tell which tasks serve there already.
+	SameImage, OtherImage bool
+	// Tail is the largest tail that is expected there with the task, as a share
+	// of its target. It is zero where nothing serves.
+	Tail float64
+	// Rank is the place of the worker among all, from 0 to 1.
+	Rank float64
 	// Doubt is the number of failures in a row.
 	Doubt int
 	// Slow is how much longer than usual tasks take, minus one.
@@ -56,18 +65,14 @@
 	}
 	switch kind {
 	case Filling:
-		// Spread: what fills is better off with much room around it.
-		score += left
-		if w.Serves {
-			score -= apartPenalty
-		}
+		score += left - tailWeight*w.Tail
 	case Serving:
-		score -= left
-		if w.Serves {
-			score += togetherBonus
+		score -= left + rankWeight*w.Rank + tailWeight*w.Tail
+		if w.SameImage {
+			score += sameBonus
 		}
-		if w.Fills {
-			score -= apartPenalty
+		if w.OtherImage {
+			score -= otherPenalty
 		}
 	default:
 		score -= left
--- /dev/null
+++ b/internal/jobs/pressure/pressure.go
@@ -0,0 +1,160 @@
+// Package pressure learns how much tasks that fill disturb tasks that serve.
+//
+// It answers fleets in which most processors are reserved by tasks that serve
+// and use only a part: work that fills must run beside them, and some pairs of
+// images disturb each other strongly, most not at all. For each image that
+// serves, its tail latency is fitted as a base and a pressure of each image that
+// fills times the share of the worker that it uses. Pressures are not negative.
+// Old observations fade, as pressures change.
+package pressure
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	// priorPressure is what an image presses that was not seen yet, in targets
+	// for a whole worker. One task of a tenth of a worker may be tried.
+	priorPressure = 1.5
+	// priorWeight is the weight of the prior, in squared shares: some five
+	// observations of a tenth of a worker.
+	priorWeight = 0.03
+	// fade is the weight that an observation keeps at the next one.
+	fade = 0.998
+	// sweeps of coordinate descent suffice as each fit starts from the last.
+	sweeps = 4
+	// spread is the number of standard deviations above the mean that a tail
+	// may take by its own load.
+	spread = 1.3
+	// residualWeight is the weight of a new residual in their running mean.
+	residualWeight = 0.02
+	// firstBase and firstVariance are assumed of an image that was not seen.
+	firstBase     = 0.45
+	firstVariance = 0.02
+)
+
+// Shares are the shares of a worker's processors that images use.
+type Shares map[string]float64
+
+// Model holds what was learned. Use New.
+type Model struct {
+	fits map[string]*fit
+}
+
+// fit is the regression of the tail of one image that serves.
+type fit struct {
+	images   []string
+	gram     [][]float64
+	moments  []float64
+	values   []float64
+	variance float64
+}
+
+// New returns a model that knows nothing.
+func New() *Model { return &Model{make(map[string]*fit)} }
+
+func newFit() *fit {
+	return &fit{
+		images: []string{""}, gram: [][]float64{{1}}, moments: []float64{firstBase},
+		values: []float64{firstBase}, variance: firstVariance,
+	}
+}
+
+// place returns the row of an image and adds one if it is new.
+func (f *fit) place(image string) int {
+	if i := slices.Index(f.images[1:], image); i >= 0 {
+		return i + 1
+	}
+	f.images = append(f.images, image)
+	for i := range f.gram {
+		f.gram[i] = append(f.gram[i], 0)
+	}
+	row := make([]float64, len(f.images))
+	row[len(row)-1] = priorWeight
+	f.gram = append(f.gram, row)
+	f.moments = append(f.moments, priorWeight*priorPressure)
+	f.values = append(f.values, priorPressure)
+	return len(f.images) - 1
+}
+
+// Observe takes over the tail of an image that serves, as a share of its
+// target, and what used the worker beside it.
+func (m *Model) Observe(serving string, tail float64, beside Shares) {
+	f := m.fits[serving]
+	if f == nil {
+		f = newFit()
+		m.fits[serving] = f
+	}
+	for image := range beside {
+		f.place(image)
+	}
+	x := make([]float64, len(f.images))
+	x[0] = 1
+	for image, share := range beside {
+		x[f.place(image)] = share
+	}
+	expected := 0.0
+	for i, v := range x {
+		expected += v * f.values[i]
+	}
+	residual := tail - expected
+	// Far tails are noise of their own; they must not set the spread.
+	f.variance += residualWeight * (min(residual*residual, 0.25) - f.variance)
+	for i := range x {
+		// The prior does not fade, so that a value without observations
+		// returns to it.
+		prior, moment := 0.0, 0.0
+		if i > 0 {
+			prior, moment = priorWeight, priorWeight*priorPressure
+		}
+		for k := range x {
+			f.gram[i][k] = f.gram[i][k]*fade + x[i]*x[k]
+		}
+		f.gram[i][i] += (1 - fade) * prior
+		f.moments[i] = f.moments[i]*fade + (1-fade)*moment + x[i]*tail
+	}
+	f.solve()
+}
+
+// solve fits the values by coordinate descent.
+func (f *fit) solve() {
+	for range sweeps {
+		for i := range f.values {
+			rest := f.moments[i]
+			for k, v := range f.values {
+				if k != i {
+					rest -= f.gram[i][k] * v
+				}
+			}
+			f.values[i] = max(0, rest/f.gram[i][i])
+		}
+	}
+}
+
+// Pressure returns how much an image that fills disturbs one that serves, in
+// targets for a whole worker.
+func (m *Model) Pressure(serving, image string) float64 {
+	f := m.fits[serving]
+	if f == nil {
+		return priorPressure
+	}
+	if i := slices.Index(f.images[1:], image); i >= 0 {
+		return f.values[i+1]
+	}
+	return priorPressure
+}
+
+// Expect returns a high tail of an image that serves, as a share of its target,
+// beside what uses the worker.
+func (m *Model) Expect(serving string, beside Shares) float64 {
+	base, variance := firstBase, firstVariance
+	if f := m.fits[serving]; f != nil {
+		base, variance = f.values[0], f.variance
+	}
+	tail := base + spread*math.Sqrt(variance)
+	for image, share := range beside {
+		tail += share * m.Pressure(serving, image)
+	}
+	return tail
+}
