--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -26,6 +26,8 @@
 	ownerTick = 20 * time.Millisecond
 	// stepEvents is the number of events that share a step.
 	stepEvents = 64
+	// countEvery is the time between updates of the counters.
+	countEvery = time.Second
 	// inboxWait and workersWait are how long reads wait for news.
 	inboxWait   = 10 * time.Second
 	workersWait = 10 * time.Second
@@ -54,6 +56,7 @@
 	sequence uint64
 	storing  bool
 	waiters  []waiter
+	counted  time.Time
 	ctx      context.Context
 	failed   error
 }
@@ -220,7 +223,10 @@
 	for _, order := range out.Orders {
 		go o.carryOut(order, at)
 	}
-	o.front.metrics.takeCell(o.cell.Counters())
+	if at.Sub(o.counted) >= countEvery {
+		o.counted = at
+		o.front.metrics.takeCell(o.cell.Counters())
+	}
 	if o.storing {
 		return nil
 	}
--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -23,6 +23,8 @@
 
 // attempt is a run of a task at a worker.
 type attempt struct {
+	// held is set while the attempt counts at its worker.
+	held   bool
 	task   *task
 	worker *worker
 	run    uint32
@@ -65,29 +67,12 @@
 	return r
 }
 
-// sorted returns the attempts at a worker in the order of their names.
-func (w *worker) sorted() []*attempt {
-	if len(w.attempts) == 0 {
-		return nil
-	}
-	out := make([]*attempt, 0, len(w.attempts))
-	for a := range w.attempts {
-		out = append(out, a)
-	}
-	slices.SortFunc(out, func(a, b *attempt) int {
-		return compareStrings(a.task.name().String(), b.task.name().String())
-	})
-	return out
-}
-
 // reserve puts an attempt at a worker.
 func (c *Cell) reserve(w *worker, t *task, run uint32) *attempt {
 	a := &attempt{task: t, worker: w, run: run, want: fullPace, paced: fullPace}
-	w.attempts[a] = true
-	w.used = w.used.Add(a.size())
-	if t.step.Fills {
-		w.fillCPU += t.step.Size.MilliProcessors
-	}
+	w.attempts = append(w.attempts, a)
+	a.held = true
+	w.account(a, 1)
 	t.attempts = append(t.attempts, a)
 	t.lastRun = max(t.lastRun, run)
 	return a
@@ -96,14 +81,12 @@
 // release takes an attempt from its worker.
 func (c *Cell) release(a *attempt) {
 	w := a.worker
-	if !w.attempts[a] {
+	if !a.held {
 		return
 	}
-	delete(w.attempts, a)
-	w.used = w.used.Sub(a.size())
-	if a.task.step.Fills {
-		w.fillCPU -= a.task.step.Size.MilliProcessors
-	}
+	a.held = false
+	w.attempts = slices.DeleteFunc(w.attempts, func(b *attempt) bool { return a == b })
+	w.account(a, -1)
 	a.task.attempts = slices.DeleteFunc(a.task.attempts, func(b *attempt) bool { return a == b })
 	c.unsettled = true
 }
@@ -145,7 +128,7 @@
 	kept := c.gated[:0]
 	for _, a := range c.gated {
 		switch {
-		case !a.worker.attempts[a] || a.state != attemptGated:
+		case !a.held || a.state != attemptGated:
 		case a.stopping:
 			c.release(a)
 		case c.IsStored(a.gate):
@@ -192,7 +175,7 @@
 	if err == nil && !c.sighted(now, o, s) {
 		return
 	}
-	if !w.attempts[a] || a.state != attemptStarting {
+	if !a.held || a.state != attemptStarting {
 		return
 	}
 	if err == nil {
@@ -263,7 +246,7 @@
 	if err == nil && !c.sighted(now, o, s) {
 		return
 	}
-	if !a.worker.attempts[a] {
+	if !a.held {
 		return
 	}
 	var rejected *bamboofall.RejectedError
@@ -289,7 +272,7 @@
 
 // lost takes a run off whose end nobody will report.
 func (c *Cell) lost(now time.Time, a *attempt, why string) {
-	if !a.worker.attempts[a] {
+	if !a.held {
 		return
 	}
 	c.counters.Lapsed++
@@ -336,7 +319,7 @@
 		return
 	}
 	var a *attempt
-	for b := range w.attempts {
+	for _, b := range w.attempts {
 		if b.task == t && b.run == e.Run {
 			a = b
 		}
@@ -466,7 +449,7 @@
 	for i := range running {
 		listed[key{running[i].Task, running[i].Run}] = &running[i]
 	}
-	for _, a := range w.sorted() {
+	for _, a := range slices.Clone(w.attempts) {
 		p := listed[key{a.task.name(), a.run}]
 		delete(listed, key{a.task.name(), a.run})
 		switch {
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -42,6 +43,8 @@
 	version uint64
 	jobs    map[bamboofall.JobID]*job
 	workers map[string]*worker
+	// order holds the workers in the order of their IDs.
+	order []*worker
 	// ready holds the steps with tasks that could start.
 	ready map[*step]bool
 	// timed holds the jobs with occurrences that are not due yet.
@@ -171,7 +174,7 @@
 	c.settleDoubt(now)
 	c.dueOccurrences(now)
 	c.expireEnded(now)
-	for _, w := range c.sortedWorkers() {
+	for _, w := range slices.Clone(c.order) {
 		c.watchWorker(now, w)
 	}
 	if now.Sub(c.lastSummary) >= summaryEvery {
@@ -187,7 +190,7 @@
 func (c *Cell) summarize() {
 	var room, used, fills, standing int64
 	usable, serving, silent, waiting := 0, 0, 0, 0
-	for _, w := range c.workers {
+	for _, w := range c.order {
 		if w.silent() {
 			silent++
 		}
@@ -198,9 +201,9 @@
 		room += w.info.Room.MilliProcessors
 		used += w.used.MilliProcessors
 		fills += w.fillCPU
-		if n := w.standingCPU(); n > 0 {
+		if w.standingCPU > 0 {
 			serving++
-			standing += n
+			standing += w.standingCPU
 		}
 	}
 	for s := range c.ready {
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -152,10 +152,10 @@
 		return
 	}
 	w.observedAt = now
-	shares := w.fillShares(true)
+	shares := w.fillShares()
 	load := 0.0
 	var worst *step
-	for _, a := range w.sorted() {
+	for _, a := range w.attempts {
 		s := a.task.step
 		if s.TailTarget <= 0 || a.state != attemptRunning || a.percent < fullPace || now.Sub(a.startedAt) < settleTime {
 			continue
@@ -169,7 +169,7 @@
 	if load < 1 {
 		w.overSince = now
 	}
-	for _, a := range w.sorted() {
+	for _, a := range w.attempts {
 		s := a.task.step
 		if !s.Fills || a.state != attemptRunning || a.stopping {
 			continue
@@ -189,11 +189,11 @@
 
 // pace orders the shares that are decided, and moves tasks that are held back.
 func (c *Cell) pace(now time.Time, w *worker) {
-	for _, a := range w.sorted() {
+	for _, a := range w.attempts {
 		if !a.task.step.Fills || a.state != attemptRunning || a.pacing || a.stopping {
 			continue
 		}
-		if a.want == 0 && a.task.step.Checkpointing && now.Sub(a.heldSince) >= moveAfter && c.choose(now, a.task, c.sortedWorkers()) != nil {
+		if a.want == 0 && a.task.step.Checkpointing && now.Sub(a.heldSince) >= moveAfter && c.choose(now, a.task) != nil {
 			c.stop(now, a, "it disturbs tasks that serve, and there is room elsewhere")
 			continue
 		}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -27,7 +27,6 @@
 		steps = append(steps, s)
 	}
 	slices.SortFunc(steps, compareUrgency)
-	workers := c.sortedWorkers()
 	full := make(map[fitKey]bool)
 	for _, s := range steps {
 		if c.inDoubt && s.released {
@@ -37,15 +36,18 @@
 		if q == nil {
 			continue
 		}
-		key := fitKey{q.Service, s.Size, s.Fills, s.Label}
+		key := fitKey{q.Service, s.Size, s.Fills, s.Label, ""}
+		if s.Fills {
+			key.image = s.Image
+		}
 		if s.plain() && full[key] {
 			continue
 		}
 		if s.gang != nil {
-			c.placeGang(now, s, workers)
+			c.placeGang(now, s)
 			continue
 		}
-		if !c.placeStep(now, s, workers) && s.plain() {
+		if !c.placeStep(now, s) && s.plain() {
 			full[key] = true
 		}
 	}
@@ -57,6 +59,8 @@
 	size    bamboofall.Resources
 	fills   bool
 	label   string
+	// image is set for tasks that fill: where they may go depends on it.
+	image string
 }
 
 // plain reports whether only the size and the label of a task bind where it goes.
@@ -82,7 +86,7 @@
 
 // placeStep places the waiting tasks of a step. It reports false if one found
 // no room.
-func (c *Cell) placeStep(now time.Time, s *step, workers []*worker) bool {
+func (c *Cell) placeStep(now time.Time, s *step) bool {
 	fits := true
 	waiting := s.waiting[:0]
 	for _, t := range s.waiting {
@@ -92,7 +96,7 @@
 		}
 		var w *worker
 		if fits {
-			w = c.choose(now, t, workers)
+			w = c.choose(now, t)
 		}
 		if w == nil {
 			fits = false
@@ -113,7 +117,7 @@
 }
 
 // placeGang places all tasks of a gang or none.
-func (c *Cell) placeGang(now time.Time, s *step, workers []*worker) {
+func (c *Cell) placeGang(now time.Time, s *step) {
 	for i := range s.tasks {
 		if len(s.tasks[i].attempts) > 0 {
 			return // the former run has not ended everywhere
@@ -130,7 +134,7 @@
 	}
 	run++
 	for i := range s.tasks {
-		w := c.choose(now, &s.tasks[i], workers)
+		w := c.choose(now, &s.tasks[i])
 		if w == nil {
 			break
 		}
@@ -155,7 +159,7 @@
 }
 
 // choose returns the best worker for a task, or nil.
-func (c *Cell) choose(now time.Time, t *task, workers []*worker) *worker {
+func (c *Cell) choose(now time.Time, t *task) *worker {
 	var best *worker
 	bestScore := 0.0
 	s := t.step
@@ -170,13 +174,13 @@
 	case s.TailTarget > 0:
 		kind = placement.Serving
 	}
-	for i, w := range workers {
+	for i, w := range c.order {
 		if !c.fits(now, t, w) {
 			continue
 		}
 		view := placement.Worker{
 			Room: w.info.Room, Free: w.free(), OnRack: rack != "" && w.rack() == rack,
-			Rank:  float64(i) / float64(len(workers)),
+			Rank:  float64(i) / float64(len(c.order)),
 			Doubt: w.health.Failures(), Slow: w.health.slow,
 		}
 		if kind == placement.Serving {
@@ -203,32 +207,16 @@
 // for long: a load of 0.45 that swings by a half.
 const servingUse = 0.6
 
-// standingCPU returns the processors that standing tasks reserve.
-func (w *worker) standingCPU() int64 {
-	n := int64(0)
-	for a := range w.attempts {
-		if a.task.step.Standing {
-			n += a.size().MilliProcessors
-		}
-	}
-	return n
-}
-
 // unusedCPU returns the processors that are left for tasks that fill.
 func (w *worker) unusedCPU() int64 {
-	return w.free().MilliProcessors + int64((1-servingUse)*float64(w.standingCPU()))
+	return w.free().MilliProcessors + int64((1-servingUse)*float64(w.standingCPU))
 }
 
 // servesImage reports whether tasks of an image serve at a worker, and tasks of
 // other images.
 func (w *worker) servesImage(image string) (same, other bool) {
-	for a := range w.attempts {
-		if s := a.task.step; s.TailTarget > 0 {
-			same = same || s.Image == image
-			other = other || s.Image != image
-		}
-	}
-	return same, other
+	same = w.serving[image] > 0
+	return same, len(w.serving) > 1 || len(w.serving) == 1 && !same
 }
 
 // maxExpectedTail is the expected tail, as a share of its target, up to which a
@@ -238,36 +226,39 @@
 // expectedTail returns the largest tail that is expected at a worker with one
 // more task of a step, as a share of its target.
 func (c *Cell) expectedTail(w *worker, s *step) float64 {
-	shares := w.fillShares(false)
+	if len(w.serving) == 0 && (s.TailTarget <= 0 || len(w.filling) == 0) {
+		return 0
+	}
+	room := float64(w.info.Room.MilliProcessors)
+	own := 0.0
 	if s.Fills {
-		shares[s.Image] += float64(s.Size.MilliProcessors) / float64(w.info.Room.MilliProcessors)
+		own = float64(s.Size.MilliProcessors) / room
+	}
+	expect := func(image string) float64 {
+		tail := c.pressure.Alone(image) + own*c.pressure.Pressure(image, s.Image)
+		for filling, cpu := range w.filling {
+			tail += float64(cpu) / room * c.pressure.Pressure(image, filling)
+		}
+		return tail
 	}
 	worst := 0.0
-	if s.TailTarget > 0 && len(shares) > 0 {
-		worst = c.pressure.Expect(s.Image, shares)
+	if s.TailTarget > 0 {
+		worst = expect(s.Image)
 	}
-	for a := range w.attempts {
-		if a.task.step.TailTarget > 0 {
-			worst = max(worst, c.pressure.Expect(a.task.step.Image, shares))
-		}
+	for image := range w.serving {
+		worst = max(worst, expect(image))
 	}
 	return worst
 }
 
 // fillShares returns the shares of a worker's processors that tasks that fill
-// take: what they use now, or what they may use.
-func (w *worker) fillShares(now bool) pressure.Shares {
+// use now.
+func (w *worker) fillShares() pressure.Shares {
 	shares := make(pressure.Shares)
-	for a := range w.attempts {
-		s := a.task.step
-		if !s.Fills {
-			continue
-		}
-		use := float64(s.Size.MilliProcessors)
-		if now {
-			use = float64(a.gauge)
+	for _, a := range w.attempts {
+		if a.task.step.Fills {
+			shares[a.task.step.Image] += float64(a.gauge) / float64(w.info.Room.MilliProcessors)
 		}
-		shares[s.Image] += use / float64(w.info.Room.MilliProcessors)
 	}
 	return shares
 }
@@ -292,16 +283,21 @@
 	if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
 		return false
 	}
+	for _, a := range t.attempts {
+		if a.worker == w {
+			return false
+		}
+	}
+	if s.MaxPerWorker == 0 {
+		return true
+	}
 	here := 0
-	for a := range w.attempts {
+	for _, a := range w.attempts {
 		if a.task.step == s {
 			here++
-			if a.task == t {
-				return false
-			}
 		}
 	}
-	return s.MaxPerWorker == 0 || here < s.MaxPerWorker
+	return here < s.MaxPerWorker
 }
 
 // Refusal says why a job was not accepted.
@@ -359,13 +355,13 @@
 		return l, 0, admission.Decision{Accept: true}
 	}
 	fills := slices.ContainsFunc(j.Steps, func(s bamboofall.Step) bool { return s.Fills })
-	for _, w := range c.workers {
+	for _, w := range c.order {
 		if !w.listed || !w.synced || w.silent() || w.info.Draining || w.info.Service != j.queue.Service {
 			continue
 		}
 		room := w.info.Room.MilliProcessors
 		free := w.free().MilliProcessors
-		standing := w.standingCPU()
+		standing := w.standingCPU
 		if fills {
 			standing = int64(servingUse * float64(standing))
 			free = w.unusedCPU()
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
-	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -41,10 +41,16 @@
 	unlistedAt time.Time
 	recordedAt uint64
 
-	attempts map[*attempt]bool
-	// used is what normal tasks reserve; fills use fillCPU beside it.
-	used    bamboofall.Resources
-	fillCPU int64
+	// attempts are in the order in which they were placed.
+	attempts []*attempt
+	// used is what normal tasks reserve; fills use fillCPU beside it. The part
+	// of standing tasks is standingCPU.
+	used                 bamboofall.Resources
+	fillCPU, standingCPU int64
+	// serving counts the attempts with a tail latency to keep by image, filling
+	// the processors of those that fill.
+	serving map[string]int
+	filling map[string]int64
 
 	// synced is set once this life has answered this owner.
 	synced bool
@@ -66,6 +72,36 @@
 	observedAt, overSince time.Time
 }
 
+func newWorker(info bamboofall.Worker) *worker {
+	return &worker{info: info, born: info.Born, serving: make(map[string]int), filling: make(map[string]int64)}
+}
+
+// account adds an attempt to the sums of its worker, or takes it off.
+func (w *worker) account(a *attempt, sign int64) {
+	size, s := a.size(), a.task.step
+	if sign < 0 {
+		w.used = w.used.Sub(size)
+	} else {
+		w.used = w.used.Add(size)
+	}
+	if s.Standing {
+		w.standingCPU += sign * size.MilliProcessors
+	}
+	if s.Fills {
+		w.fillCPU += sign * s.Size.MilliProcessors
+		w.filling[s.Image] += sign * s.Size.MilliProcessors
+		if w.filling[s.Image] == 0 {
+			delete(w.filling, s.Image)
+		}
+	}
+	if s.TailTarget > 0 {
+		w.serving[s.Image] += int(sign)
+		if w.serving[s.Image] == 0 {
+			delete(w.serving, s.Image)
+		}
+	}
+}
+
 func (w *worker) free() bamboofall.Resources { return w.info.Room.Sub(w.used) }
 
 func (w *worker) rack() string {
@@ -96,10 +132,8 @@
 func (c *Cell) SetWorker(now time.Time, info bamboofall.Worker) {
 	w := c.workers[info.ID]
 	if w == nil {
-		w = &worker{attempts: make(map[*attempt]bool)}
-		c.workers[info.ID] = w
-		w.born = info.Born
-		w.info = info
+		w = newWorker(info)
+		c.addWorker(w)
 		c.record(w)
 	}
 	if info.Draining && !w.info.Draining {
@@ -142,12 +176,11 @@
 	if err != nil {
 		return err
 	}
-	c.workers[id] = &worker{
-		info:      bamboofall.Worker{WorkerRef: bamboofall.WorkerRef{ID: id, Address: address}, Born: fromUnixMS(m.GetBornUnixMs())},
-		born:      fromUnixMS(m.GetBornUnixMs()),
-		attempts:  make(map[*attempt]bool),
-		leasesEnd: c.cfg.FormerLeases,
-	}
+	w := newWorker(bamboofall.Worker{
+		WorkerRef: bamboofall.WorkerRef{ID: id, Address: address}, Born: fromUnixMS(m.GetBornUnixMs()),
+	})
+	w.leasesEnd = c.cfg.FormerLeases
+	c.addWorker(w)
 	return nil
 }
 
@@ -156,7 +189,7 @@
 	if !w.born.IsZero() {
 		c.note(Note{Event: "worker reborn", Worker: w.info.ID, Detail: "born " + born.UTC().Format(time.RFC3339Nano)})
 	}
-	for _, a := range w.sorted() {
+	for _, a := range slices.Clone(w.attempts) {
 		c.lost(now, a, "the worker started again")
 	}
 	w.born = born
@@ -174,11 +207,11 @@
 	c.pace(now, w)
 	if len(w.attempts) > 0 && w.silent() && now.After(w.leasesEnd) {
 		c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the worker did not answer"})
-		for _, a := range w.sorted() {
+		for _, a := range slices.Clone(w.attempts) {
 			c.lost(now, a, "the lease ended unseen")
 		}
 	}
-	for _, a := range w.sorted() {
+	for _, a := range slices.Clone(w.attempts) {
 		c.watchAttempt(now, a)
 	}
 	// Wait for entries that lapsed while the store was away.
@@ -188,6 +221,7 @@
 	}
 	if !w.listed && len(w.attempts) == 0 && now.After(w.leasesEnd) && now.Sub(w.unlistedAt) > unlistedGrace && !w.holding {
 		delete(c.workers, w.info.ID)
+		c.order = slices.DeleteFunc(c.order, func(x *worker) bool { return x == w })
 		delete(c.pending.workers, w.info.ID)
 		c.pending.gone[keyWorker+w.info.ID] = true
 	}
@@ -200,7 +234,7 @@
 		return
 	}
 	if now.Before(c.cfg.FormerLeases) {
-		for _, w := range c.workers {
+		for _, w := range c.order {
 			if !w.synced {
 				return
 			}
@@ -211,25 +245,16 @@
 	c.note(Note{Event: "recovery complete", Detail: "every worker has answered or its leases have ended"})
 }
 
-func (c *Cell) sortedWorkers() []*worker {
-	return slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int {
-		return compareStrings(a.info.ID, b.info.ID)
-	})
-}
-
-func compareStrings(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
+// addWorker adds a worker to the map and to the ordered list.
+func (c *Cell) addWorker(w *worker) {
+	c.workers[w.info.ID] = w
+	at, _ := slices.BinarySearchFunc(c.order, w, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+	c.order = slices.Insert(c.order, at, w)
 }
 
 // hold renews leases and asks workers what they run.
 func (c *Cell) hold(now time.Time) {
-	for _, w := range c.workers {
+	for _, w := range c.order {
 		if w.holding || now.Before(w.nextHold) {
 			continue
 		}
@@ -267,7 +292,7 @@
 // unsure reports whether a start or stop is open, so that an answer is
 // needed soon.
 func (w *worker) unsure() bool {
-	for a := range w.attempts {
+	for _, a := range w.attempts {
 		if a.state == attemptUnsure {
 			return true
 		}
@@ -277,12 +302,7 @@
 
 // mixed reports whether tasks that fill work beside tasks that serve.
 func (w *worker) mixed() bool {
-	fills, serves := false, false
-	for a := range w.attempts {
-		fills = fills || a.task.step.Fills
-		serves = serves || a.task.step.TailTarget > 0
-	}
-	return fills && serves
+	return len(w.filling) > 0 && len(w.serving) > 0
 }
 
 // Held takes over the answer to a hold order.
--- a/internal/jobs/pressure/pressure.go
+++ b/internal/jobs/pressure/pressure.go
@@ -145,16 +145,12 @@
 	return priorPressure
 }
 
-// Expect returns a high tail of an image that serves, as a share of its target,
-// beside what uses the worker.
-func (m *Model) Expect(serving string, beside Shares) float64 {
+// Alone returns a high tail of an image that serves with nothing beside it, as
+// a share of its target.
+func (m *Model) Alone(serving string) float64 {
 	base, variance := firstBase, firstVariance
 	if f := m.fits[serving]; f != nil {
 		base, variance = f.values[0], f.variance
 	}
-	tail := base + spread*math.Sqrt(variance)
-	for image, share := range beside {
-		tail += share * m.Pressure(serving, image)
-	}
-	return tail
+	return base + spread*math.Sqrt(variance)
 }
