jobs/cell: grant no leases to workers that do not answer; cancel ahead

Changes: a call to a silent worker carries no lease; a cancellation of an unknown job from the inbox is kept. Leases of 5 s and 3.5 s of work without a confirmation, so that a successor waits less.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -34,7 +34,7 @@
 	// storeRetry is the time between tries while the store does not answer.
 	storeRetry = 100 * time.Millisecond
 	// maxLease bounds the lease of workers: a take-over has to fit into it.
-	maxLease = 6 * time.Second
+	maxLease = 5 * time.Second
 	// leaseShare is the part of the platform's longest lease that is used.
 	leaseShare = 0.95
 )
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -350,7 +350,7 @@
 	if m.GetJob() != nil {
 		flush, _ = o.cell.Submit(at, cell.DecodeSpec(m.GetJob()), true)
 	} else {
-		flush, _ = o.cell.Cancel(at, bamboofall.JobID(m.GetCancel()))
+		flush = o.cell.CancelAhead(at, bamboofall.JobID(m.GetCancel()))
 	}
 	o.whenStored(flush, func() { go o.clearInbox(key) })
 }
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -433,6 +433,16 @@
 	return j.storedAt, true
 }
 
+// CancelAhead cancels a job whose submission may not have arrived yet, so that
+// it never runs. It returns the flush that makes it durable.
+func (c *Cell) CancelAhead(now time.Time, id bamboofall.JobID) uint64 {
+	if c.jobs[id] == nil {
+		c.jobs[id] = newJob(&bamboofall.Job{ID: id}, nil, now)
+	}
+	flush, _ := c.Cancel(now, id)
+	return flush
+}
+
 // Lookup returns the state of a job as the store has it.
 func (c *Cell) Lookup(id bamboofall.JobID) (bamboofall.JobState, bool) {
 	j := c.jobs[id]
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -269,9 +269,11 @@
 			continue
 		}
 		o := bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.seen}
-		if w.synced {
+		// A worker that does not answer gets no new lease: the call may be carried
+		// out late, and the end of the leases could never be told.
+		if w.synced && !w.silent() {
 			o.LeaseUntil = c.grant(now, w)
-			if !unstored && len(w.attempts) > 0 && !w.silent() && !w.unsure() {
+			if !unstored && len(w.attempts) > 0 && !w.unsure() {
 				o.Wait = holdWait
 				if w.mixed() {
 					o.Wait = holdWaitBeside
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -32,8 +32,9 @@
 	return Timing{
 		Renew:  400 * time.Millisecond,
 		Expire: 1600 * time.Millisecond,
-		// An outage of the store of 4.5 s is common; work goes on meanwhile.
-		Act:     5 * time.Second,
+		// Work goes on for most of a common outage of the store, of 4.5 s, and
+		// a successor waits for it no longer than that.
+		Act:     3500 * time.Millisecond,
 		Stagger: 150 * time.Millisecond,
 	}
 }
