--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -130,6 +130,17 @@
 	for _, err := range o.cell.Restore(now(), kept) {
 		o.front.log.Event("record left out", logrus.Fields{"error": err.Error()})
 	}
+	// A job from the inbox is accepted, so it is known before the first question.
+	inbox, err := retry(ctx, func() ([]bamboofall.StoredRecord, error) {
+		records, _, err := o.front.store.Newest(ctx, topicInbox, cellPart)
+		return records, err
+	})
+	if err != nil {
+		return err
+	}
+	for _, r := range inbox {
+		o.takeInbox(now(), r)
+	}
 	known, open := o.cell.Jobs()
 	o.front.log.Event("restored", logrus.Fields{"epoch": o.record.Epoch, "records": len(records), "jobs": known, "open": open})
 	return nil
@@ -331,18 +342,22 @@
 // followInbox takes over what entry VMs stored while they reached no owner.
 func (o *owner) followInbox(ctx context.Context) error {
 	return o.front.follow(ctx, topicInbox, cellPart, inboxWait, func(r bamboofall.StoredRecord) {
-		if len(r.Value) == 0 {
-			return
-		}
-		m := &jobpb.Deferred{}
-		if err := proto.Unmarshal(r.Value, m); err != nil {
-			o.front.log.Event("inbox record rejected", logrus.Fields{"key": r.Key, "error": err.Error()})
-			return
-		}
-		o.events.Push(ctx, func(at time.Time) { o.takeDeferred(at, r.Key, m) })
+		o.events.Push(ctx, func(at time.Time) { o.takeInbox(at, r) })
 	}, nil)
 }
 
+func (o *owner) takeInbox(at time.Time, r bamboofall.StoredRecord) {
+	if len(r.Value) == 0 {
+		return
+	}
+	m := &jobpb.Deferred{}
+	if err := proto.Unmarshal(r.Value, m); err != nil {
+		o.front.log.Event("inbox record rejected", logrus.Fields{"key": r.Key, "error": err.Error()})
+		return
+	}
+	o.takeDeferred(at, r.Key, m)
+}
+
 // takeDeferred takes over a call from the inbox, and removes it there once it
 // is stored with the cell.
 func (o *owner) takeDeferred(at time.Time, key string, m *jobpb.Deferred) {
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -115,7 +115,9 @@
 	return local(ctx, f, func(o *owner, at time.Time, answer func(*jobpb.CancelResponse)) {
 		flush, known := o.cell.Cancel(at, bamboofall.JobID(m.GetId()))
 		if !known {
-			answer(&jobpb.CancelResponse{UnknownJob: true})
+			// Its submission may still be on the way through the inbox.
+			flush = o.cell.CancelAhead(at, bamboofall.JobID(m.GetId()))
+			o.whenStored(flush, func() { answer(&jobpb.CancelResponse{UnknownJob: true}) })
 			return
 		}
 		o.whenStored(flush, func() { answer(&jobpb.CancelResponse{Cancelled: true}) })
--- /dev/null
+++ b/internal/jobs/sim/world_test.go
@@ -0,0 +1,211 @@
+package sim_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/sim"
+)
+
+const gb = 1 << 30
+
+func queues() []bamboofall.Queue {
+	return []bamboofall.Queue{
+		{Name: "urgent", Service: sim.Service, Priority: 0, MaxAttempts: 3, Stretch: 1.5, Slack: 300 * time.Millisecond},
+		{Name: "batch", Service: sim.Service, Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+		{Name: "standing", Service: sim.Service, Priority: 0, MaxAttempts: 3, Stretch: 2, Slack: 2500 * time.Millisecond},
+	}
+}
+
+func config(seed uint64) sim.Config {
+	return sim.Config{
+		Seed: seed, Workers: 12, PerRack: 4, Lease: 5 * time.Second, Queues: queues(), FailShare: 0.02,
+		Room:     bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 * gb},
+		Pressure: map[string]map[string]float64{"heavy": {"a": 8, "b": 0}, "light": {"a": 0.2, "b": 0.2}, "other": {"a": 0, "b": 8}},
+	}
+}
+
+// load submits jobs of all kinds for some time and cancels a few.
+func load(w *sim.World, seed uint64, until time.Duration, perSecond float64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	n := 0
+	for at := 100 * time.Millisecond; at < until; at += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)) {
+		n++
+		spec := job(random, n)
+		w.At(at, func() { w.Submit(spec) })
+		if random.IntN(12) == 0 {
+			w.At(at+time.Duration(random.IntN(2000))*time.Millisecond, func() { w.Cancel(spec.ID) })
+		}
+	}
+}
+
+func job(random *rand.Rand, n int) *bamboofall.Job {
+	spec := &bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n)), Payload: "x"}
+	size := func(cpu int) bamboofall.Resources {
+		return bamboofall.Resources{MilliProcessors: int64(cpu + random.IntN(cpu)), MemoryBytes: 4 * gb}
+	}
+	switch random.IntN(8) {
+	case 0:
+		spec.Queue = "standing"
+		spec.Steps = []bamboofall.Step{{
+			Count: 1 + random.IntN(3), Size: size(2000), Standing: true, TailTarget: 50 * time.Millisecond,
+			Image: []string{"a", "b"}[random.IntN(2)], MaxPerWorker: random.IntN(2),
+		}}
+	case 1, 2, 3:
+		spec.Queue = "urgent"
+		spec.Steps = []bamboofall.Step{
+			{Count: 1 + random.IntN(6), Size: size(1500), Estimate: 600 * time.Millisecond, Speculative: random.IntN(3) == 0},
+			{Count: 1 + random.IntN(3), Size: size(1500), Estimate: 400 * time.Millisecond, After: []int{0}},
+		}
+	case 4:
+		spec.Queue = "urgent"
+		spec.Steps = []bamboofall.Step{{Count: 2 + random.IntN(3), Size: size(1500), Estimate: 800 * time.Millisecond, Gang: true, SameRack: random.IntN(2) == 0}}
+	default:
+		spec.Queue = "batch"
+		spec.Steps = []bamboofall.Step{
+			{Count: 2 + random.IntN(6), Size: size(1500), Estimate: 1500 * time.Millisecond, Fills: true, Checkpointing: random.IntN(5) > 0, Image: []string{"heavy", "light", "other"}[random.IntN(3)]},
+			{Count: 1 + random.IntN(4), Size: size(1500), Estimate: 700 * time.Millisecond, After: []int{0}, Fills: true, Image: "light"},
+		}
+	}
+	return spec
+}
+
+// faults are what may strike a world.
+var faults = map[string]func(*sim.World, *rand.Rand){
+	"crash": func(w *sim.World, r *rand.Rand) { any1(w, r).Crash(4 * time.Second) },
+	"dark": func(w *sim.World, r *rand.Rand) {
+		x := any1(w, r)
+		x.Cut = true
+		x.Crash(9 * time.Second)
+		w.At(w.Now()+9*time.Second, func() { x.Cut = false })
+	},
+	"cut": func(w *sim.World, r *rand.Rand) {
+		x := any1(w, r)
+		x.Cut = true
+		w.At(w.Now()+5500*time.Millisecond, func() { x.Cut = false })
+	},
+	"short cut": func(w *sim.World, r *rand.Rand) {
+		x := any1(w, r)
+		x.Cut = true
+		w.At(w.Now()+1500*time.Millisecond, func() { x.Cut = false })
+	},
+	"late orders": func(w *sim.World, r *rand.Rand) {
+		for _, x := range w.Workers() {
+			x.LateShare = 0.06
+		}
+		w.At(w.Now()+5*time.Second, func() {
+			for _, x := range w.Workers() {
+				x.LateShare = 0
+			}
+		})
+	},
+	"failing worker": func(w *sim.World, r *rand.Rand) {
+		x := any1(w, r)
+		x.FailAll = true
+		w.At(w.Now()+6*time.Second, func() { x.FailAll = false })
+	},
+	"stalling worker": func(w *sim.World, r *rand.Rand) {
+		x := any1(w, r)
+		x.StallAll = true
+		w.At(w.Now()+5*time.Second, func() { x.StallAll = false })
+	},
+	"slow worker": func(w *sim.World, r *rand.Rand) {
+		x := any1(w, r)
+		x.Slow = 6
+		w.At(w.Now()+7*time.Second, func() { x.Slow = 1 })
+	},
+	"owner": func(w *sim.World, r *rand.Rand) { w.ReplaceOwner(2 * time.Second) },
+	"owner twice": func(w *sim.World, r *rand.Rand) {
+		w.ReplaceOwner(300 * time.Millisecond)
+		w.At(w.Now()+800*time.Millisecond, func() { w.ReplaceOwner(2 * time.Second) })
+	},
+	"owner at a cut": func(w *sim.World, r *rand.Rand) {
+		x := any1(w, r)
+		x.Cut = true
+		w.At(w.Now()+300*time.Millisecond, func() { w.ReplaceOwner(2 * time.Second) })
+		w.At(w.Now()+7*time.Second, func() { x.Cut = false })
+	},
+	"store": func(w *sim.World, r *rand.Rand) {
+		w.StoreDown = true
+		w.At(w.Now()+4500*time.Millisecond, func() { w.StoreDown = false })
+	},
+	"drain": func(w *sim.World, r *rand.Rand) { any1(w, r).Drain() },
+}
+
+func any1(w *sim.World, r *rand.Rand) *sim.Worker { return w.Workers()[r.IntN(len(w.Workers()))] }
+
+var faultNames = []string{
+	"crash", "dark", "cut", "short cut", "late orders", "failing worker", "stalling worker", "slow worker", "owner",
+	"owner twice", "owner at a cut", "store", "drain",
+}
+
+func play(seed uint64, names ...string) *sim.World {
+	w := sim.New(config(seed))
+	load(w, seed, 20*time.Second, 6)
+	random := rand.New(rand.NewPCG(seed, 3))
+	for _, name := range names {
+		at := time.Duration(2000+random.IntN(12_000)) * time.Millisecond
+		w.At(at, func() { faults[name](w, random) })
+	}
+	w.Run(50 * time.Second)
+	return w
+}
+
+func TestCalmDayIsServed(t *testing.T) {
+	w := play(1)
+	assert.Equal(t, len(w.Violations()), 0, "%v", w.Violations())
+	s := w.Stats
+	assert.Assert(t, s.Accepted > 80, "%+v", s)
+	assert.Assert(t, s.InAim*100 >= 75*(s.Completed+s.Failed), "in aim: %+v", s)
+}
+
+func TestEqualSeedsGiveEqualRuns(t *testing.T) {
+	a, b := play(7, "owner", "late orders"), play(7, "owner", "late orders")
+	assert.DeepEqual(t, a.Stats, b.Stats)
+	assert.DeepEqual(t, a.Violations(), b.Violations())
+}
+
+func TestEachFaultKeepsThePromises(t *testing.T) {
+	for _, name := range faultNames {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 4; seed++ {
+				check(t, seed, name)
+			}
+		})
+	}
+}
+
+func TestPairsOfFaultsKeepThePromises(t *testing.T) {
+	if testing.Short() {
+		t.Skip("some seconds")
+	}
+	for i, a := range faultNames {
+		for _, b := range faultNames[i:] {
+			t.Run(a+" and "+b, func(t *testing.T) { check(t, 11, a, b) })
+		}
+	}
+}
+
+func TestHistoriesOfFaultsKeepThePromises(t *testing.T) {
+	for seed := uint64(100); seed < 130; seed++ {
+		random := rand.New(rand.NewPCG(seed, 4))
+		var names []string
+		for range 3 + random.IntN(4) {
+			names = append(names, faultNames[random.IntN(len(faultNames))])
+		}
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { check(t, seed, names...) })
+	}
+}
+
+func check(t *testing.T, seed uint64, names ...string) {
+	t.Helper()
+	w := play(seed, names...)
+	assert.Equal(t, len(w.Violations()), 0, "seed %d, %v: %v", seed, names, w.Violations())
+	s := w.Stats
+	assert.Assert(t, s.Completed*10 >= 5*s.Accepted, "seed %d, %v: %+v", seed, names, s)
+}
