--- /dev/null
+++ b/internal/entry/front/front_test.go
@@ -0,0 +1,316 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"bamboofall.example/bamboofall/internal/wire/httpclient"
+	"bamboofall.example/bamboofall/platform"
+	"bamboofall.example/bamboofall/platform/standin"
+)
+
+const service = "minions"
+
+// fleet is a platform with some entry VMs, on loopback.
+type fleet struct {
+	t      *testing.T
+	store  *standin.Store
+	audit  standin.Audit
+	fronts []*entry
+	log    *lines
+}
+
+type entry struct {
+	*Front
+	stop func()
+	url  string
+}
+
+// lines keeps what the log wrote.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+func newFleet(t *testing.T, fronts, workers int, work time.Duration) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: standin.NewStore(), log: &lines{}}
+	store := httptest.NewServer(f.store)
+	t.Cleanup(store.Close)
+	f.store.Put(platform.TopicOperator, "config", standin.Configuration(1, service, "q"))
+	for i := range workers {
+		x := standin.NewWorker(fmt.Sprintf("i-%d", i), &f.audit, work)
+		server := httptest.NewServer(x)
+		t.Cleanup(server.Close)
+		f.store.Put(platform.TopicWorkers, fmt.Sprintf("i-%d", i), x.Entry(service, strings.TrimPrefix(server.URL, "http://")))
+	}
+	for i := range fronts {
+		f.start(i, strings.TrimPrefix(store.URL, "http://"))
+	}
+	return f
+}
+
+// freePorts returns the first of some ports in a row that nobody listens on.
+func freePorts(t *testing.T, n int) int {
+	t.Helper()
+	for range 50 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		first := l.Addr().(*net.TCPAddr).Port
+		assert.NilError(t, l.Close())
+		free := true
+		for i := range n {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+i))
+			if err != nil {
+				free = false
+				break
+			}
+			assert.NilError(t, l.Close())
+		}
+		if free {
+			return first
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+func (f *fleet) start(i int, store string) {
+	port := freePorts(f.t, 5)
+	path := filepath.Join(f.t.TempDir(), "node.toml")
+	text := standin.Settings(fmt.Sprintf("entry-%d", i), "127.0.0.1", store, port)
+	assert.NilError(f.t, os.WriteFile(path, []byte(text), 0o600))
+	set, err := platform.ReadSettings(path)
+	assert.NilError(f.t, err)
+	engine, err := httpclient.NewEngine()
+	assert.NilError(f.t, err)
+	log := NewLog(f.log, set.VM)
+	ctx, cancel := context.WithCancel(context.Background())
+	fr := New(path, set, engine, log)
+	var ended sync.WaitGroup
+	ended.Go(func() { assert.Check(f.t, log.Run(ctx)) })
+	ended.Go(func() { assert.Check(f.t, fr.Run(ctx, uint16(port+4))) })
+	stop := sync.OnceFunc(func() {
+		cancel()
+		ended.Wait()
+		engine.Stop()
+	})
+	f.t.Cleanup(stop)
+	f.fronts = append(f.fronts, &entry{Front: fr, stop: stop, url: fmt.Sprintf("http://127.0.0.1:%d", port+2)})
+}
+
+// do makes a call at an entry VM.
+func (f *fleet) do(at int, method, path, body string) (int, string) {
+	req, err := http.NewRequest(method, f.fronts[at].url+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	req.Host = "jobs.example"
+	req.Header.Set("X-Bamboofall-Timeout-Ms", "3000")
+	client := http.Client{Timeout: 5 * time.Second}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	assert.NilError(f.t, err)
+	return res.StatusCode, string(data)
+}
+
+func (f *fleet) owner() int {
+	for i, e := range f.fronts {
+		if o := e.owner.Load(); o != nil && o.ready.Load() {
+			return i
+		}
+	}
+	return -1
+}
+
+func (f *fleet) waitForOwner(not int) int {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if o := f.owner(); o >= 0 && o != not {
+			return poll.Success()
+		}
+		return poll.Continue("no owner")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	return f.owner()
+}
+
+func (f *fleet) waitForState(at int, id, state string) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		status, body := f.do(at, http.MethodGet, "/q/"+id, "")
+		var answer struct{ State string }
+		if status == http.StatusOK && json.Unmarshal([]byte(body), &answer) == nil && answer.State == state {
+			return poll.Success()
+		}
+		return poll.Continue("status %d, body %s", status, body)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+const twoSteps = `{"task_spec":"x","steps":[{"count":4,"cpu":500,"memory_request_mb":64,"estimated_ms":100},{"count":2,"cpu":500,"memory_request_mb":64,"estimated_ms":100,"after":[0]}]}`
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+func TestJobRunsThroughEveryEntryVM(t *testing.T) {
+	f := newFleet(t, 3, 3, 50*time.Millisecond)
+	f.waitForOwner(-1)
+	for at := range f.fronts {
+		status, body := f.do(at, http.MethodPost, "/q/"+id(at), twoSteps)
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+	for at := range f.fronts {
+		f.waitForState((at+1)%len(f.fronts), id(at), "completed")
+	}
+	status, body := f.do(0, http.MethodGet, "/q/", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, `{"pending":0}`)
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+}
+
+func TestWrongCallsGetClearErrors(t *testing.T) {
+	f := newFleet(t, 1, 1, time.Millisecond)
+	f.waitForOwner(-1)
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		contains           string
+	}{
+		{"POST", "/nothing/" + id(1), twoSteps, 404, "noSuchQueue"},
+		{"POST", "/q/xyz", twoSteps, 400, "16 hexadecimal digits"},
+		{"POST", "/q/" + id(1), "{", 400, "body"},
+		{"POST", "/q/" + id(1), `{"steps":[]}`, 400, "0 steps"},
+		{"POST", "/q/" + id(1), `{"steps":[{"count":1,"after":[0]}]}`, 400, "not an earlier one"},
+		{"POST", "/q/" + id(1), `{"steps":[{"count":-1,"cpu":-5}]}`, 400, "count -1 out of range"},
+		{"POST", "/q/" + id(1), `{"task_spec":"` + strings.Repeat("x", 300_000) + `"}`, 413, "bodyTooLarge"},
+		{"GET", "/q/" + id(9), "", 410, "unknownJob"},
+		{"PUT", "/q/" + id(9), "", 405, "method"},
+	} {
+		status, body := f.do(0, c.method, c.path, c.body)
+		assert.Equal(t, status, c.status, "%s %s: %s", c.method, c.path, body)
+		assert.Assert(t, strings.Contains(body, c.contains), body)
+	}
+}
+
+func TestCancelledJobNeverRunsAgain(t *testing.T) {
+	f := newFleet(t, 2, 2, time.Minute)
+	f.waitForOwner(-1)
+	status, _ := f.do(0, http.MethodPost, "/q/"+id(1), twoSteps)
+	assert.Equal(t, status, http.StatusOK)
+	f.waitForState(1, id(1), "running")
+	status, _ = f.do(1, http.MethodDelete, "/q/"+id(1), "")
+	assert.Equal(t, status, http.StatusOK)
+	f.waitForState(0, id(1), "cancelled")
+	// A cancellation may arrive before the submission that it cancels.
+	status, _ = f.do(0, http.MethodDelete, "/q/"+id(2), "")
+	assert.Equal(t, status, http.StatusGone)
+	status, _ = f.do(0, http.MethodPost, "/q/"+id(2), twoSteps)
+	assert.Equal(t, status, http.StatusOK)
+	f.waitForState(1, id(2), "cancelled")
+}
+
+func TestSuccessorGoesOnWithTheWork(t *testing.T) {
+	f := newFleet(t, 3, 3, 1500*time.Millisecond)
+	first := f.waitForOwner(-1)
+	other := (first + 1) % 3
+	for n := range 5 {
+		status, body := f.do(other, http.MethodPost, "/q/"+id(n), twoSteps)
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+	f.waitForState(other, id(0), "running")
+	f.fronts[first].stop()
+	f.fronts[first] = f.fronts[other]
+	for n := range 5 {
+		f.waitForState(other, id(n), "completed")
+	}
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+}
+
+func TestJobsAreAcceptedWithoutAnOwner(t *testing.T) {
+	f := newFleet(t, 3, 2, 50*time.Millisecond)
+	first := f.waitForOwner(-1)
+	other := (first + 1) % 3
+	f.fronts[first].stop()
+	status, body := f.do(other, http.MethodPost, "/q/"+id(7), twoSteps)
+	assert.Equal(t, status, http.StatusOK, body)
+	f.waitForState(other, id(7), "completed")
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+}
+
+func TestLostAndLateAnswersOfTheStore(t *testing.T) {
+	f := newFleet(t, 2, 2, 100*time.Millisecond)
+	f.waitForOwner(-1)
+	var calls atomic.Int64
+	f.store.Fault = func(r *http.Request) standin.Fault {
+		if !strings.HasSuffix(r.URL.Path, "log-append") {
+			return standin.FaultNone
+		}
+		switch calls.Add(1) % 7 {
+		case 2:
+			return standin.FaultLost
+		case 4:
+			return standin.FaultRefused
+		case 6:
+			return standin.FaultLate
+		}
+		return standin.FaultNone
+	}
+	for n := range 6 {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if status, body := f.do(n%2, http.MethodPost, "/q/"+id(n), twoSteps); status != http.StatusOK {
+				return poll.Continue("status %d: %s", status, body)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(20*time.Second))
+	}
+	for n := range 6 {
+		f.waitForState(n%2, id(n), "completed")
+	}
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+}
+
+func TestConfigurationComesIntoForceAndNeverReverts(t *testing.T) {
+	f := newFleet(t, 2, 1, time.Millisecond)
+	f.waitForOwner(-1)
+	f.store.Put(platform.TopicOperator, "config", standin.Configuration(5, service, "q", "more"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, _ := f.do(0, http.MethodPost, "/more/"+id(3), twoSteps); status != http.StatusOK {
+			return poll.Continue("status %d", status)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	f.store.Put(platform.TopicOperator, "config", standin.Configuration(4, service, "q"))
+	f.store.Put(platform.TopicOperator, "config", []byte("{nonsense"))
+	time.Sleep(200 * time.Millisecond)
+	status, body := f.do(0, http.MethodGet, "/more/", "")
+	assert.Equal(t, status, http.StatusOK, body)
+	assert.Assert(t, strings.Contains(f.log.String(), "configuration rejected"))
+}
