jobs/suspicion: try a suspect worker that never gets empty

Cause: a suspect worker got new work only once it ran nothing, which a worker with standing tasks never does, so the fleet shrank with each stalled run. Change: one task at a time after the pause; a standing task that comes up counts as a success.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -101,6 +101,7 @@
 // what a successor must know.
 func (c *Cell) start(now time.Time, w *worker, t *task, run uint32) {
 	a := c.reserve(w, t, run)
+	w.health.Given(now)
 	s := t.step
 	if !s.released {
 		s.released = true
@@ -479,6 +480,9 @@
 func (c *Cell) runs(now time.Time, a *attempt, p *bamboofall.Placed) {
 	a.state = attemptRunning
 	a.confirmedAt = now
+	if a.task.step.Standing && a.percent < fullPace && p.Percent == fullPace {
+		a.worker.health.Succeeded()
+	}
 	a.percent, a.gauge = p.Percent, p.Gauge
 	if p.Checkpoint != "" {
 		a.checkpoint = p.Checkpoint
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -38,9 +38,7 @@
 
 func (h *health) avoid(now time.Time) { h.avoidUntil = now.Add(avoidFor) }
 
-func (h *health) takes(now time.Time, running int) bool {
-	return !now.Before(h.avoidUntil) && h.Takes(now, running)
-}
+func (h *health) takes(now time.Time) bool { return !now.Before(h.avoidUntil) && h.Takes(now) }
 
 // learned holds how long tasks take against what was declared, by queue and
 // image.
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -277,7 +277,7 @@
 	if !need.Fits(free) {
 		return false
 	}
-	if !w.health.takes(now, len(w.attempts)) {
+	if !w.health.takes(now) {
 		return false
 	}
 	if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
--- a/internal/jobs/suspicion/suspicion.go
+++ b/internal/jobs/suspicion/suspicion.go
@@ -15,6 +15,8 @@
 	// firstPause and maxPause bound how long a suspect worker is left alone.
 	firstPause = 3 * time.Second
 	maxPause   = 12 * time.Second
+	// probePause is the time between tasks for a worker that is tried again.
+	probePause = 2 * time.Second
 	// overdueFactor and overdueSlack tell a stalled run from a slow one:
 	// declared times are off by up to a half.
 	overdueFactor = 3
@@ -53,13 +55,15 @@
 // Failures returns the number of failures in a row.
 func (w *Worker) Failures() int { return w.failures }
 
-// Takes reports whether a worker that runs a number of tasks may be given
-// another. A suspect worker is tried with one task at a time.
-func (w *Worker) Takes(now time.Time, running int) bool {
-	if now.Before(w.until) {
-		return false
+// Takes reports whether a worker may be given a task.
+func (w *Worker) Takes(now time.Time) bool { return !now.Before(w.until) }
+
+// Given notes that a worker was given a task. A suspect worker is tried with one
+// task at a time. It need not be empty for it, as it may run tasks that last.
+func (w *Worker) Given(now time.Time) {
+	if w.failures >= failuresInRow {
+		w.until = now.Add(probePause)
 	}
-	return w.failures < failuresInRow || running == 0
 }
 
 // Overdue reports whether a run has taken so long that it is stalled.
