jobs/suspicion: tell stalled and slow runs by the progress that workers show

Cause: a run counted as stalled when it took three times as long as declared. Behind a cut or an outage ends come late, so healthy workers were suspected, and real stalls were noticed after four seconds. Change: no progress shown for 1.5 s is a stall; a run that would be done sooner elsewhere is begun again.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -36,8 +36,10 @@
 	// other.
 	confirmedAt time.Time
 	// doubtedAt is when the start was left unanswered.
-	doubtedAt  time.Time
-	startedAt  time.Time
+	doubtedAt time.Time
+	startedAt time.Time
+	// movedAt is when the worker last showed progress, or the run was slowed.
+	movedAt    time.Time
 	percent    int
 	gauge      int64
 	checkpoint string
@@ -181,7 +183,7 @@
 	}
 	if err == nil {
 		a.state = attemptRunning
-		a.confirmedAt = now
+		a.confirmedAt, a.movedAt = now, now
 		if len(w.attempts) == 1 || !w.holding {
 			w.wake(now)
 		}
@@ -411,8 +413,7 @@
 		}
 		a := c.reserve(w, t, p.Run)
 		a.state = attemptRunning
-		a.confirmedAt = now
-		a.startedAt = now
+		a.confirmedAt, a.startedAt, a.movedAt = now, now, now
 		c.counters.Adopted++
 		if t.queued {
 			t.queued = false
@@ -483,6 +484,9 @@
 	if a.task.step.Standing && a.percent < fullPace && p.Percent == fullPace {
 		a.worker.health.Succeeded()
 	}
+	if p.Percent != a.percent || a.paced < fullPace || a.want < fullPace || a.movedAt.IsZero() {
+		a.movedAt = now
+	}
 	a.percent, a.gauge = p.Percent, p.Gauge
 	if p.Checkpoint != "" {
 		a.checkpoint = p.Checkpoint
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -123,23 +123,39 @@
 		}
 		return
 	}
-	if s.gang != nil || s.Fills {
+	if s.gang != nil || a.confirmedAt.Before(a.startedAt) {
 		return
 	}
 	expected := c.expected(s)
 	if s.Rack != "" && a.worker.rack() != s.Rack {
 		expected = time.Duration(float64(expected) * c.cfg.RemoteFactor)
 	}
-	if s.Speculative && len(t.attempts) < copies && !t.queued && suspicion.WorthCopy(ran, expected) {
+	p := suspicion.Progress{
+		Began: a.startedAt, Seen: a.confirmedAt, Moved: a.movedAt, Percent: a.percent, Expected: expected,
+	}
+	switch {
+	case p.Stalled():
+		c.blame(now, a.worker, true)
+		c.again(now, a, "the run stands still")
+	case !s.Fills && !a.resumed && p.Slow():
+		a.worker.health.slow = max(a.worker.health.slow, p.Factor()-1)
+		c.again(now, a, "the run is slow")
+	}
+}
+
+// again begins a run anew elsewhere: beside the first if copies are allowed, and
+// in its place if not.
+func (c *Cell) again(now time.Time, a *attempt, why string) {
+	t, s := a.task, a.task.step
+	if !s.Speculative {
+		c.stop(now, a, why)
+		return
+	}
+	if len(t.attempts) < copies && !t.queued {
 		t.queued = true
 		s.waiting = append(s.waiting, t)
 		c.ready[s] = true
 		c.unsettled = true
-		return
-	}
-	if !s.Speculative && suspicion.Overdue(ran, expected) {
-		c.blame(now, a.worker, true)
-		c.stop(now, a, "the run stands still")
 	}
 }
 
--- a/internal/jobs/suspicion/suspicion.go
+++ b/internal/jobs/suspicion/suspicion.go
@@ -17,13 +17,12 @@
 	maxPause   = 12 * time.Second
 	// probePause is the time between tasks for a worker that is tried again.
 	probePause = 2 * time.Second
-	// overdueFactor and overdueSlack tell a stalled run from a slow one:
+	// stallTime is how long a worker may show no progress of a run.
+	stallTime = 1500 * time.Millisecond
+	// slowFactor and slowSlack tell when a run is better begun again elsewhere:
 	// declared times are off by up to a half.
-	overdueFactor = 3
-	overdueSlack  = 1500 * time.Millisecond
-	// copyFactor and copySlack tell when a copy of a run is worth its room.
-	copyFactor = 1.7
-	copySlack  = 300 * time.Millisecond
+	slowFactor = 1.7
+	slowSlack  = 500 * time.Millisecond
 )
 
 // Worker is what is held against a worker. The zero value trusts it.
@@ -66,12 +65,33 @@
 	}
 }
 
-// Overdue reports whether a run has taken so long that it is stalled.
-func Overdue(ran, expected time.Duration) bool {
-	return ran > overdueFactor*expected+overdueSlack
+// Progress is what is known of a run.
+type Progress struct {
+	// Began is when the run was ordered, Seen when the worker last showed it,
+	// Moved when it last showed a new percent.
+	Began, Seen, Moved time.Time
+	Percent            int
+	// Expected is how long such a run takes.
+	Expected time.Duration
 }
 
-// WorthCopy reports whether a copy of a run may be done first.
-func WorthCopy(ran, expected time.Duration) bool {
-	return ran > time.Duration(copyFactor*float64(expected))+copySlack
+// Stalled reports whether a run stands still though its worker answers.
+func (p Progress) Stalled() bool { return p.Seen.Sub(p.Moved) >= stallTime }
+
+// Slow reports whether a run would be done sooner if it began again elsewhere.
+func (p Progress) Slow() bool {
+	ran := p.Seen.Sub(p.Began)
+	if p.Percent <= 0 || ran < p.Expected/2 {
+		return false
+	}
+	remaining := ran * time.Duration(100-p.Percent) / time.Duration(p.Percent)
+	return remaining > time.Duration(slowFactor*float64(p.Expected))+slowSlack
+}
+
+// Factor returns how many times as long as expected a run takes.
+func (p Progress) Factor() float64 {
+	if p.Percent <= 0 || p.Expected <= 0 {
+		return 1
+	}
+	return float64(p.Seen.Sub(p.Began)) * 100 / float64(p.Percent) / float64(p.Expected)
 }
--- a/internal/jobs/suspicion/suspicion_test.go
+++ b/internal/jobs/suspicion/suspicion_test.go
@@ -55,10 +55,22 @@
 	}
 }
 
-func TestOverdueAndWorthCopy(t *testing.T) {
-	const expected = time.Second
-	assert.Assert(t, !Overdue(2*time.Second, expected))
-	assert.Assert(t, Overdue(5*time.Second, expected))
-	assert.Assert(t, !WorthCopy(1500*time.Millisecond, expected))
-	assert.Assert(t, WorthCopy(2100*time.Millisecond, expected))
+func TestProgressTellsStalledFromSlow(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for _, c := range []struct {
+		name          string
+		p             Progress
+		stalled, slow bool
+	}{
+		{"on its way", Progress{at(0), at(500), at(500), 50, time.Second}, false, false},
+		{"a worker that was not heard", Progress{at(0), at(500), at(500), 10, time.Second}, false, true},
+		{"a half longer than declared", Progress{at(0), at(1000), at(1000), 66, time.Second}, false, false},
+		{"six times as long", Progress{at(0), at(1000), at(1000), 16, time.Second}, false, true},
+		{"too early to tell", Progress{at(0), at(300), at(300), 5, time.Second}, false, false},
+		{"standing still", Progress{at(0), at(2600), at(1000), 40, time.Second}, true, true},
+	} {
+		assert.Equal(t, c.p.Stalled(), c.stalled, c.name)
+		assert.Equal(t, c.p.Slow(), c.slow, c.name)
+	}
+	assert.Equal(t, Progress{at(0), at(1500), at(1500), 50, time.Second}.Factor(), 3.0)
 }
