jobs/pressure: learn the tail of an image without anything beside it

Change: all workers that serve are observed, and what serving tasks press on each other is a part of the fit.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -466,7 +466,7 @@
 			c.stop(now, a, "the start was not answered")
 		}
 	}
-	if w.mixed() {
+	if len(w.serving) > 0 {
 		c.observe(now, w)
 	}
 	for _, p := range listed {
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -6,6 +6,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/pacing"
+	"bamboofall.example/bamboofall/internal/jobs/pressure"
 	"bamboofall.example/bamboofall/internal/jobs/suspicion"
 )
 
@@ -166,7 +167,7 @@
 		return
 	}
 	w.observedAt = now
-	shares := w.fillShares()
+	shares := w.usedShares()
 	load := 0.0
 	var worst *step
 	for _, a := range w.attempts {
@@ -193,7 +194,7 @@
 			continue
 		}
 		share := float64(s.Size.MilliProcessors) / float64(w.info.Room.MilliProcessors)
-		disturbs := share*c.pressure.Pressure(worst.Image, s.Image) >= pacing.Disturbing
+		disturbs := share*c.pressure.Pressure(worst.Image, pressure.Neighbour{Image: s.Image}) >= pacing.Disturbing
 		a.want = pacing.Next(a.want, load, disturbs, now.Sub(w.overSince))
 		if a.want > 0 {
 			a.heldSince = now
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -187,7 +187,7 @@
 			view.SameImage, view.OtherImage = w.servesImage(s.Image)
 		}
 		if kind != placement.Normal {
-			view.Tail = c.expectedTail(w, s)
+			view.Tail = c.expectedTail(now, w, s)
 			if kind == placement.Filling && view.Tail > maxExpectedTail {
 				continue
 			}
@@ -225,39 +225,78 @@
 
 // expectedTail returns the largest tail that is expected at a worker with one
 // more task of a step, as a share of its target.
-func (c *Cell) expectedTail(w *worker, s *step) float64 {
-	if len(w.serving) == 0 && (s.TailTarget <= 0 || len(w.filling) == 0) {
-		return 0
+func (c *Cell) expectedTail(now time.Time, w *worker, s *step) float64 {
+	own := float64(s.Size.MilliProcessors) / float64(w.info.Room.MilliProcessors)
+	neighbour := pressure.Neighbour{Image: s.Image, Serves: !s.Fills}
+	worst := 0.0
+	for _, t := range c.expectedTails(now, w) {
+		worst = max(worst, t.tail+own*c.pressure.Pressure(t.image, neighbour))
 	}
-	room := float64(w.info.Room.MilliProcessors)
-	own := 0.0
-	if s.Fills {
-		own = float64(s.Size.MilliProcessors) / room
+	if s.TailTarget > 0 {
+		worst = max(worst, c.expect(w, s.Image, w.shares()))
 	}
-	expect := func(image string) float64 {
-		tail := c.pressure.Alone(image) + own*c.pressure.Pressure(image, s.Image)
-		for filling, cpu := range w.filling {
-			tail += float64(cpu) / room * c.pressure.Pressure(image, filling)
-		}
-		return tail
+	return worst
+}
+
+// expectedTail is the tail that is expected of an image at a worker.
+type expectedTail struct {
+	image string
+	tail  float64
+}
+
+// tailsFor is how long expected tails are used before they are worked out again.
+const tailsFor = 300 * time.Millisecond
+
+// expectedTails returns the tails that are expected at a worker.
+func (c *Cell) expectedTails(now time.Time, w *worker) []expectedTail {
+	if len(w.serving) == 0 {
+		return nil
 	}
-	worst := 0.0
-	if s.TailTarget > 0 {
-		worst = expect(s.Image)
+	if w.tails != nil && now.Sub(w.tailsAt) < tailsFor {
+		return w.tails
 	}
+	w.tailsAt = now
+	w.tails = w.tails[:0]
+	shares := w.shares()
 	for image := range w.serving {
-		worst = max(worst, expect(image))
+		w.tails = append(w.tails, expectedTail{image, c.expect(w, image, shares)})
 	}
-	return worst
+	return w.tails
+}
+
+func (c *Cell) expect(w *worker, image string, shares pressure.Shares) float64 {
+	tail := c.pressure.Alone(image)
+	for n, share := range shares {
+		tail += share * c.pressure.Pressure(image, n)
+	}
+	return tail
 }
 
-// fillShares returns the shares of a worker's processors that tasks that fill
-// use now.
-func (w *worker) fillShares() pressure.Shares {
-	shares := make(pressure.Shares)
+// shares returns the shares of a worker's processors that are given to images.
+func (w *worker) shares() pressure.Shares {
+	room := float64(w.info.Room.MilliProcessors)
+	shares := make(pressure.Shares, len(w.filling)+len(w.serving))
+	for image, cpu := range w.filling {
+		shares[pressure.Neighbour{Image: image}] = float64(cpu) / room
+	}
+	for image, cpu := range w.serving {
+		shares[pressure.Neighbour{Image: image, Serves: true}] = float64(cpu) / room
+	}
+	return shares
+}
+
+// usedShares returns the shares that images use now, as far as that is known.
+func (w *worker) usedShares() pressure.Shares {
+	room := float64(w.info.Room.MilliProcessors)
+	shares := w.shares()
+	for n := range shares {
+		if !n.Serves {
+			delete(shares, n)
+		}
+	}
 	for _, a := range w.attempts {
-		if a.task.step.Fills {
-			shares[a.task.step.Image] += float64(a.gauge) / float64(w.info.Room.MilliProcessors)
+		if a.task.step.Fills && a.gauge > 0 {
+			shares[pressure.Neighbour{Image: a.task.step.Image}] += float64(a.gauge) / room
 		}
 	}
 	return shares
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -47,10 +47,13 @@
 	// of standing tasks is standingCPU.
 	used                 bamboofall.Resources
 	fillCPU, standingCPU int64
-	// serving counts the attempts with a tail latency to keep by image, filling
-	// the processors of those that fill.
-	serving map[string]int
-	filling map[string]int64
+	// serving and filling are the processors by image of tasks with a tail
+	// latency to keep and of tasks that fill.
+	serving, filling map[string]int64
+	// tails are the expected tails at tailsAt. They are dropped when tasks come
+	// or go.
+	tails   []expectedTail
+	tailsAt time.Time
 
 	// synced is set once this life has answered this owner.
 	synced bool
@@ -73,12 +76,13 @@
 }
 
 func newWorker(info bamboofall.Worker) *worker {
-	return &worker{info: info, born: info.Born, serving: make(map[string]int), filling: make(map[string]int64)}
+	return &worker{info: info, born: info.Born, serving: make(map[string]int64), filling: make(map[string]int64)}
 }
 
 // account adds an attempt to the sums of its worker, or takes it off.
 func (w *worker) account(a *attempt, sign int64) {
 	size, s := a.size(), a.task.step
+	w.tails = nil
 	if sign < 0 {
 		w.used = w.used.Sub(size)
 	} else {
@@ -95,7 +99,7 @@
 		}
 	}
 	if s.TailTarget > 0 {
-		w.serving[s.Image] += int(sign)
+		w.serving[s.Image] += sign * s.Size.MilliProcessors
 		if w.serving[s.Image] == 0 {
 			delete(w.serving, s.Image)
 		}
--- a/internal/jobs/pressure/pressure.go
+++ b/internal/jobs/pressure/pressure.go
@@ -4,19 +4,24 @@
 // and use only a part: work that fills must run beside them, and some pairs of
 // images disturb each other strongly, most not at all. For each image that
 // serves, its tail latency is fitted as a base and a pressure of each image that
-// fills times the share of the worker that it uses. Pressures are not negative.
+// fills or serves beside it times the share of the worker that it uses. Pressures
+// are not negative.
 // Old observations fade, as pressures change.
 package pressure
 
 import (
+	"maps"
 	"math"
 	"slices"
+	"strings"
 )
 
 const (
-	// priorPressure is what an image presses that was not seen yet, in targets
-	// for a whole worker. One task of a tenth of a worker may be tried.
-	priorPressure = 1.5
+	// fillPrior is what an image that fills presses that was not seen yet, in
+	// targets for a whole worker: one task of a tenth of a worker may be tried.
+	// servePrior is the same for an image that serves.
+	fillPrior  = 1.5
+	servePrior = 0.2
 	// priorWeight is the weight of the prior, in squared shares: some five
 	// observations of a tenth of a worker.
 	priorWeight = 0.03
@@ -34,8 +39,22 @@
 	firstVariance = 0.02
 )
 
-// Shares are the shares of a worker's processors that images use.
-type Shares map[string]float64
+// Neighbour is an image beside a task that serves.
+type Neighbour struct {
+	Image string
+	// Serves tells tasks that serve from those that fill.
+	Serves bool
+}
+
+func (n Neighbour) prior() float64 {
+	if n.Serves {
+		return servePrior
+	}
+	return fillPrior
+}
+
+// Shares are the shares of a worker's processors that neighbours use.
+type Shares map[Neighbour]float64
 
 // Model holds what was learned. Use New.
 type Model struct {
@@ -44,11 +63,12 @@
 
 // fit is the regression of the tail of one image that serves.
 type fit struct {
-	images   []string
-	gram     [][]float64
-	moments  []float64
-	values   []float64
-	variance float64
+	// neighbours are the columns of the regression. The first is the base.
+	neighbours []Neighbour
+	gram       [][]float64
+	moments    []float64
+	values     []float64
+	variance   float64
 }
 
 // New returns a model that knows nothing.
@@ -56,26 +76,26 @@
 
 func newFit() *fit {
 	return &fit{
-		images: []string{""}, gram: [][]float64{{1}}, moments: []float64{firstBase},
+		neighbours: []Neighbour{{}}, gram: [][]float64{{1}}, moments: []float64{firstBase},
 		values: []float64{firstBase}, variance: firstVariance,
 	}
 }
 
-// place returns the row of an image and adds one if it is new.
-func (f *fit) place(image string) int {
-	if i := slices.Index(f.images[1:], image); i >= 0 {
+// place returns the column of a neighbour and adds one if it is new.
+func (f *fit) place(n Neighbour) int {
+	if i := slices.Index(f.neighbours[1:], n); i >= 0 {
 		return i + 1
 	}
-	f.images = append(f.images, image)
+	f.neighbours = append(f.neighbours, n)
 	for i := range f.gram {
 		f.gram[i] = append(f.gram[i], 0)
 	}
-	row := make([]float64, len(f.images))
+	row := make([]float64, len(f.neighbours))
 	row[len(row)-1] = priorWeight
 	f.gram = append(f.gram, row)
-	f.moments = append(f.moments, priorWeight*priorPressure)
-	f.values = append(f.values, priorPressure)
-	return len(f.images) - 1
+	f.moments = append(f.moments, priorWeight*n.prior())
+	f.values = append(f.values, n.prior())
+	return len(f.neighbours) - 1
 }
 
 // Observe takes over the tail of an image that serves, as a share of its
@@ -86,13 +106,14 @@
 		f = newFit()
 		m.fits[serving] = f
 	}
-	for image := range beside {
-		f.place(image)
+	order := slices.SortedFunc(maps.Keys(beside), compareNeighbours)
+	for _, n := range order {
+		f.place(n)
 	}
-	x := make([]float64, len(f.images))
+	x := make([]float64, len(f.neighbours))
 	x[0] = 1
-	for image, share := range beside {
-		x[f.place(image)] = share
+	for _, n := range order {
+		x[f.place(n)] = beside[n]
 	}
 	expected := 0.0
 	for i, v := range x {
@@ -106,7 +127,7 @@
 		// returns to it.
 		prior, moment := 0.0, 0.0
 		if i > 0 {
-			prior, moment = priorWeight, priorWeight*priorPressure
+			prior, moment = priorWeight, priorWeight*f.neighbours[i].prior()
 		}
 		for k := range x {
 			f.gram[i][k] = f.gram[i][k]*fade + x[i]*x[k]
@@ -132,17 +153,17 @@
 	}
 }
 
-// Pressure returns how much an image that fills disturbs one that serves, in
+// Pressure returns how much a neighbour disturbs an image that serves, in
 // targets for a whole worker.
-func (m *Model) Pressure(serving, image string) float64 {
+func (m *Model) Pressure(serving string, n Neighbour) float64 {
 	f := m.fits[serving]
 	if f == nil {
-		return priorPressure
+		return n.prior()
 	}
-	if i := slices.Index(f.images[1:], image); i >= 0 {
+	if i := slices.Index(f.neighbours[1:], n); i >= 0 {
 		return f.values[i+1]
 	}
-	return priorPressure
+	return n.prior()
 }
 
 // Alone returns a high tail of an image that serves with nothing beside it, as
@@ -154,3 +175,14 @@
 	}
 	return base + spread*math.Sqrt(variance)
 }
+
+// compareNeighbours makes equal observations lead to equal fits.
+func compareNeighbours(a, b Neighbour) int {
+	if a.Serves != b.Serves {
+		if a.Serves {
+			return 1
+		}
+		return -1
+	}
+	return strings.Compare(a.Image, b.Image)
+}
