jobs/urgency, jobs/admission: place what can be in time first, refuse less

Refusing what would be late served more in time but cost those refused everything, while late ones are worth a part. Change: in time, late, over: in this order within a priority. Only what goes before a job counts as ahead of it. What fills get while some wait is their capacity.

--- a/internal/jobs/admission/admission.go
+++ b/internal/jobs/admission/admission.go
@@ -1,10 +1,10 @@
 // Package admission decides whether a job is accepted or refused at once.
 //
 // It answers a burst that brings more work than the workers can do in time.
-// Without it every job waits behind all others and all are late. A job is
-// refused if the work ahead of it takes longer than its slack, so that what is
-// accepted is done in time, and the caller learns when the backlog will be short
-// enough.
+// Jobs that can still be in time go first, so a job that will be late takes
+// nothing from them, and is worth something to its caller. A job is refused if
+// the work ahead of it takes so long that it would be worth nothing, and the
+// caller learns when the backlog will be short enough.
 package admission
 
 import "time"
@@ -36,7 +36,7 @@
 	Work time.Duration
 	// Chain is the time that it takes with all the room it wants.
 	Chain time.Duration
-	// Until is the time that is left to its objective.
+	// Until is the time that is left until its end is worth nothing.
 	Until time.Duration
 	// FirstMilliProcessors is what its first tasks take.
 	FirstMilliProcessors int64
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -64,7 +64,11 @@
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
-	pressure    *pressure.Model
+	// fillsGot is what tasks that fill get in processors while some wait, or
+	// zero if none waits.
+	fillsGot float64
+	fillsAt  time.Time
+	pressure *pressure.Model
 }
 
 // Counters counts what an owner did.
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -24,7 +24,9 @@
 	// shown is the state that is durable and that callers see.
 	shown bamboofall.JobState
 	chain time.Duration
-	due   time.Time
+	// remaining is the longest declared chain from each step to the end.
+	remaining []time.Duration
+	due       time.Time
 }
 
 // occurrence is one run of the steps of a job.
@@ -87,7 +89,10 @@
 		Job: spec, queue: q, accepted: accepted, state: bamboofall.JobQueued, shown: bamboofall.JobQueued,
 		occurrences: make(map[int]*occurrence),
 	}
-	j.chain = longestChain(spec)
+	j.remaining = remainingChains(spec)
+	for _, d := range j.remaining {
+		j.chain = max(j.chain, d)
+	}
 	stretch := 1.0
 	if q != nil {
 		stretch = q.Stretch
@@ -96,19 +101,17 @@
 	return j
 }
 
-// longestChain returns the longest declared chain of work of a job.
-func longestChain(spec *bamboofall.Job) time.Duration {
-	until := make([]time.Duration, len(spec.Steps))
-	longest := time.Duration(0)
-	for i, s := range spec.Steps {
-		from := time.Duration(0)
-		for _, a := range s.After {
-			from = max(from, until[a])
+// remainingChains returns the longest declared chain of work from each step to
+// the end of the job.
+func remainingChains(spec *bamboofall.Job) []time.Duration {
+	out := make([]time.Duration, len(spec.Steps))
+	for i := len(spec.Steps) - 1; i >= 0; i-- {
+		out[i] += spec.Steps[i].Estimate
+		for _, before := range spec.Steps[i].After {
+			out[before] = max(out[before], out[i])
 		}
-		until[i] = from + s.Estimate
-		longest = max(longest, until[i])
 	}
-	return longest
+	return out
 }
 
 // begin opens an occurrence.
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -11,6 +10,7 @@
 	"bamboofall.example/bamboofall/internal/jobs/admission"
 	"bamboofall.example/bamboofall/internal/jobs/placement"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
+	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
 
 // copies bounds the runs of a task that allows copies.
@@ -22,13 +22,21 @@
 		return
 	}
 	c.unsettled = false
-	steps := make([]*step, 0, len(c.ready))
+	type waitingStep struct {
+		urgency.Key
+		*step
+	}
+	steps := make([]waitingStep, 0, len(c.ready))
+	fillsWait := false
 	for s := range c.ready {
-		steps = append(steps, s)
+		steps = append(steps, waitingStep{c.urgencyOf(now, s), s})
+		fillsWait = fillsWait || s.Fills
 	}
-	slices.SortFunc(steps, compareUrgency)
+	c.noteFills(now, fillsWait)
+	slices.SortFunc(steps, func(a, b waitingStep) int { return a.Compare(b.Key) })
 	full := make(map[fitKey]bool)
-	for _, s := range steps {
+	for _, waiting := range steps {
+		s := waiting.step
 		if c.inDoubt && s.released {
 			continue // a worker that has not answered may run its tasks
 		}
@@ -66,22 +74,48 @@
 // plain reports whether only the size and the label of a task bind where it goes.
 func (s *step) plain() bool { return s.MaxPerWorker == 0 && s.gang == nil }
 
-// compareUrgency orders steps: by priority, then by how near the objective is.
-func compareUrgency(a, b *step) int {
-	return cmp.Or(
-		cmp.Compare(a.priority(), b.priority()),
-		a.occ.job.due.Compare(b.occ.job.due),
-		cmp.Compare(a.occ.job.ID, b.occ.job.ID),
-		cmp.Compare(a.occ.number, b.occ.number),
-		cmp.Compare(a.index, b.index),
-	)
+// urgencyOf returns the place of a step in the order of waiting.
+func (c *Cell) urgencyOf(now time.Time, s *step) urgency.Key {
+	j := s.occ.job
+	k := urgency.Key{Due: j.due, Name: string(j.ID)}
+	if j.queue != nil {
+		k.Priority = j.queue.Priority
+	}
+	if !s.Standing && j.Repetitions == 0 {
+		ratio := 1.0
+		if s.Estimate > 0 {
+			ratio = float64(c.expected(s)) / float64(s.Estimate)
+		}
+		k.Tier = urgency.TierOf(now, j.accepted, j.due, time.Duration(ratio*float64(j.remaining[s.index])))
+	}
+	return k
 }
 
-func (s *step) priority() int {
-	if q := s.occ.job.queue; q != nil {
-		return q.Priority
+// fillsSample is the time between looks at what fills use, and fillsWeight the
+// weight of a look.
+const (
+	fillsSample = 200 * time.Millisecond
+	fillsWeight = 0.15
+)
+
+// noteFills learns how many processors tasks that fill get while some wait.
+func (c *Cell) noteFills(now time.Time, wait bool) {
+	if now.Sub(c.fillsAt) < fillsSample {
+		return
+	}
+	c.fillsAt = now
+	if !wait {
+		c.fillsGot = 0
+		return
+	}
+	used := int64(0)
+	for _, w := range c.order {
+		used += w.fillCPU
+	}
+	if c.fillsGot == 0 {
+		c.fillsGot = float64(used)
 	}
-	return 0
+	c.fillsGot += fillsWeight * (float64(used) - c.fillsGot)
 }
 
 // placeStep places the waiting tasks of a step. It reports false if one found
@@ -221,7 +255,7 @@
 
 // maxExpectedTail is the expected tail, as a share of its target, up to which a
 // task that fills is placed.
-const maxExpectedTail = 0.9
+const maxExpectedTail = 0.8
 
 // expectedTail returns the largest tail that is expected at a worker with one
 // more task of a step, as a share of its target.
@@ -408,8 +442,13 @@
 		l.MilliProcessors += room - standing
 		l.FreeMilliProcessors += max(0, free-w.fillCPU)
 	}
+	if fills && c.fillsGot > 0 {
+		// Interference leaves less to tasks that fill than is unused.
+		l.MilliProcessors = min(l.MilliProcessors, int64(c.fillsGot))
+		l.FreeMilliProcessors = 0
+	}
 	for _, other := range c.jobs {
-		if !other.state.Ended() && other.queue != nil && other.queue.Service == j.queue.Service && other.queue.Priority <= j.queue.Priority {
+		if !other.state.Ended() && other.queue != nil && other.queue.Service == j.queue.Service && c.goesBefore(now, other, j) {
 			l.Ahead += c.remaining(now, other)
 		}
 	}
@@ -427,10 +466,30 @@
 		own.Work = 0
 	}
 	own.Chain = j.chain
-	own.Until = j.due.Sub(now)
+	own.Until = urgency.LateFactor * j.due.Sub(now)
 	return l, own.Work, admission.Decide(l, own)
 }
 
+// goesBefore reports whether the work of a job is placed before that of a new
+// one: it is more urgent, or as urgent, nearer to its objective and in time.
+func (c *Cell) goesBefore(now time.Time, j, later *job) bool {
+	if j.queue.Priority != later.queue.Priority {
+		return j.queue.Priority < later.queue.Priority
+	}
+	if j.due.After(later.due) {
+		return false
+	}
+	left := time.Duration(0)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.left > 0 && s.waitsFor == 0 {
+				left = max(left, j.remaining[s.index])
+			}
+		}
+	}
+	return urgency.TierOf(now, j.accepted, j.due, left) == urgency.InTime
+}
+
 // workOf returns processor time: whole processors times run time.
 func workOf(size bamboofall.Resources, d time.Duration) time.Duration {
 	return time.Duration(float64(size.MilliProcessors) / 1000 * float64(d))
