--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -113,10 +113,7 @@
 	if err := o.append(ctx, fence); err != nil {
 		return err
 	}
-	records, err := retry(ctx, func() ([]bamboofall.StoredRecord, error) {
-		records, _, err := o.front.store.Newest(ctx, topicCells, cellPart)
-		return records, err
-	})
+	records, err := o.newest(ctx, topicCells)
 	if err != nil {
 		return err
 	}
@@ -131,10 +128,7 @@
 		o.front.log.Event("record left out", logrus.Fields{"error": err.Error()})
 	}
 	// A job from the inbox is accepted, so it is known before the first question.
-	inbox, err := retry(ctx, func() ([]bamboofall.StoredRecord, error) {
-		records, _, err := o.front.store.Newest(ctx, topicInbox, cellPart)
-		return records, err
-	})
+	inbox, err := o.newest(ctx, topicInbox)
 	if err != nil {
 		return err
 	}
@@ -146,13 +140,14 @@
 	return nil
 }
 
-// retry calls a function until it succeeds.
-func retry[T any](ctx context.Context, f func() (T, error)) (T, error) {
+// newest reads the newest records of a topic. It tries until it succeeds.
+func (o *owner) newest(ctx context.Context, topic string) ([]bamboofall.StoredRecord, error) {
 	for {
-		v, err := f()
+		records, _, err := o.front.store.Newest(ctx, topic, cellPart)
 		if err == nil || ctx.Err() != nil {
-			return v, err
+			return records, err
 		}
+		o.front.log.Event("read failed", logrus.Fields{"epoch": o.record.Epoch, "topic": topic, "error": err.Error()})
 		sleep(ctx, storeRetry)
 	}
 }
