--- a/internal/jobs/admission/admission.go
+++ b/internal/jobs/admission/admission.go
@@ -13,10 +13,10 @@
 	// fullUse is the share of the processors that placement can fill, as
 	// whole tasks leave gaps.
 	fullUse = 0.9
-	// minRetry and maxRetry bound what callers are told, so that they neither
+	// minRetry and MaxRetry bound what callers are told, so that they neither
 	// spin nor leave for good.
 	minRetry = 200 * time.Millisecond
-	maxRetry = 10 * time.Second
+	MaxRetry = 10 * time.Second
 )
 
 // Load is what stands between a job and its end.
@@ -63,5 +63,5 @@
 	if j.FirstMilliProcessors <= l.FreeMilliProcessors || wait <= slack {
 		return Decision{Accept: true, Wait: wait}
 	}
-	return Decision{Wait: wait, RetryAfter: min(max(wait-max(slack, 0), minRetry), maxRetry)}
+	return Decision{Wait: wait, RetryAfter: min(max(wait-max(slack, 0), minRetry), MaxRetry)}
 }
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -427,6 +427,7 @@
 	if j.queue == nil || j.Repetitions > 0 {
 		return l, 0, admission.Decision{Accept: true}
 	}
+	var roomOfAll, reserved int64
 	fills := slices.ContainsFunc(j.Steps, func(s bamboofall.Step) bool { return s.Fills })
 	for _, w := range c.order {
 		if !w.listed || !w.synced || w.silent() || w.info.Draining || w.info.Service != j.queue.Service {
@@ -435,6 +436,8 @@
 		room := w.info.Room.MilliProcessors
 		free := w.free().MilliProcessors
 		standing := w.standingCPU
+		roomOfAll += room
+		reserved += standing
 		if fills {
 			standing = int64(servingUse * float64(standing))
 			free = w.unusedCPU()
@@ -464,12 +467,19 @@
 	}
 	if standing {
 		own.Work = 0
+		if float64(reserved+own.FirstMilliProcessors) > standingCap*float64(roomOfAll) && own.FirstMilliProcessors > 0 {
+			return l, 0, admission.Decision{RetryAfter: admission.MaxRetry}
+		}
 	}
 	own.Chain = j.chain
 	own.Until = urgency.LateFactor * j.due.Sub(now)
 	return l, own.Work, admission.Decide(l, own)
 }
 
+// standingCap is the share of the processors that standing tasks may reserve.
+// Beyond it urgent work finds no room for minutes.
+const standingCap = 0.9
+
 // goesBefore reports whether the work of a job is placed before that of a new
 // one: it is more urgent, or as urgent, nearer to its objective and in time.
 func (c *Cell) goesBefore(now time.Time, j, later *job) bool {
