--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -33,6 +33,10 @@
 	exitMargin = 700 * time.Millisecond
 	// storeRetry is the time between tries while the store does not answer.
 	storeRetry = 100 * time.Millisecond
+	// configurationWait is how long a read for a new configuration waits. A
+	// connection that has gone silent is noticed after that and the time of a
+	// call.
+	configurationWait = 1500 * time.Millisecond
 	// maxLease bounds the lease of workers: a take-over has to fit into it.
 	maxLease = 5 * time.Second
 	// leaseShare is the part of the platform's longest lease that is used.
@@ -185,7 +189,7 @@
 
 // followConfiguration keeps the newest configuration.
 func (f *Front) followConfiguration(ctx context.Context) error {
-	return f.follow(ctx, platform.TopicOperator, cellPart, 20*time.Second, func(r bamboofall.StoredRecord) {
+	return f.follow(ctx, platform.TopicOperator, cellPart, configurationWait, func(r bamboofall.StoredRecord) {
 		if !platform.IsConfiguration(r.Key) || len(r.Value) == 0 {
 			return
 		}
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -28,9 +28,13 @@
 	stepEvents = 64
 	// countEvery is the time between updates of the counters.
 	countEvery = time.Second
-	// inboxWait and workersWait are how long reads wait for news.
-	inboxWait   = 10 * time.Second
-	workersWait = 10 * time.Second
+	// inboxWait and workersWait are how long reads wait for news. A connection
+	// that has gone silent is noticed after that and the time of a call.
+	inboxWait   = 500 * time.Millisecond
+	workersWait = 1500 * time.Millisecond
+	// inboxFresh is the age of the last read of the inbox up to which a job that
+	// is not known is told to be unknown.
+	inboxFresh = 1200 * time.Millisecond
 	// keyEpoch is the key by which an owner fences the cell's partition.
 	keyEpoch = "e"
 )
@@ -57,8 +61,10 @@
 	storing  bool
 	waiters  []waiter
 	counted  time.Time
-	ctx      context.Context
-	failed   error
+	// inboxRead is when the inbox was last read to its end.
+	inboxRead time.Time
+	ctx       context.Context
+	failed    error
 }
 
 // waiter is a call that is answered once a flush is stored.
@@ -132,6 +138,7 @@
 	if err != nil {
 		return err
 	}
+	o.inboxRead = now()
 	for _, r := range inbox {
 		o.takeInbox(now(), r)
 	}
@@ -338,9 +345,15 @@
 func (o *owner) followInbox(ctx context.Context) error {
 	return o.front.follow(ctx, topicInbox, cellPart, inboxWait, func(r bamboofall.StoredRecord) {
 		o.events.Push(ctx, func(at time.Time) { o.takeInbox(at, r) })
-	}, nil)
+	}, func(int64) {
+		o.events.Push(ctx, func(at time.Time) { o.inboxRead = at })
+	})
 }
 
+// knowsAll reports whether a job that is not known has not been accepted: all
+// that was stored in the inbox until lately has been taken over.
+func (o *owner) knowsAll(at time.Time) bool { return at.Sub(o.inboxRead) <= inboxFresh }
+
 func (o *owner) takeInbox(at time.Time, r bamboofall.StoredRecord) {
 	if len(r.Value) == 0 {
 		return
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -125,8 +125,12 @@
 }
 
 func (f *Front) lookupHere(ctx context.Context, m *jobpb.LookupRequest) (*jobpb.LookupResponse, error) {
-	return local(ctx, f, func(o *owner, _ time.Time, answer func(*jobpb.LookupResponse)) {
+	return local(ctx, f, func(o *owner, at time.Time, answer func(*jobpb.LookupResponse)) {
 		state, known := o.cell.Lookup(bamboofall.JobID(m.GetId()))
+		if !known && !o.knowsAll(at) {
+			answer(&jobpb.LookupResponse{NotOwner: true})
+			return
+		}
 		if !known {
 			answer(&jobpb.LookupResponse{UnknownJob: true})
 			return
@@ -148,7 +152,11 @@
 	notOwner func(*Res) bool,
 ) (*Res, error) {
 	if f.owner.Load() != nil {
-		return here(ctx, req)
+		res, err := here(ctx, req)
+		if err == nil && notOwner(res) {
+			return nil, errNotOwner
+		}
+		return res, err
 	}
 	owner, known := f.ownerAddress()
 	if !known || owner.Process == f.process {
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -478,7 +478,7 @@
 
 // standingCap is the share of the processors that standing tasks may reserve.
 // Beyond it urgent work finds no room for minutes.
-const standingCap = 0.9
+const standingCap = 0.85
 
 // goesBefore reports whether the work of a job is placed before that of a new
 // one: it is more urgent, or as urgent, nearer to its objective and in time.
--- /dev/null
+++ b/internal/jobs/pressure/pressure_test.go
@@ -0,0 +1,75 @@
+package pressure
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func fills(image string) Neighbour { return Neighbour{Image: image} }
+
+// observe plays looks at workers where pairs of images press with the given
+// pressures, with a load that swings and rough figures.
+func observe(m *Model, seed uint64, looks int, press map[string]float64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	names := []string{"heavy", "light", "none"}
+	for i := range looks {
+		shares := Shares{}
+		for _, n := range names {
+			if random.IntN(2) == 0 {
+				shares[fills(n)] = 0.05 + 0.15*random.Float64()
+			}
+		}
+		tail := 0.45 + 0.15*math.Sin(float64(i)/9) + 0.05*random.NormFloat64()
+		for n, share := range shares {
+			tail += share * press[n.Image]
+		}
+		m.Observe("s", tail, shares)
+	}
+}
+
+func TestPressuresAreLearnedByPair(t *testing.T) {
+	m := New()
+	observe(m, 1, 300, map[string]float64{"heavy": 10, "light": 1})
+	assert.Assert(t, math.Abs(m.Pressure("s", fills("heavy"))-10) < 1, "%v", m.Pressure("s", fills("heavy")))
+	assert.Assert(t, math.Abs(m.Pressure("s", fills("light"))-1) < 0.6, "%v", m.Pressure("s", fills("light")))
+	assert.Assert(t, m.Pressure("s", fills("none")) < 0.6, "%v", m.Pressure("s", fills("none")))
+}
+
+func TestAFewLooksTellAHeavyImage(t *testing.T) {
+	m := New()
+	for range 6 {
+		m.Observe("s", 0.45, Shares{})
+		m.Observe("s", 0.45+0.1*12, Shares{fills("heavy"): 0.1})
+	}
+	assert.Assert(t, m.Pressure("s", fills("heavy")) > 5, "%v", m.Pressure("s", fills("heavy")))
+}
+
+func TestPressuresThatChangeAreFollowed(t *testing.T) {
+	m := New()
+	observe(m, 2, 300, map[string]float64{"heavy": 10})
+	observe(m, 3, 1500, map[string]float64{"heavy": 2})
+	assert.Assert(t, math.Abs(m.Pressure("s", fills("heavy"))-2) < 1, "%v", m.Pressure("s", fills("heavy")))
+}
+
+// An image whose base was taken too high would get nothing beside it and be
+// never corrected if looks at it alone did not count.
+func TestTheBaseIsLearnedAlone(t *testing.T) {
+	m := New()
+	for range 20 {
+		m.Observe("s", 1.4, Shares{})
+	}
+	high := m.Alone("s")
+	for range 600 {
+		m.Observe("s", 0.45, Shares{})
+	}
+	assert.Assert(t, high > 1.2 && m.Alone("s") < 0.75, "%v to %v", high, m.Alone("s"))
+}
+
+func TestWhatWasNotSeenIsAssumed(t *testing.T) {
+	m := New()
+	assert.Equal(t, m.Pressure("s", fills("new")), fillPrior)
+	assert.Equal(t, m.Pressure("s", Neighbour{Image: "new", Serves: true}), servePrior)
+}
--- /dev/null
+++ b/internal/state/lease/lease_test.go
@@ -0,0 +1,95 @@
+package lease
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+)
+
+var (
+	start   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	address = netip.MustParseAddrPort("10.0.0.1:7000")
+	timing  = DefaultTiming()
+)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func TestAnEmptyCellIsClaimedAtOnce(t *testing.T) {
+	l := New(timing, "a", address, 0)
+	_, _, claim := l.Claim(start)
+	assert.Assert(t, !claim, "nothing was read yet")
+	l.Seen(start, 0)
+	r, end, claim := l.Claim(start)
+	assert.Assert(t, claim)
+	assert.Equal(t, end, int64(0))
+	assert.DeepEqual(t, r, Record{Epoch: 1, Address: address, Process: "a"}, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }))
+	l.Claimed(start, r, 1)
+	assert.Assert(t, l.MayAct(start, 1))
+	assert.Assert(t, l.FormerGrants(time.Second).IsZero())
+}
+
+func TestASilentOwnerIsReplaced(t *testing.T) {
+	l := New(timing, "b", address, 0.5)
+	l.Observe(start, Record{Epoch: 4, Address: address, Process: "a"}, 9)
+	l.Seen(at(timing.Expire), 9)
+	_, _, claim := l.Claim(at(timing.Expire))
+	assert.Assert(t, !claim, "claims are staggered")
+	r, end, claim := l.Claim(at(timing.Expire + timing.Stagger))
+	assert.Assert(t, claim)
+	assert.Equal(t, r.Epoch, uint64(5))
+	assert.Equal(t, end, int64(9))
+}
+
+func TestAReleasedCellIsClaimedWithoutWaiting(t *testing.T) {
+	l := New(timing, "b", address, 0)
+	l.Observe(start, Record{Epoch: 4, Address: address, Process: "a", Released: true}, 9)
+	_, known := l.Owner()
+	assert.Assert(t, !known)
+	_, _, claim := l.Claim(start)
+	assert.Assert(t, claim)
+}
+
+// An owner that sleeps must not act when it wakes. Its successor may count on
+// the end of all that it granted.
+func TestAnOwnerWithoutConfirmationStopsBeforeItsGrantsAreOver(t *testing.T) {
+	a := New(timing, "a", address, 0)
+	a.Seen(start, 0)
+	r, _, _ := a.Claim(start)
+	a.Claimed(start, r, 1)
+	a.Confirmed(1, at(time.Second))
+	b := New(timing, "b", address, 0)
+	b.Observe(at(time.Second), r, 2)
+	b.Seen(at(3*time.Second), 2)
+	next, _, claim := b.Claim(at(3 * time.Second))
+	assert.Assert(t, claim)
+	b.Claimed(at(3*time.Second), next, 3)
+	const lease = 5 * time.Second
+	for d := time.Duration(0); d < 20*time.Second; d += 100 * time.Millisecond {
+		if a.MayAct(at(d), 1) {
+			assert.Assert(t, !at(d).Add(lease).After(b.FormerGrants(lease)), "%v", d)
+		}
+	}
+}
+
+func TestANewerOwnerDeposes(t *testing.T) {
+	a := New(timing, "a", address, 0)
+	a.Seen(start, 0)
+	r, _, _ := a.Claim(start)
+	a.Claimed(start, r, 1)
+	a.Observe(at(time.Second), Record{Epoch: 2, Address: address, Process: "b"}, 2)
+	assert.Assert(t, !a.MayAct(at(time.Second), 1))
+	a.Observe(at(time.Second), Record{Epoch: 1, Address: address, Process: "a"}, 3)
+	owner, _ := a.Owner()
+	assert.Equal(t, owner.Epoch, uint64(2))
+}
+
+func TestALeavingProcessClaimsNothing(t *testing.T) {
+	l := New(timing, "a", address, 0)
+	l.Seen(start, 0)
+	l.Leave()
+	_, _, claim := l.Claim(at(time.Minute))
+	assert.Assert(t, !claim)
+}
