--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -50,7 +50,7 @@
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			serveCommand(), entryCommand(), checkCommand(), publishCommand(), getCommand(), statusCommand(), watchCommand(),
+			serveCommand(), checkSettingsCommand(), historyCommand(), entryCommand(), checkCommand(), publishCommand(), getCommand(), statusCommand(), watchCommand(),
 			submitCommand(), cancelCommand(), explainCommand(), devCommand(), benchCommand(),
 		},
 	}
--- a/internal/operator/command/serve.go
+++ b/internal/operator/command/serve.go
@@ -29,7 +29,7 @@
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			path := c.String("settings")
-			set, err := platform.ReadSettings(path)
+			set, err := readPlatformSettings(path)
 			if err != nil {
 				return err
 			}
@@ -54,3 +54,11 @@
 		},
 	}
 }
+
+func readPlatformSettings(path string) (*platform.Settings, error) {
+	set, err := platform.ReadSettings(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return set, nil
+}
--- /dev/null
+++ b/internal/operator/history/history_test.go
@@ -0,0 +1,35 @@
+package history
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func TestHistoryInOrderOverSeveralVMs(t *testing.T) {
+	var h History
+	for _, name := range []string{"testdata/a.log", "testdata/b.log"} {
+		f, err := os.Open(name)
+		assert.NilError(t, err)
+		defer f.Close()
+		assert.NilError(t, h.Read(f, "aa9b92bd05a6a182"))
+	}
+	assert.Equal(t, h.Unreadable, 1)
+	var out bytes.Buffer
+	assert.NilError(t, h.Write(&out))
+	golden.Assert(t, out.String(), "history.golden")
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(`x {"job":"a","msg":"m","time":"2026-01-01T00:00:00Z"}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		var h History
+		if h.Read(strings.NewReader(text), "a") == nil {
+			assert.NilError(t, h.Write(&bytes.Buffer{}))
+		}
+	})
+}
