--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -64,6 +64,9 @@
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
+	// learnedDue is set when what was learned should go with the next flush.
+	learnedDue bool
+	learnedAt  time.Time
 	// fillsGot is what tasks that fill get in processors while some wait, or
 	// zero if none waits.
 	fillsGot float64
@@ -181,6 +184,9 @@
 	for _, w := range slices.Clone(c.order) {
 		c.watchWorker(now, w)
 	}
+	if now.Sub(c.learnedAt) >= learnedEvery {
+		c.learnedAt, c.learnedDue = now, true
+	}
 	if now.Sub(c.lastSummary) >= summaryEvery {
 		c.lastSummary = now
 		c.summarize()
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/pressure"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
 
@@ -17,8 +18,13 @@
 	keyJob      = "j"
 	keyProgress = "p"
 	keyWorker   = "w"
+	keyLearned  = "l"
 )
 
+// learnedEvery is the time between records of what was learned. They go with
+// other records and never alone.
+const learnedEvery = 3 * time.Second
+
 // changes are the records that are not in the store yet. Only the newest
 // record of a key is kept.
 type changes struct {
@@ -86,6 +92,12 @@
 		out = append(out, bamboofall.StoreRecord{Key: key, Value: value})
 		return nil
 	}
+	if c.learnedDue {
+		c.learnedDue = false
+		if err := add(keyLearned, c.encodeLearned()); err != nil {
+			return nil, 0, err
+		}
+	}
 	for id, w := range p.workers {
 		if err := add(keyWorker+id, &jobpb.Worker{Address: w.info.Address.String(), BornUnixMs: unixMS(w.born)}); err != nil {
 			return nil, 0, err
@@ -301,6 +313,8 @@
 			progress[id] = m
 		case keyWorker:
 			err = c.restoreWorker(id, r.Value)
+		case keyLearned:
+			err = c.restoreLearned(r.Value)
 		}
 		if err != nil {
 			errs = append(errs, &RecordError{r.Key, err})
@@ -393,3 +407,39 @@
 	}
 	c.open(now, o)
 }
+
+func (c *Cell) encodeLearned() *jobpb.Learned {
+	m := &jobpb.Learned{RunTimeRatios: c.learned.ratio}
+	for _, f := range c.pressure.Fits() {
+		fit := &jobpb.Fit{Image: f.Image, Base: f.Base, Variance: f.Variance}
+		for _, p := range f.Pressures {
+			fit.Pressures = append(fit.Pressures, &jobpb.Pressure{Image: p.Image, Serves: p.Serves, Value: p.Value, Weight: p.Weight})
+		}
+		m.Fits = append(m.Fits, fit)
+	}
+	return m
+}
+
+func (c *Cell) restoreLearned(data []byte) error {
+	m := &jobpb.Learned{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return err
+	}
+	for image, ratio := range m.GetRunTimeRatios() {
+		if ratio > 0 {
+			c.learned.ratio[image] = ratio
+		}
+	}
+	var fits []pressure.Fit
+	for _, f := range m.GetFits() {
+		fit := pressure.Fit{Image: f.GetImage(), Base: f.GetBase(), Variance: f.GetVariance()}
+		for _, p := range f.GetPressures() {
+			fit.Pressures = append(fit.Pressures, pressure.Pressure{
+				Neighbour: pressure.Neighbour{Image: p.GetImage(), Serves: p.GetServes()}, Value: p.GetValue(), Weight: p.GetWeight(),
+			})
+		}
+		fits = append(fits, fit)
+	}
+	c.pressure.Restore(fits)
+	return nil
+}
--- a/internal/jobs/pressure/pressure.go
+++ b/internal/jobs/pressure/pressure.go
@@ -186,3 +186,62 @@
 	}
 	return strings.Compare(a.Image, b.Image)
 }
+
+// Fit is what was learned of an image that serves.
+type Fit struct {
+	Image          string
+	Base, Variance float64
+	Pressures      []Pressure
+}
+
+// Pressure is what was learned of a pair of images.
+type Pressure struct {
+	Neighbour
+	Value float64
+	// Weight tells how much was observed, in squared shares.
+	Weight float64
+}
+
+const (
+	// keptBase and keptPressure bound the weight of what a former owner has
+	// learned, so that a change since then is soon noticed.
+	keptBase     = 50
+	keptPressure = 0.5
+)
+
+// Fits returns what was learned, in the order of the images.
+func (m *Model) Fits() []Fit {
+	var out []Fit
+	for _, image := range slices.Sorted(maps.Keys(m.fits)) {
+		f := m.fits[image]
+		fit := Fit{Image: image, Base: f.values[0], Variance: f.variance}
+		for i, n := range f.neighbours[1:] {
+			fit.Pressures = append(fit.Pressures, Pressure{n, f.values[i+1], f.gram[i+1][i+1]})
+		}
+		out = append(out, fit)
+	}
+	return out
+}
+
+// Restore takes over what a former owner has learned. Figures that cannot be
+// are left out.
+func (m *Model) Restore(fits []Fit) {
+	good := func(v float64) bool { return v >= 0 && v < math.MaxFloat32 }
+	for _, kept := range fits {
+		if !good(kept.Base) || !good(kept.Variance) {
+			continue
+		}
+		f := newFit()
+		f.values[0], f.variance = kept.Base, kept.Variance
+		f.gram[0][0], f.moments[0] = keptBase, keptBase*kept.Base
+		for _, p := range kept.Pressures {
+			if !good(p.Value) || !good(p.Weight) {
+				continue
+			}
+			i := f.place(p.Neighbour)
+			weight := max(priorWeight, min(p.Weight, keptPressure))
+			f.values[i], f.gram[i][i], f.moments[i] = p.Value, weight, weight*p.Value
+		}
+		m.fits[kept.Image] = f
+	}
+}
--- a/internal/jobs/pressure/pressure_test.go
+++ b/internal/jobs/pressure/pressure_test.go
@@ -73,3 +73,15 @@
 	assert.Equal(t, m.Pressure("s", fills("new")), fillPrior)
 	assert.Equal(t, m.Pressure("s", Neighbour{Image: "new", Serves: true}), servePrior)
 }
+
+func TestASuccessorKnowsWhatWasLearned(t *testing.T) {
+	m, next := New(), New()
+	observe(m, 1, 300, map[string]float64{"heavy": 10})
+	next.Restore(m.Fits())
+	assert.DeepEqual(t, next.Pressure("s", fills("heavy")), m.Pressure("s", fills("heavy")))
+	assert.Equal(t, next.Alone("s"), m.Alone("s"))
+	observe(next, 2, 600, map[string]float64{"heavy": 2})
+	assert.Assert(t, next.Pressure("s", fills("heavy")) < 5, "%v", next.Pressure("s", fills("heavy")))
+	next.Restore([]Fit{{Image: "bad", Base: math.NaN()}, {Image: "s", Pressures: []Pressure{{fills("x"), math.Inf(1), 1}}}})
+	assert.Equal(t, next.Pressure("s", fills("x")), fillPrior)
+}
