jobs/cell: count slow clocks in the end of a former owner's leases

Change: one bound for all leases, with drift and margin; leases are granted on the low estimate of the worker's clock; idle workers' clocks are looked at.

--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
 	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
@@ -97,7 +98,7 @@
 	}
 	f.leaseMu.Lock()
 	f.lease.Claimed(sent, record, end)
-	former := f.lease.FormerGrants(f.leaseTime())
+	former := f.lease.FormerGrants(cell.LeaseBound(f.leaseTime()))
 	f.leaseMu.Unlock()
 	f.log.Event("claimed", logrus.Fields{"epoch": record.Epoch})
 	o := newOwner(f, record, former, sequence+1)
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -25,6 +25,9 @@
 	// holdUnstored is the time between calls while ends wait for the store, for
 	// the worker repeats them at once.
 	holdUnstored = 400 * time.Millisecond
+	// clockFresh is the age at which the clock of an idle worker is looked at
+	// again: after it a lease would be shorter by up to 0.4 s.
+	clockFresh = 20 * time.Second
 	// stopRetry is the time after which a stop is ordered again.
 	stopRetry = 400 * time.Millisecond
 	// silentAfter is how many calls must fail before a worker gets no new work.
@@ -119,17 +122,21 @@
 
 func (w *worker) silent() bool { return w.failures >= silentAfter }
 
-// clockNow estimates the worker's clock.
-func (w *worker) clockNow(now time.Time) time.Duration { return w.clock + now.Sub(w.clockAt) }
+// LeaseBound returns how long a lease can last at a worker whose clock is slow,
+// from the time at which it is granted.
+func LeaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-clockDrift)) + leaseMargin
+}
 
-// grant returns the end of a lease that begins now, and notes it.
+// grant returns the end of a lease that begins now, on the worker's clock, and
+// notes it. The clock is taken as slow since it was last seen, so that the lease
+// does not last longer than its bound.
 func (c *Cell) grant(now time.Time, w *worker) time.Duration {
-	age := now.Sub(w.clockAt)
-	end := now.Add(time.Duration(float64(c.cfg.Lease+age)*(1+clockDrift)) - age + leaseMargin)
-	if end.After(w.leasesEnd) {
+	if end := now.Add(LeaseBound(c.cfg.Lease)); end.After(w.leasesEnd) {
 		w.leasesEnd = end
 	}
-	return w.clockNow(now) + c.cfg.Lease
+	age := now.Sub(w.clockAt)
+	return w.clock + time.Duration(float64(age)*(1-clockDrift)) + c.cfg.Lease
 }
 
 // SetWorker takes over the announcement of a worker.
@@ -266,7 +273,7 @@
 		if !unstored {
 			w.seen = w.got
 		}
-		if w.synced && len(w.attempts) == 0 && !w.mustAcknowledge() {
+		if w.synced && len(w.attempts) == 0 && !w.mustAcknowledge() && now.Sub(w.clockAt) < clockFresh {
 			continue
 		}
 		if !w.synced && !w.listed && now.After(w.leasesEnd) {
--- a/internal/jobs/sim/worker.go
+++ b/internal/jobs/sim/worker.go
@@ -22,6 +22,11 @@
 	up    bool
 	// Cut is set while owners do not reach the worker.
 	Cut bool
+	// CutFromOwner is set while the owner does not reach the worker but a former
+	// one does.
+	CutFromOwner bool
+	// CutFromFormer is the reverse.
+	CutFromFormer bool
 	// cutFromStore is set while it is not listed.
 	cutFromStore bool
 	// FailAll makes all runs fail, StallAll makes them stand still, Slow makes
@@ -31,8 +36,9 @@
 	// LateShare of the orders is carried out late and not answered.
 	LateShare float64
 
-	token   bamboofall.Token
-	until   time.Time
+	token bamboofall.Token
+	// until is the end of the leases on the worker's clock.
+	until   time.Duration
 	ends    []bamboofall.End
 	number  uint64
 	acked   uint64
@@ -85,7 +91,7 @@
 		x.born = x.w.now
 		x.up = true
 		x.token, x.number, x.acked = 0, 0, 0
-		x.until = time.Time{}
+		x.until = 0
 		clear(x.blocked)
 		if x.w.cell != nil {
 			x.w.cell.SetWorker(x.w.now, x.announcement())
@@ -112,7 +118,13 @@
 }
 
 // clock is the worker's steady clock.
-func (x *Worker) clock() time.Duration { return x.w.now.Sub(x.born) }
+func (x *Worker) clock() time.Duration {
+	d := x.w.now.Sub(x.born)
+	if x.index%2 == 0 {
+		d -= d / 50 // the slowest clock that the platform allows
+	}
+	return d
+}
 
 func (x *Worker) sighting() bamboofall.Sighting {
 	return bamboofall.Sighting{Clock: x.clock(), Born: x.born}
@@ -126,7 +138,7 @@
 	now := x.w.now
 	for _, r := range slices.Clone(x.running) {
 		switch {
-		case now.After(x.until):
+		case x.clock() > x.until:
 			x.end(r, bamboofall.EndLapsed)
 		case !r.stopBy.IsZero() && now.After(r.stopBy):
 			x.end(r, bamboofall.EndStopped)
@@ -166,9 +178,8 @@
 }
 
 // send carries an order out: a way there, the work, and a way back.
-func (w *World) send(o cell.Order) {
+func (w *World) send(owner *cell.Cell, o cell.Order) {
 	x := w.workerOf(o.Worker.ID)
-	owner := w.cell
 	way := func() time.Duration { return time.Millisecond + time.Duration(w.random.IntN(4000))*time.Microsecond }
 	answered := false
 	answer := func(s bamboofall.Sighting, report bamboofall.HoldReport, err error) {
@@ -176,7 +187,7 @@
 			return
 		}
 		answered = true
-		if w.cell != owner {
+		if w.cell != owner && w.ghost != owner {
 			return
 		}
 		switch o.Kind {
@@ -208,7 +219,7 @@
 		return
 	}
 	w.after(way(), func() {
-		if !x.up || x.Cut {
+		if !x.up || x.Cut || x.CutFromOwner && owner == w.cell || x.CutFromFormer && owner != w.cell {
 			return
 		}
 		x.do(o, func(s bamboofall.Sighting, r bamboofall.HoldReport, err error) {
@@ -273,12 +284,7 @@
 }
 
 func (x *Worker) grant(until time.Duration) {
-	if until > 0 {
-		at := x.born.Add(until)
-		if at.After(x.until) {
-			x.until = at
-		}
-	}
+	x.until = max(x.until, until)
 }
 
 func (x *Worker) start(o bamboofall.StartOrder) bamboofall.RejectCause {
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -50,6 +50,8 @@
 	order   int
 	workers []*Worker
 	cell    *cell.Cell
+	// ghost is a former owner that goes on without the store.
+	ghost   *cell.Cell
 	token   bamboofall.Token
 	store   map[string][]byte
 	storing bool
@@ -175,8 +177,26 @@
 // ReplaceOwner ends the owner at once and puts a new one in its place later.
 func (w *World) ReplaceOwner(gap time.Duration) {
 	w.cell = nil
-	died := w.now
-	w.after(gap, func() { w.newOwner(died.Add(former + w.cfg.Lease)) })
+	w.replaceAfter(gap)
+}
+
+// CutOwner puts a new owner beside the present one, which loses the store and
+// acts on until it must stop.
+func (w *World) CutOwner(gap time.Duration) {
+	ghost := w.cell
+	w.ghost = ghost
+	w.cell = nil
+	w.after(former, func() {
+		if w.ghost == ghost {
+			w.ghost = nil
+		}
+	})
+	w.replaceAfter(gap)
+}
+
+func (w *World) replaceAfter(gap time.Duration) {
+	heard := w.now
+	w.after(gap, func() { w.newOwner(heard.Add(former + cell.LeaseBound(w.cfg.Lease))) })
 }
 
 // Now returns the time since the start of the world.
@@ -217,6 +237,9 @@
 		x.tick()
 	}
 	w.step()
+	if w.ghost != nil {
+		w.sendAll(w.ghost)
+	}
 }
 
 // step lets the owner decide and carries its orders out.
@@ -224,16 +247,24 @@
 	if w.cell == nil {
 		return
 	}
-	out := w.cell.Step(w.now)
+	w.sendAll(w.cell)
+	w.flush()
+}
+
+func (w *World) sendAll(owner *cell.Cell) {
+	out := owner.Step(w.now)
+	if out.Deposed && owner == w.ghost {
+		w.ghost = nil
+		return
+	}
 	for _, n := range out.Notes {
 		if w.Verbose || n.Event == "summary" {
 			w.Notes = append(w.Notes, n)
 		}
 	}
 	for _, o := range out.Orders {
-		w.send(o)
+		w.send(owner, o)
 	}
-	w.flush()
 }
 
 func (w *World) flush() {
--- a/internal/jobs/sim/world_test.go
+++ b/internal/jobs/sim/world_test.go
@@ -130,6 +130,14 @@
 		w.At(w.Now()+300*time.Millisecond, func() { w.ReplaceOwner(2 * time.Second) })
 		w.At(w.Now()+7*time.Second, func() { x.Cut = false })
 	},
+	"owner cut from the store": func(w *sim.World, r *rand.Rand) { w.CutOwner(2 * time.Second) },
+	"owner cut from the store at a cut": func(w *sim.World, r *rand.Rand) {
+		w.CutOwner(1800 * time.Millisecond)
+		// The successor does not reach a worker that the former owner reaches.
+		x := any1(w, r)
+		x.CutFromOwner = true
+		w.At(w.Now()+20*time.Second, func() { x.CutFromOwner = false })
+	},
 	"store": func(w *sim.World, r *rand.Rand) {
 		w.StoreDown = true
 		w.At(w.Now()+4500*time.Millisecond, func() { w.StoreDown = false })
@@ -141,7 +149,7 @@
 
 var faultNames = []string{
 	"crash", "dark", "cut", "short cut", "late orders", "failing worker", "stalling worker", "slow worker", "owner",
-	"owner twice", "owner at a cut", "store", "drain",
+	"owner twice", "owner at a cut", "owner cut from the store", "owner cut from the store at a cut", "store", "drain",
 }
 
 func play(seed uint64, names ...string) *sim.World {
@@ -209,3 +217,30 @@
 	s := w.Stats
 	assert.Assert(t, s.Completed*10 >= 5*s.Accepted, "seed %d, %v: %+v", seed, names, s)
 }
+
+// A former owner that lost the store renews leases until it must stop, at a
+// worker with the slowest clock that its successor does not reach. Only workers
+// that the successor reaches could tell the former owner that it is replaced.
+func TestLeasesOfAFormerOwnerEndBeforeWorkBeginsAgain(t *testing.T) {
+	for seed := uint64(1); seed <= 60; seed++ {
+		cfg := config(seed)
+		cfg.Workers, cfg.FailShare = 4, 0
+		w := sim.New(cfg)
+		random := rand.New(rand.NewPCG(seed, 5))
+		for n := range 6 {
+			w.At(time.Duration(200+random.IntN(1500))*time.Millisecond, func() {
+				w.Submit(&bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n)), Queue: "standing", Steps: []bamboofall.Step{{
+					Count: 3, Size: bamboofall.Resources{MilliProcessors: 1500}, Standing: true,
+				}}})
+			})
+		}
+		w.At(time.Duration(3000+random.IntN(2000))*time.Millisecond, func() {
+			w.CutOwner(1800 * time.Millisecond)
+			for i, x := range w.Workers() {
+				x.CutFromOwner, x.CutFromFormer = i < 2, i >= 2
+			}
+		})
+		w.Run(25 * time.Second)
+		assert.Equal(t, len(w.Violations()), 0, "seed %d: %v", seed, w.Violations())
+	}
+}
