jobs/cell: move tasks before their worker leaves

Change: standing tasks move as soon as there is room, tasks with checkpoints when they would not end in time. A test of a release failed first (runs lost with their workers).

--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -232,3 +232,30 @@
 		o.attempt.paced = o.Percent
 	}
 }
+
+// leaveMargin is the part of a draining worker's time that is left for stops.
+const leaveMargin = 600 * time.Millisecond
+
+// evacuate moves what will not end before a draining worker leaves. Tasks that
+// last go as soon as there is room elsewhere, others if they keep what they did.
+func (c *Cell) evacuate(now time.Time, w *worker) {
+	if !w.info.Draining || w.drainingSince.IsZero() {
+		return
+	}
+	left := max(0, w.info.Remaining-now.Sub(w.drainingSince)-leaveMargin)
+	for _, a := range w.attempts {
+		s := a.task.step
+		if a.state != attemptRunning || a.stopping || s.gang != nil {
+			continue
+		}
+		if !s.Standing {
+			remaining := c.expected(s) * time.Duration(100-min(100, max(0, a.percent))) / 100
+			if !s.Checkpointing || remaining <= left {
+				continue
+			}
+		}
+		if c.choose(now, a.task) != nil {
+			c.stop(now, a, "its worker leaves")
+		}
+	}
+}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -73,6 +73,8 @@
 	seen, got uint64
 	gotAt     uint64
 	health    health
+	// drainingSince is when the worker was first seen to leave.
+	drainingSince time.Time
 	// observedAt is when tails were last taken into account, overSince since
 	// when one has been over its target.
 	observedAt, overSince time.Time
@@ -147,7 +149,8 @@
 		c.addWorker(w)
 		c.record(w)
 	}
-	if info.Draining && !w.info.Draining {
+	if info.Draining && (!w.info.Draining || w.drainingSince.IsZero()) {
+		w.drainingSince = now
 		c.note(Note{Event: "worker draining", Worker: info.ID, Detail: "remaining " + info.Remaining.String()})
 	}
 	w.listed = true
@@ -210,12 +213,14 @@
 	w.leasesEnd = time.Time{}
 	w.nextHold = now
 	w.health = health{}
+	w.drainingSince = time.Time{}
 	c.record(w)
 }
 
 // watchWorker drops what only time ends: leases, and workers that are gone.
 func (c *Cell) watchWorker(now time.Time, w *worker) {
 	c.pace(now, w)
+	c.evacuate(now, w)
 	if len(w.attempts) > 0 && w.silent() && now.After(w.leasesEnd) {
 		c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the worker did not answer"})
 		for _, a := range slices.Clone(w.attempts) {
--- a/internal/jobs/sim/worker.go
+++ b/internal/jobs/sim/worker.go
@@ -29,6 +29,8 @@
 	CutFromFormer bool
 	// cutFromStore is set while it is not listed.
 	cutFromStore bool
+	// leaving is set once the worker drains.
+	leaving bool
 	// FailAll makes all runs fail, StallAll makes them stand still, Slow makes
 	// them take that many times as long.
 	FailAll, StallAll bool
@@ -76,7 +78,7 @@
 	}
 	return bamboofall.Worker{
 		WorkerRef: bamboofall.WorkerRef{ID: x.ID(), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(x.index >> 8), byte(x.index)}), 80)},
-		Born:      x.born, Service: Service, Room: x.w.cfg.Room, Labels: []string{"a", rack},
+		Born:      x.born, Service: Service, Room: x.w.cfg.Room, Labels: []string{"a", rack}, Draining: x.leaving,
 	}
 }
 
@@ -99,13 +101,24 @@
 	})
 }
 
-// Drain announces that a worker leaves.
-func (x *Worker) Drain() {
+// Leave announces that a worker leaves, and takes it away for good after some
+// time.
+func (x *Worker) Leave(after time.Duration) {
+	x.leaving = true
 	a := x.announcement()
-	a.Draining = true
 	if x.w.cell != nil {
+		a.Remaining = after
 		x.w.cell.SetWorker(x.w.now, a)
 	}
+	x.w.after(after, func() {
+		for _, r := range x.running {
+			x.w.audit(r.task).running--
+		}
+		x.up, x.running, x.waiting = false, nil, nil
+		if x.w.cell != nil {
+			x.w.cell.RemoveWorker(x.w.now, x.ID())
+		}
+	})
 }
 
 func (w *World) audit(task bamboofall.TaskName) *taskAudit {
--- a/internal/jobs/sim/world_test.go
+++ b/internal/jobs/sim/world_test.go
@@ -142,14 +142,14 @@
 		w.StoreDown = true
 		w.At(w.Now()+4500*time.Millisecond, func() { w.StoreDown = false })
 	},
-	"drain": func(w *sim.World, r *rand.Rand) { any1(w, r).Drain() },
+	"leave": func(w *sim.World, r *rand.Rand) { any1(w, r).Leave(4500 * time.Millisecond) },
 }
 
 func any1(w *sim.World, r *rand.Rand) *sim.Worker { return w.Workers()[r.IntN(len(w.Workers()))] }
 
 var faultNames = []string{
 	"crash", "dark", "cut", "short cut", "late orders", "failing worker", "stalling worker", "slow worker", "owner",
-	"owner twice", "owner at a cut", "owner cut from the store", "owner cut from the store at a cut", "store", "drain",
+	"owner twice", "owner at a cut", "owner cut from the store", "owner cut from the store at a cut", "store", "leave",
 }
 
 func play(seed uint64, names ...string) *sim.World {
@@ -244,3 +244,24 @@
 		assert.Equal(t, len(w.Violations()), 0, "seed %d: %v", seed, w.Violations())
 	}
 }
+
+// Workers are replaced one after the other. Their standing tasks must be at work
+// elsewhere before they go, not when their leases end.
+func TestStandingTasksMoveBeforeTheirWorkerLeaves(t *testing.T) {
+	cfg := config(3)
+	cfg.FailShare = 0
+	w := sim.New(cfg)
+	for n := range 8 {
+		w.At(200*time.Millisecond, func() {
+			w.Submit(&bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n)), Queue: "standing", Steps: []bamboofall.Step{{
+				Count: 5, Size: bamboofall.Resources{MilliProcessors: 5000}, Standing: true, TailTarget: 50 * time.Millisecond, Image: "a",
+			}}})
+		})
+	}
+	for i := range 6 {
+		w.At(time.Duration(3000+1000*i)*time.Millisecond, func() { w.Workers()[i].Leave(4500 * time.Millisecond) })
+	}
+	w.Run(20 * time.Second)
+	assert.Equal(t, len(w.Violations()), 0, "%v", w.Violations())
+	assert.Equal(t, w.Counters().Lapsed, int64(0), "runs were lost with their workers: %+v", w.Counters())
+}
