--- a/internal/config/object/set.go
+++ b/internal/config/object/set.go
@@ -62,6 +62,13 @@
 	return objects, append(errs, faults...)
 }
 
+// CheckFiles reads objects from files and checks them as one set. It returns all
+// faults, of syntax, titles, fields and references.
+func CheckFiles(paths []string) ([]Object, []error) {
+	objects, errs := ReadFiles(paths)
+	return objects, append(errs, Check(objects)...)
+}
+
 // Parse reads objects from the text of a file.
 func Parse(file string, data []byte) ([]Object, []error) {
 	sections, errs := inifile.Parse(file, data)
--- a/internal/dev/session/session.go
+++ b/internal/dev/session/session.go
@@ -111,10 +111,7 @@
 // Run publishes the objects, makes load for a time, shuts the daemons down
 // gracefully and returns the summary.
 func (s *Session) Run(ctx context.Context, span time.Duration) (*Summary, error) {
-	objects, errs := object.ReadFiles([]string{s.site.Deployment.Load.Objects})
-	if len(errs) == 0 {
-		errs = object.Check(objects)
-	}
+	objects, errs := object.CheckFiles([]string{s.site.Deployment.Load.Objects})
 	if len(errs) > 0 {
 		return nil, errors.Join(errs...)
 	}
--- a/internal/operator/command/objects.go
+++ b/internal/operator/command/objects.go
@@ -21,10 +21,7 @@
 	if len(paths) == 0 {
 		return nil, errors.New("name at least one file")
 	}
-	objects, errs := object.ReadFiles(paths)
-	if len(errs) == 0 {
-		errs = object.Check(objects)
-	}
+	objects, errs := object.CheckFiles(paths)
 	return objects, errors.Join(errs...)
 }
 
