jobs/cell: ask silent workers that run nothing; drop what is not used

Cause: a silent worker was asked only while something was thought to run there. Every zone cut cost a quarter of the workers for that time. Change: silent workers are asked until they answer. The test failed first. Also: queues that need advice are refused at once; settings and types that nothing used are gone.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -172,7 +172,14 @@
 }
 
 // leave stops taking part: no new callers, no ownership.
-func (f *Front) leave() { f.leaveOnce.Do(func() { close(f.leaving) }) }
+func (f *Front) leave() {
+	f.leaveOnce.Do(func() {
+		f.leaseMu.Lock()
+		f.lease.Leave()
+		f.leaseMu.Unlock()
+		close(f.leaving)
+	})
+}
 
 func (f *Front) isLeaving() bool {
 	select {
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -39,7 +39,6 @@
 type Cell struct {
 	cfg     Config
 	queues  map[string]*bamboofall.Queue
-	pools   map[string]bamboofall.WorkerPool
 	version uint64
 	jobs    map[bamboofall.JobID]*job
 	workers map[string]*worker
@@ -153,7 +152,6 @@
 		return
 	}
 	c.version = conf.Version
-	c.pools = conf.Services
 	for i := range conf.Queues {
 		c.queues[conf.Queues[i].Name] = &conf.Queues[i]
 	}
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -195,7 +195,7 @@
 		}
 		share := float64(s.Size.MilliProcessors) / float64(w.info.Room.MilliProcessors)
 		disturbs := share*c.pressure.Pressure(worst.Image, pressure.Neighbour{Image: s.Image}) >= pacing.Disturbing
-		a.want = pacing.Next(a.want, load, disturbs, now.Sub(w.overSince))
+		a.want = pacing.Next(a.want, load, disturbs, now.Sub(w.overSince), c.cfg.HarmAfter)
 		if a.want > 0 {
 			a.heldSince = now
 		}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -381,9 +381,9 @@
 
 // Reasons of a refusal.
 const (
-	ReasonBacklog  = "backlog"
-	ReasonTooLarge = "noWorkerIsLargeEnough"
-	ReasonQueue    = "noSuchQueue"
+	ReasonBacklog = "backlog"
+	ReasonAdvice  = "adviceNotSupported"
+	ReasonQueue   = "noSuchQueue"
 )
 
 // Submit decides on a job. It returns the flush that makes it durable, or why
@@ -396,6 +396,10 @@
 	if q == nil && !mustAccept {
 		return 0, &Refusal{Reason: ReasonQueue}
 	}
+	if q != nil && q.NeedsAdvice && !mustAccept {
+		// Starts without a ticket are rejected, and tickets are not built yet.
+		return 0, &Refusal{Reason: ReasonAdvice, RetryAfter: admission.MaxRetry}
+	}
 	j := newJob(spec, q, now)
 	load, work, d := c.judge(now, j)
 	if !d.Accept && !mustAccept {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -278,7 +278,7 @@
 		if !unstored {
 			w.seen = w.got
 		}
-		if w.synced && len(w.attempts) == 0 && !w.mustAcknowledge() && now.Sub(w.clockAt) < clockFresh {
+		if w.synced && !w.silent() && len(w.attempts) == 0 && !w.mustAcknowledge() && now.Sub(w.clockAt) < clockFresh {
 			continue
 		}
 		if !w.synced && !w.listed && now.After(w.leasesEnd) {
--- a/internal/jobs/pacing/pacing.go
+++ b/internal/jobs/pacing/pacing.go
@@ -21,9 +21,9 @@
 	raise   = 25
 	// least is the share below which work is stopped.
 	least = 20
-	// blameAll is how long a tail may be over its target before all that fills
-	// is slowed, disturbing or not: half of the time that the platform allows.
-	blameAll = 2 * time.Second
+	// blameShare is the part of the time that a tail may be over its target after
+	// which all that fills is slowed, disturbing or not.
+	blameShare = 2
 	// Every is the least time between changes: figures cover half a second.
 	Every = 400 * time.Millisecond
 )
@@ -34,10 +34,10 @@
 
 // Next returns the share for a task that fills, given the largest tail at its
 // worker as a share of its target, and whether the task is held to disturb.
-// Since is how long the tail has been over its target.
-func Next(percent int, load float64, disturbs bool, since time.Duration) int {
+// Over is how long the tail has been over its target, allowed how long it may be.
+func Next(percent int, load float64, disturbs bool, over, allowed time.Duration) int {
 	switch {
-	case load >= 1 && (disturbs || since >= blameAll):
+	case load >= 1 && (disturbs || over >= allowed/blameShare):
 		return 0
 	case load >= near && disturbs:
 		percent /= backoff
--- a/internal/jobs/pacing/pacing_test.go
+++ b/internal/jobs/pacing/pacing_test.go
@@ -23,9 +23,9 @@
 		{"near, and little is left", 30, 0.85, true, 0, 0},
 		{"over", 100, 1.2, true, 0, 0},
 		{"over for another cause", 100, 1.2, false, time.Second, 100},
-		{"over for long", 100, 1.2, false, blameAll, 0},
+		{"over for long", 100, 1.2, false, 2 * time.Second, 0},
 		{"near for another cause", 100, 0.9, false, 0, 100},
 	} {
-		assert.Equal(t, Next(c.percent, c.load, c.disturbs, c.since), c.want, c.name)
+		assert.Equal(t, Next(c.percent, c.load, c.disturbs, c.since, 4*time.Second), c.want, c.name)
 	}
 }
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -147,7 +147,7 @@
 	})
 	w.version++
 	w.cell.SetConfiguration(&bamboofall.Configuration{
-		Version: w.version, Queues: slices.Clone(w.cfg.Queues), Services: map[string]bamboofall.WorkerPool{Service: {}},
+		Version: w.version, Queues: slices.Clone(w.cfg.Queues),
 	})
 	var records []bamboofall.StoredRecord
 	for key, value := range w.store {
--- a/internal/jobs/sim/world_test.go
+++ b/internal/jobs/sim/world_test.go
@@ -265,3 +265,30 @@
 	assert.Equal(t, len(w.Violations()), 0, "%v", w.Violations())
 	assert.Equal(t, w.Counters().Lapsed, int64(0), "runs were lost with their workers: %+v", w.Counters())
 }
+
+// Workers are cut off for longer than their leases. Once they are back they must
+// be given work at once, though nothing is known to run there.
+func TestWorkersThatReturnAreUsedAgain(t *testing.T) {
+	cfg := config(5)
+	cfg.FailShare = 0
+	w := sim.New(cfg)
+	w.At(time.Second, func() {
+		for _, x := range w.Workers() {
+			x.Cut = true
+		}
+	})
+	w.At(12*time.Second, func() {
+		for _, x := range w.Workers() {
+			x.Cut = false
+		}
+	})
+	spec := func(n int) *bamboofall.Job {
+		return &bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n)), Queue: "urgent", Steps: []bamboofall.Step{{
+			Count: 12, Size: bamboofall.Resources{MilliProcessors: 3000}, Estimate: 500 * time.Millisecond,
+		}}}
+	}
+	w.At(900*time.Millisecond, func() { w.Submit(spec(1)) })
+	w.Run(14 * time.Second)
+	state, _ := w.Lookup(spec(1).ID)
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
--- a/jobs.go
+++ b/jobs.go
@@ -148,28 +148,16 @@
 	Slack   time.Duration
 	// Timeout bounds a call.
 	Timeout time.Duration
-	Advice  *Advice
-}
-
-// Advice says that an external service knows which workers may run a step.
-type Advice struct {
-	Decision, PerWorker, Validity time.Duration
+	// NeedsAdvice means that only an external service knows which workers may
+	// run a step.
+	NeedsAdvice bool
 }
 
 // Configuration is what operators have published.
 type Configuration struct {
-	Version  uint64
-	Queues   []Queue
-	Services map[string]WorkerPool
-	Limits   CallLimits
-}
-
-// WorkerPool is a pool of workers.
-type WorkerPool struct {
-	// GuardsRoom means that workers refuse what does not fit.
-	GuardsRoom bool
-	// Standby means that the machines of the pool are switched off.
-	Standby bool
+	Version uint64
+	Queues  []Queue
+	Limits  CallLimits
 }
 
 // CallLimits bounds callers' requests.
