--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -58,6 +58,8 @@
 	leaseMu sync.Mutex
 	lease   *lease.Lease
 	owner   atomic.Pointer[owner]
+	// owners waits for owners that are stopping.
+	owners sync.WaitGroup
 
 	leaving   chan struct{}
 	leaveOnce sync.Once
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -48,6 +48,7 @@
 			f.log.Event("owner", logrus.Fields{"epoch": record.Epoch, "address": record.Address, "process": record.Process, "released": record.Released})
 		}
 	}
+	defer f.owners.Wait()
 	return f.follow(ctx, topicOwners, cellPart, ownerWait, take, func(end int64) { f.considerClaim(ctx, end) })
 }
 
@@ -103,20 +104,23 @@
 	f.log.Event("claimed", logrus.Fields{"epoch": record.Epoch})
 	o := newOwner(f, record, former, sequence+1)
 	f.owner.Store(o)
-	go func() {
-		err := o.run(ctx)
-		f.owner.Store(nil)
-		f.leaseMu.Lock()
-		if f.lease.Epoch() == record.Epoch {
-			f.lease.Lost()
-		}
-		f.leaseMu.Unlock()
-		fields := logrus.Fields{"epoch": record.Epoch}
-		if err != nil {
-			fields["error"] = err.Error()
-		}
-		f.log.Event("ownership ended", fields)
-	}()
+	f.owners.Go(func() { f.own(ctx, o) })
+}
+
+// own runs an owner until it has ended.
+func (f *Front) own(ctx context.Context, o *owner) {
+	err := o.run(ctx)
+	f.owner.Store(nil)
+	f.leaseMu.Lock()
+	if f.lease.Epoch() == o.record.Epoch {
+		f.lease.Lost()
+	}
+	f.leaseMu.Unlock()
+	fields := logrus.Fields{"epoch": o.record.Epoch}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	f.log.Event("ownership ended", fields)
 }
 
 // mayAct reports whether the owner of an epoch may give orders.
@@ -138,7 +142,7 @@
 func (o *owner) renewals(ctx context.Context) error {
 	f := o.front
 	sequence := o.renewal
-	append1 := func(ctx context.Context, r lease.Record) error {
+	renew := func(ctx context.Context, r lease.Record) error {
 		stored, err := encodeOwner(r)
 		if err != nil {
 			return err
@@ -159,7 +163,7 @@
 	every := lease.DefaultTiming().Renew
 	for ctx.Err() == nil && !o.released.Load() {
 		var fenced *bamboofall.FencedError
-		switch err := append1(ctx, o.record); {
+		switch err := renew(ctx, o.record); {
 		case err == nil:
 			sleepUntil(ctx, o.releasing, every)
 		case errors.As(err, &fenced):
@@ -172,7 +176,7 @@
 			released := o.record
 			released.Released = true
 			for try := 0; try < 10 && ctx.Err() == nil; try++ {
-				if err := append1(ctx, released); err == nil || errors.As(err, &fenced) {
+				if err := renew(ctx, released); err == nil || errors.As(err, &fenced) {
 					break
 				}
 				sleep(ctx, storeRetry)
