jobs/cell: count a job as started when a worker confirms it

Ruled out: a stale or lost job. Change: confirmed starts, runs that are shown and ends count. The test failed first.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -110,14 +110,6 @@
 		c.pending.touch(s.occ.job)
 		s.releasedAt = s.occ.job.storedAt
 	}
-	j := s.occ.job
-	if !j.started {
-		j.started = true
-		if j.state == bamboofall.JobQueued {
-			j.state = bamboofall.JobRunning
-		}
-		c.pending.touch(j)
-	}
 	a.gate = max(s.releasedAt, w.recordedAt)
 	if c.IsStored(a.gate) {
 		c.orderStart(now, a)
@@ -126,6 +118,20 @@
 	c.gated = append(c.gated, a)
 }
 
+// begun notes that a worker has started a task of a job.
+func (c *Cell) begun(j *job) {
+	if j.started || c.jobs[j.ID] != j {
+		return
+	}
+	j.started = true
+	if j.state == bamboofall.JobQueued {
+		j.state = bamboofall.JobRunning
+	}
+	if !j.state.Ended() {
+		c.pending.touch(j)
+	}
+}
+
 // openGates orders the starts that waited for the store.
 func (c *Cell) openGates(now time.Time) {
 	kept := c.gated[:0]
@@ -184,6 +190,7 @@
 	if err == nil {
 		a.state = attemptRunning
 		a.confirmedAt, a.movedAt = now, now
+		c.begun(a.task.step.occ.job)
 		if len(w.attempts) == 1 || !w.holding {
 			w.wake(now)
 		}
@@ -328,6 +335,7 @@
 		}
 	}
 	c.note(Note{Event: "end " + e.Cause.String(), Job: j.ID, Task: e.Task.String(), Worker: w.info.ID, Run: e.Run, Routine: e.Cause == bamboofall.EndDone})
+	c.begun(j)
 	if a != nil {
 		c.release(a)
 	}
@@ -422,10 +430,7 @@
 		if t.done || t.step.occ.job.state.Ended() {
 			c.stop(now, a, "the task needs no run")
 		}
-		if j := t.step.occ.job; !j.started {
-			j.started = true
-			c.pending.touch(j)
-		}
+		c.begun(t.step.occ.job)
 		t.step.released = true
 	}
 	c.note(Note{Event: "worker answers", Worker: w.info.ID, Detail: fmt.Sprintf("runs %d tasks, lists %d ends", len(report.Running), len(report.Ends))})
@@ -479,7 +484,10 @@
 
 // runs takes over that a worker runs what it should.
 func (c *Cell) runs(now time.Time, a *attempt, p *bamboofall.Placed) {
-	a.state = attemptRunning
+	if a.state != attemptRunning {
+		a.state = attemptRunning
+		c.begun(a.task.step.occ.job)
+	}
 	a.confirmedAt = now
 	if a.task.step.Standing && a.percent < fullPace && p.Percent == fullPace {
 		a.worker.health.Succeeded()
--- /dev/null
+++ b/internal/jobs/cell/cell_test.go
@@ -0,0 +1,54 @@
+package cell_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+)
+
+// An owner that is replaced after it stored a job, but before it ordered a task,
+// has started nothing. Its successor must count the job as pending.
+func TestAJobIsPendingUntilAStartIsConfirmed(t *testing.T) {
+	conf := &bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}}
+	newCell := func(token bamboofall.Token) *cell.Cell {
+		c := cell.New(cell.Config{Token: token, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+		c.SetConfiguration(conf)
+		return c
+	}
+	announce := func(c *cell.Cell) {
+		c.SetWorker(benchStart, bamboofall.Worker{
+			WorkerRef: bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: benchStart, Service: "s",
+			Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
+		})
+		answer(c, c.Step(benchStart), benchStart)
+	}
+	first := newCell(1)
+	announce(first)
+	submit(first, "0000000000000001", "q", bamboofall.Step{Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second})
+	first.Step(benchStart)
+	records, number, err := first.Flush()
+	assert.NilError(t, err)
+	assert.Equal(t, first.Pending("q"), 1)
+
+	next := newCell(2)
+	var stored []bamboofall.StoredRecord
+	for _, r := range records {
+		stored = append(stored, bamboofall.StoredRecord{StoreRecord: r})
+	}
+	assert.Equal(t, len(next.Restore(benchStart, stored)), 0)
+	assert.Equal(t, next.Pending("q"), 1)
+	state, known := next.Lookup("0000000000000001")
+	assert.Assert(t, known)
+	assert.Equal(t, state, bamboofall.JobQueued)
+
+	first.Stored(benchStart, number)
+	answer(first, first.Step(benchStart), benchStart)
+	assert.Equal(t, first.Pending("q"), 0)
+	state, _ = first.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobRunning)
+}
