--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -269,7 +269,7 @@
 	f := newFleet(t, 2, 2, 100*time.Millisecond)
 	f.waitForOwner(-1)
 	var calls atomic.Int64
-	f.store.Fault = func(r *http.Request) standin.Fault {
+	f.store.SetFault(func(r *http.Request) standin.Fault {
 		if !strings.HasSuffix(r.URL.Path, "log-append") {
 			return standin.FaultNone
 		}
@@ -282,7 +282,7 @@
 			return standin.FaultLate
 		}
 		return standin.FaultNone
-	}
+	})
 	for n := range 6 {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			if status, body := f.do(n%2, http.MethodPost, "/q/"+id(n), twoSteps); status != http.StatusOK {
