jobs/cell, entry/front: know the workers before the first decision

Changes: announcements are read before the owner answers, workers count as announced until they are heard, and a first answer wakes placement, as does time. A test failed first.

--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -142,6 +142,13 @@
 	for _, r := range inbox {
 		o.takeInbox(now(), r)
 	}
+	workers, err := o.newest(ctx, platform.TopicWorkers)
+	if err != nil {
+		return err
+	}
+	for _, r := range workers {
+		o.takeWorker(now(), r)
+	}
 	known, open := o.cell.Jobs()
 	o.front.log.Event("restored", logrus.Fields{"epoch": o.record.Epoch, "records": len(records), "jobs": known, "open": open})
 	return nil
@@ -327,20 +334,25 @@
 // followWorkers follows the announcements of workers.
 func (o *owner) followWorkers(ctx context.Context) error {
 	return o.front.follow(ctx, platform.TopicWorkers, cellPart, workersWait, func(r bamboofall.StoredRecord) {
-		if len(r.Value) == 0 {
-			o.events.Push(ctx, func(at time.Time) { o.cell.RemoveWorker(at, r.Key) })
-			return
-		}
-		w, err := platform.DecodeWorker(r.Key, r.Value)
-		if err != nil {
-			o.front.metrics.count("workerEntriesRejected", nil)
-			o.front.log.Event("worker entry rejected", logrus.Fields{"worker": r.Key, "error": err.Error()})
-			return
-		}
-		o.events.Push(ctx, func(at time.Time) { o.cell.SetWorker(at, w) })
+		o.events.Push(ctx, func(at time.Time) { o.takeWorker(at, r) })
 	}, nil)
 }
 
+// takeWorker takes over what a worker announces, or that it is no longer listed.
+func (o *owner) takeWorker(at time.Time, r bamboofall.StoredRecord) {
+	if len(r.Value) == 0 {
+		o.cell.RemoveWorker(at, r.Key)
+		return
+	}
+	w, err := platform.DecodeWorker(r.Key, r.Value)
+	if err != nil {
+		o.front.metrics.count("workerEntriesRejected", nil)
+		o.front.log.Event("worker entry rejected", logrus.Fields{"worker": r.Key, "error": err.Error()})
+		return
+	}
+	o.cell.SetWorker(at, w)
+}
+
 // followInbox takes over what entry VMs stored while they reached no owner.
 func (o *owner) followInbox(ctx context.Context) error {
 	return o.front.follow(ctx, topicInbox, cellPart, inboxWait, func(r bamboofall.StoredRecord) {
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -63,6 +63,8 @@
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
+	// placedAt is when placement was last tried.
+	placedAt time.Time
 	// learnedDue is set when what was learned should go with the next flush.
 	learnedDue bool
 	learnedAt  time.Time
@@ -182,6 +184,9 @@
 	for _, w := range slices.Clone(c.order) {
 		c.watchWorker(now, w)
 	}
+	if now.Sub(c.placedAt) >= placeEvery {
+		c.unsettled = true
+	}
 	if now.Sub(c.learnedAt) >= learnedEvery {
 		c.learnedAt, c.learnedDue = now, true
 	}
@@ -191,6 +196,10 @@
 	}
 }
 
+// placeEvery is the time after which placement is tried without an event, for
+// pauses of workers end by time alone.
+const placeEvery = 250 * time.Millisecond
+
 // summaryEvery is the time between lines that sum up the cell.
 const summaryEvery = 2 * time.Second
 
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -52,3 +52,25 @@
 	state, _ = first.Lookup("0000000000000001")
 	assert.Equal(t, state, bamboofall.JobRunning)
 }
+
+// A worker that answers for the first time is news for what waits, even if
+// nothing else happens.
+func TestWhatWaitsIsPlacedOnceAWorkerAnswers(t *testing.T) {
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, bamboofall.Worker{
+		WorkerRef: bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: benchStart, Service: "s",
+		Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
+	})
+	_, refusal := c.Submit(benchStart, &bamboofall.Job{ID: "0000000000000001", Queue: "q", Steps: []bamboofall.Step{{
+		Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second,
+	}}}, false)
+	assert.Assert(t, refusal == nil, "%v", refusal)
+	for range 3 {
+		answer(c, c.Step(benchStart), benchStart)
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(benchStart, number)
+	}
+	assert.Equal(t, c.Pending("q"), 0)
+}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -22,6 +22,7 @@
 		return
 	}
 	c.unsettled = false
+	c.placedAt = now
 	type waitingStep struct {
 		urgency.Key
 		*step
@@ -434,7 +435,8 @@
 	var roomOfAll, reserved int64
 	fills := slices.ContainsFunc(j.Steps, func(s bamboofall.Step) bool { return s.Fills })
 	for _, w := range c.order {
-		if !w.listed || !w.synced || w.silent() || w.info.Draining || w.info.Service != j.queue.Service {
+		// A worker that this owner has not heard yet is taken as it is announced.
+		if !w.listed || w.silent() || w.info.Draining || w.info.Service != j.queue.Service {
 			continue
 		}
 		room := w.info.Room.MilliProcessors
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -340,6 +340,7 @@
 	if !w.synced {
 		w.synced = true
 		w.nextHold = now
+		c.unsettled = true
 		c.adopt(now, w, report)
 	}
 	c.takeEnds(now, w, report.Ends)
@@ -391,6 +392,7 @@
 		return false
 	}
 	if w.failures >= silentAfter {
+		c.unsettled = true
 		c.note(Note{Event: "worker answers again", Worker: w.info.ID})
 	}
 	w.failures = 0
