entry/front: make an owner whole before it can be reached

An owner got its context when it began to run, after it could be found: a configuration in between ended the process with a nil context. The test panicked first.

Also, behaviour unchanged: whether the owner is to leave is read from the VM instead of kept twice more, with a thread to copy it; what was read to restore a cell is not read again to follow it; method expressions replace four closures; one sleep.

--- a/internal/entry/front/callers.go
+++ b/internal/entry/front/callers.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
@@ -162,10 +161,7 @@
 // submit hands a job to the owner, or stores it for the next one.
 func (f *Front) submit(ctx context.Context, job *bamboofall.Job) answer {
 	req := &jobpb.SubmitRequest{Job: cell.EncodeSpec(job)}
-	res, err := call(ctx, f, req, f.submitHere,
-		func(c jobpb.JobsClient) func(context.Context, *connect.Request[jobpb.SubmitRequest]) (*connect.Response[jobpb.SubmitResponse], error) {
-			return c.Submit
-		}, (*jobpb.SubmitResponse).GetNotOwner)
+	res, err := call(ctx, f, req, f.submitHere, jobpb.JobsClient.Submit, (*jobpb.SubmitResponse).GetNotOwner)
 	switch {
 	case err == nil && res.GetAccepted():
 		return answer{status: http.StatusOK, body: platform.EncodeState(bamboofall.JobQueued.String())}
@@ -175,11 +171,12 @@
 			retryAfter: time.Duration(res.GetRetryAfterMs()) * time.Millisecond,
 		}
 	}
-	return f.deferCall(ctx, "s"+string(job.ID), &jobpb.Deferred{Job: req.Job}, notSent(err))
+	return f.deferCall(ctx, "s"+string(job.ID), &jobpb.Deferred{Job: req.Job}, bamboofall.JobQueued, notSent(err))
 }
 
-// deferCall stores a call in the inbox. NotRun says that no owner can have seen it.
-func (f *Front) deferCall(ctx context.Context, key string, m *jobpb.Deferred, notRun bool) answer {
+// deferCall stores a call in the inbox, which brings its job into a state. NotRun
+// says that no owner can have seen it.
+func (f *Front) deferCall(ctx context.Context, key string, m *jobpb.Deferred, state bamboofall.JobState, notRun bool) answer {
 	value, err := proto.Marshal(m)
 	if err != nil {
 		return answer{status: http.StatusBadRequest, reason: err.Error()}
@@ -192,7 +189,7 @@
 	})
 	if err == nil {
 		f.metrics.count("callsDeferred", nil)
-		return answer{status: http.StatusOK, body: platform.EncodeState(bamboofall.JobQueued.String()), reason: ""}
+		return answer{status: http.StatusOK, body: platform.EncodeState(state.String())}
 	}
 	var notDone *bamboofall.NotDoneError
 	if notRun && errors.As(err, &notDone) {
@@ -202,29 +199,19 @@
 }
 
 func (f *Front) cancel(ctx context.Context, id bamboofall.JobID) answer {
-	res, err := call(ctx, f, &jobpb.CancelRequest{Id: string(id)}, f.cancelHere,
-		func(c jobpb.JobsClient) func(context.Context, *connect.Request[jobpb.CancelRequest]) (*connect.Response[jobpb.CancelResponse], error) {
-			return c.Cancel
-		}, (*jobpb.CancelResponse).GetNotOwner)
+	res, err := call(ctx, f, &jobpb.CancelRequest{Id: string(id)}, f.cancelHere, jobpb.JobsClient.Cancel, (*jobpb.CancelResponse).GetNotOwner)
 	switch {
 	case err == nil && res.GetCancelled():
 		return answer{status: http.StatusOK, body: platform.EncodeState(bamboofall.JobCancelled.String())}
 	case err == nil:
 		return answer{status: http.StatusGone, reason: "unknownJob"}
 	}
-	a := f.deferCall(ctx, "c"+string(id), &jobpb.Deferred{Cancel: string(id)}, true)
-	if a.status == http.StatusOK {
-		a.body = platform.EncodeState(bamboofall.JobCancelled.String())
-	}
-	return a
+	return f.deferCall(ctx, "c"+string(id), &jobpb.Deferred{Cancel: string(id)}, bamboofall.JobCancelled, true)
 }
 
 func (f *Front) lookup(ctx context.Context, id bamboofall.JobID) answer {
 	res, err := askUntil(ctx, func() (*jobpb.LookupResponse, error) {
-		return call(ctx, f, &jobpb.LookupRequest{Id: string(id)}, f.lookupHere,
-			func(c jobpb.JobsClient) func(context.Context, *connect.Request[jobpb.LookupRequest]) (*connect.Response[jobpb.LookupResponse], error) {
-				return c.Lookup
-			}, (*jobpb.LookupResponse).GetNotOwner)
+		return call(ctx, f, &jobpb.LookupRequest{Id: string(id)}, f.lookupHere, jobpb.JobsClient.Lookup, (*jobpb.LookupResponse).GetNotOwner)
 	})
 	switch {
 	case err != nil:
@@ -237,10 +224,7 @@
 
 func (f *Front) pending(ctx context.Context, q *bamboofall.Queue) answer {
 	res, err := askUntil(ctx, func() (*jobpb.PendingResponse, error) {
-		return call(ctx, f, &jobpb.PendingRequest{Queue: q.Name}, f.pendingHere,
-			func(c jobpb.JobsClient) func(context.Context, *connect.Request[jobpb.PendingRequest]) (*connect.Response[jobpb.PendingResponse], error) {
-				return c.Pending
-			}, (*jobpb.PendingResponse).GetNotOwner)
+		return call(ctx, f, &jobpb.PendingRequest{Queue: q.Name}, f.pendingHere, jobpb.JobsClient.Pending, (*jobpb.PendingResponse).GetNotOwner)
 	})
 	if err != nil {
 		return answer{status: http.StatusServiceUnavailable, reason: "noOwner", retryAfter: takeOverTime}
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -198,7 +198,7 @@
 
 // followConfiguration keeps the newest configuration.
 func (f *Front) followConfiguration(ctx context.Context) error {
-	return f.follow(ctx, platform.TopicOperator, cellPart, configurationWait, func(r bamboofall.StoredRecord) {
+	return f.follow(ctx, platform.TopicOperator, fromNewest, configurationWait, func(r bamboofall.StoredRecord) {
 		if !platform.IsConfiguration(r.Key) || len(r.Value) == 0 {
 			return
 		}
@@ -218,18 +218,21 @@
 	}, nil)
 }
 
-// follow reads a keyed topic: first the newest record of each key, then what is
-// added. It never ends before the context does. The function idle is called
-// after each read that succeeded, with the offset behind all that was seen.
-func (f *Front) follow(ctx context.Context, topic string, part int, wait time.Duration, take func(bamboofall.StoredRecord), idle func(end int64)) error {
-	next := int64(-1)
+// fromNewest makes follow begin with the newest record of each key.
+const fromNewest = -1
+
+// follow reads what is added to a keyed topic from an offset on, or first the
+// newest record of each key. It never ends before the context does. The function
+// idle is called after each read that succeeded, with the offset behind all that
+// was seen.
+func (f *Front) follow(ctx context.Context, topic string, next int64, wait time.Duration, take func(bamboofall.StoredRecord), idle func(end int64)) error {
 	lost := false
 	for ctx.Err() == nil {
 		var err error
-		if next < 0 {
-			next, err = f.readNewest(ctx, topic, part, take)
+		if next == fromNewest {
+			next, err = f.readNewest(ctx, topic, take)
 		} else {
-			next, err = f.readOn(ctx, topic, part, next, wait, take)
+			next, err = f.readOn(ctx, topic, next, wait, take)
 		}
 		if err != nil {
 			if ctx.Err() != nil {
@@ -253,11 +256,11 @@
 	return nil
 }
 
-// readNewest reads the newest records. On an error it returns -1.
-func (f *Front) readNewest(ctx context.Context, topic string, part int, take func(bamboofall.StoredRecord)) (int64, error) {
-	records, end, err := f.store.Newest(ctx, topic, part)
+// readNewest reads the newest records and returns where to read on.
+func (f *Front) readNewest(ctx context.Context, topic string, take func(bamboofall.StoredRecord)) (int64, error) {
+	records, end, err := f.store.Newest(ctx, topic, cellPart)
 	if err != nil {
-		return -1, err
+		return fromNewest, err
 	}
 	for _, r := range records {
 		take(r)
@@ -265,14 +268,14 @@
 	return end, nil
 }
 
-// readOn reads what was added. If records have expired it returns -1, so that
-// the newest are read again.
-func (f *Front) readOn(ctx context.Context, topic string, part int, from int64, wait time.Duration, take func(bamboofall.StoredRecord)) (int64, error) {
-	page, err := f.store.Read(ctx, topic, part, from, wait)
+// readOn reads what was added and returns where to read on: at the newest
+// records if some have expired.
+func (f *Front) readOn(ctx context.Context, topic string, from int64, wait time.Duration, take func(bamboofall.StoredRecord)) (int64, error) {
+	page, err := f.store.Read(ctx, topic, cellPart, from, wait)
 	var trimmed *bamboofall.TrimmedError
 	if errors.As(err, &trimmed) {
 		f.log.Event("records expired", logrus.Fields{"topic": topic, "from": from, "first": trimmed.First})
-		return -1, nil
+		return fromNewest, nil
 	}
 	if err != nil {
 		return from, err
@@ -283,11 +286,15 @@
 	return page.Next, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) { sleepUntil(ctx, nil, d) }
+
+// sleepUntil waits for a time, a signal or the end of the context.
+func sleepUntil(ctx context.Context, signal <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+	case <-signal:
 	case <-ctx.Done():
 	}
 }
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -20,6 +20,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
 	"bamboofall.example/bamboofall/platform"
 	"bamboofall.example/bamboofall/platform/standin"
@@ -314,3 +316,10 @@
 	assert.Equal(t, status, http.StatusOK, body)
 	assert.Assert(t, strings.Contains(f.log.String(), "configuration rejected"))
 }
+
+// A configuration may arrive as soon as an owner exists, before it runs.
+func TestAnOwnerTakesAConfigurationBeforeItRuns(t *testing.T) {
+	f := newFleet(t, 1, 0, time.Millisecond)
+	o := newOwner(context.Background(), f.fronts[0].Front, lease.Record{Epoch: 1}, time.Time{}, 1)
+	o.setConfiguration(&bamboofall.Configuration{Version: 1})
+}
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -48,12 +48,12 @@
 	record lease.Record
 	cell   *cell.Cell
 	events *ring.Ring[func(now time.Time)]
+	group  *errgroup.Group
+	// ctx ends with the owner.
+	ctx context.Context
 	// ready is set once the cell has been restored.
-	ready     atomic.Bool
-	releasing chan struct{}
-	released  atomic.Bool
-
-	// renewal is the sequence number of the first renewal.
+	ready atomic.Bool
+	// renewal is the sequence number of the next renewal.
 	renewal uint64
 
 	// Of the loop:
@@ -63,7 +63,6 @@
 	counted  time.Time
 	// inboxRead is when the inbox was last read to its end.
 	inboxRead time.Time
-	ctx       context.Context
 	failed    error
 }
 
@@ -73,10 +72,12 @@
 	done  func()
 }
 
-func newOwner(f *Front, r lease.Record, former time.Time, sequence uint64) *owner {
+// newOwner returns an owner that has not started. It ends with the context.
+func newOwner(ctx context.Context, f *Front, r lease.Record, former time.Time, sequence uint64) *owner {
+	group, ctx := errgroup.WithContext(ctx)
 	return &owner{
 		front: f, record: r, events: ring.New[func(time.Time)](ownerRing),
-		releasing: make(chan struct{}), renewal: sequence, sequence: sequence,
+		group: group, ctx: ctx, renewal: sequence, sequence: sequence,
 		cell: cell.New(cell.Config{
 			Token: bamboofall.Token(r.Epoch), Lease: f.leaseTime(), FormerLeases: former,
 			KeepEnded:    f.set.Bounds.KeepEnded + 10*time.Second,
@@ -86,80 +87,73 @@
 }
 
 // run restores the cell and owns it until it is deposed, released or stopped.
-func (o *owner) run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	o.ctx = ctx
-	group.Go(func() error { return o.renewals(ctx) })
-	group.Go(func() error {
+func (o *owner) run() error {
+	ctx := o.ctx
+	o.group.Go(func() error { return o.renewals(ctx) })
+	o.group.Go(func() error {
 		began := now()
-		if err := o.restore(ctx); err != nil {
+		read, err := o.restore(ctx)
+		if err != nil {
 			return err
 		}
 		o.front.metrics.took("takeOver", now().Sub(began))
-		group.Go(func() error { return o.followWorkers(ctx) })
-		group.Go(func() error { return o.followInbox(ctx) })
+		o.group.Go(func() error { return o.followWorkers(ctx, read.workers) })
+		o.group.Go(func() error { return o.followInbox(ctx, read.inbox) })
 		o.ready.Store(true)
 		return o.loop(ctx)
 	})
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-o.front.leaving:
-			o.released.Store(true)
-			close(o.releasing)
-		}
-		return nil
-	})
-	return group.Wait()
+	return o.group.Wait()
+}
+
+// ends are the offsets behind what was read to restore the cell.
+type ends struct {
+	inbox, workers int64
 }
 
 // restore fences former owners and reads what they stored.
-func (o *owner) restore(ctx context.Context) error {
+func (o *owner) restore(ctx context.Context) (read ends, err error) {
 	fence := []bamboofall.StoreRecord{{Key: keyEpoch, Value: fmt.Appendf(nil, "%d", o.record.Epoch)}}
 	if err := o.append(ctx, fence); err != nil {
-		return err
+		return read, err
 	}
-	records, err := o.newest(ctx, topicCells)
+	records, _, err := o.newest(ctx, topicCells)
 	if err != nil {
-		return err
+		return read, err
 	}
 	o.cell.SetConfiguration(o.front.config.Load())
-	kept := records[:0]
-	for _, r := range records {
-		if r.Key != keyEpoch {
-			kept = append(kept, r)
-		}
-	}
-	for _, err := range o.cell.Restore(now(), kept) {
+	for _, err := range o.cell.Restore(now(), records) {
 		o.front.log.Event("record left out", logrus.Fields{"error": err.Error()})
 	}
 	// A job from the inbox is accepted, so it is known before the first question.
-	inbox, err := o.newest(ctx, topicInbox)
+	inbox, end, err := o.newest(ctx, topicInbox)
 	if err != nil {
-		return err
+		return read, err
 	}
+	read.inbox = end
 	o.inboxRead = now()
 	for _, r := range inbox {
 		o.takeInbox(now(), r)
 	}
-	workers, err := o.newest(ctx, platform.TopicWorkers)
+	workers, end, err := o.newest(ctx, platform.TopicWorkers)
 	if err != nil {
-		return err
+		return read, err
 	}
+	read.workers = end
 	for _, r := range workers {
 		o.takeWorker(now(), r)
 	}
 	known, open := o.cell.Jobs()
 	o.front.log.Event("restored", logrus.Fields{"epoch": o.record.Epoch, "records": len(records), "jobs": known, "open": open})
-	return nil
+	return read, nil
 }
 
-// newest reads the newest records of a topic. It tries until it succeeds.
-func (o *owner) newest(ctx context.Context, topic string) ([]bamboofall.StoredRecord, error) {
+// newest reads the newest records of a topic and the offset behind them. It
+// tries until it succeeds.
+func (o *owner) newest(ctx context.Context, topic string) ([]bamboofall.StoredRecord, int64, error) {
 	for {
-		records, _, err := o.front.store.Newest(ctx, topic, cellPart)
+		records, end, err := o.front.store.Newest(ctx, topic, cellPart)
 		if err == nil || ctx.Err() != nil {
-			return records, err
+			return records, end, err
 		}
 		o.front.log.Event("read failed", logrus.Fields{"epoch": o.record.Epoch, "topic": topic, "error": err.Error()})
 		sleep(ctx, storeRetry)
@@ -295,7 +289,7 @@
 	var err error
 	began := now()
 	switch {
-	case o.released.Load() || !f.mayAct(o.record.Epoch):
+	case f.isLeaving() || !f.mayAct(o.record.Epoch):
 		err = &bamboofall.NotDoneError{Call: "order", Reason: "the owner is not confirmed"}
 	case began.Sub(decided) > staleOrder:
 		err = &bamboofall.NotDoneError{Call: "order", Reason: "the process has slept"}
@@ -331,9 +325,9 @@
 	o.events.Push(o.ctx, func(time.Time) { o.cell.SetConfiguration(conf) })
 }
 
-// followWorkers follows the announcements of workers.
-func (o *owner) followWorkers(ctx context.Context) error {
-	return o.front.follow(ctx, platform.TopicWorkers, cellPart, workersWait, func(r bamboofall.StoredRecord) {
+// followWorkers follows the announcements of workers from an offset on.
+func (o *owner) followWorkers(ctx context.Context, from int64) error {
+	return o.front.follow(ctx, platform.TopicWorkers, from, workersWait, func(r bamboofall.StoredRecord) {
 		o.events.Push(ctx, func(at time.Time) { o.takeWorker(at, r) })
 	}, nil)
 }
@@ -353,9 +347,10 @@
 	o.cell.SetWorker(at, w)
 }
 
-// followInbox takes over what entry VMs stored while they reached no owner.
-func (o *owner) followInbox(ctx context.Context) error {
-	return o.front.follow(ctx, topicInbox, cellPart, inboxWait, func(r bamboofall.StoredRecord) {
+// followInbox takes over what entry VMs stored, from an offset on, while they
+// reached no owner.
+func (o *owner) followInbox(ctx context.Context, from int64) error {
+	return o.front.follow(ctx, topicInbox, from, inboxWait, func(r bamboofall.StoredRecord) {
 		o.events.Push(ctx, func(at time.Time) { o.takeInbox(at, r) })
 	}, func(int64) {
 		o.events.Push(ctx, func(at time.Time) { o.inboxRead = at })
@@ -413,7 +408,7 @@
 // the answer.
 func ask[T any](ctx context.Context, o *owner, f func(at time.Time, answer func(T))) (T, error) {
 	var none T
-	if !o.ready.Load() || o.released.Load() {
+	if !o.ready.Load() || o.front.isLeaving() {
 		return none, errNotOwner
 	}
 	done := make(chan T, 1)
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -49,7 +49,7 @@
 		}
 	}
 	defer f.owners.Wait()
-	return f.follow(ctx, topicOwners, cellPart, ownerWait, take, func(end int64) { f.considerClaim(ctx, end) })
+	return f.follow(ctx, topicOwners, fromNewest, ownerWait, take, func(end int64) { f.considerClaim(ctx, end) })
 }
 
 func decodeOwner(r bamboofall.StoredRecord) (lease.Record, error) {
@@ -75,7 +75,7 @@
 	f.lease.Seen(now(), end)
 	record, at, claim := f.lease.Claim(now())
 	f.leaseMu.Unlock()
-	if !claim || f.config.Load() == nil || f.isLeaving() || f.owner.Load() != nil {
+	if !claim || f.config.Load() == nil || f.owner.Load() != nil {
 		return
 	}
 	stored, err := encodeOwner(record)
@@ -102,14 +102,14 @@
 	former := f.lease.FormerGrants(cell.LeaseBound(f.leaseTime()))
 	f.leaseMu.Unlock()
 	f.log.Event("claimed", logrus.Fields{"epoch": record.Epoch})
-	o := newOwner(f, record, former, sequence+1)
+	o := newOwner(ctx, f, record, former, sequence+1)
 	f.owner.Store(o)
-	f.owners.Go(func() { f.own(ctx, o) })
+	f.owners.Go(func() { f.own(o) })
 }
 
 // own runs an owner until it has ended.
-func (f *Front) own(ctx context.Context, o *owner) {
-	err := o.run(ctx)
+func (f *Front) own(o *owner) {
+	err := o.run()
 	f.owner.Store(nil)
 	f.leaseMu.Lock()
 	if f.lease.Epoch() == o.record.Epoch {
@@ -137,66 +137,66 @@
 	return f.lease.Owner()
 }
 
-// renewals appends to the owners' partition until the owner stops, and then
-// releases the cell if it was told to leave.
+// renewals appends to the owners' partition until the owner stops or is told to
+// leave, and then releases the cell.
 func (o *owner) renewals(ctx context.Context) error {
-	f := o.front
-	sequence := o.renewal
-	renew := func(ctx context.Context, r lease.Record) error {
-		stored, err := encodeOwner(r)
-		if err != nil {
-			return err
-		}
-		sent := now()
-		_, err = f.store.Append(ctx, bamboofall.StoreAppend{
-			Topic: topicOwners, Part: cellPart, Records: []bamboofall.StoreRecord{stored}, At: -1,
-			Producer: producerName, Epoch: r.Epoch, Sequence: sequence,
-		})
-		if err == nil {
-			sequence++
-			f.leaseMu.Lock()
-			f.lease.Confirmed(r.Epoch, sent)
-			f.leaseMu.Unlock()
-		}
-		return err
-	}
 	every := lease.DefaultTiming().Renew
-	for ctx.Err() == nil && !o.released.Load() {
+	for ctx.Err() == nil && !o.front.isLeaving() {
 		var fenced *bamboofall.FencedError
-		switch err := renew(ctx, o.record); {
+		switch err := o.renew(ctx, o.record); {
 		case err == nil:
-			sleepUntil(ctx, o.releasing, every)
+			sleepUntil(ctx, o.front.leaving, every)
 		case errors.As(err, &fenced):
 			return err
 		default:
-			sleepUntil(ctx, o.releasing, storeRetry)
+			sleepUntil(ctx, o.front.leaving, storeRetry)
 		}
-		select {
-		case <-o.releasing:
-			released := o.record
-			released.Released = true
-			for try := 0; try < 10 && ctx.Err() == nil; try++ {
-				if err := renew(ctx, released); err == nil || errors.As(err, &fenced) {
-					break
-				}
-				sleep(ctx, storeRetry)
-			}
-			return errReleased
-		default:
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	return o.release(ctx)
+}
+
+// releaseTries bounds the appends that release a cell: a store that takes none
+// of them for a second lets the cell expire.
+const releaseTries = 10
+
+// release tells the others that the cell is free.
+func (o *owner) release(ctx context.Context) error {
+	released := o.record
+	released.Released = true
+	for range releaseTries {
+		var fenced *bamboofall.FencedError
+		if err := o.renew(ctx, released); err == nil || errors.As(err, &fenced) || ctx.Err() != nil {
+			break
 		}
+		sleep(ctx, storeRetry)
+	}
+	return errReleased
+}
+
+// renew appends a record of this owner, once.
+func (o *owner) renew(ctx context.Context, r lease.Record) error {
+	f := o.front
+	stored, err := encodeOwner(r)
+	if err != nil {
+		return err
 	}
+	sent := now()
+	_, err = f.store.Append(ctx, bamboofall.StoreAppend{
+		Topic: topicOwners, Part: cellPart, Records: []bamboofall.StoreRecord{stored}, At: -1,
+		Producer: producerName, Epoch: r.Epoch, Sequence: o.renewal,
+	})
+	if err != nil {
+		return err
+	}
+	o.renewal++
+	f.leaseMu.Lock()
+	f.lease.Confirmed(r.Epoch, sent)
+	f.leaseMu.Unlock()
 	return nil
 }
 
 // errReleased says that the owner gave the cell up.
 var errReleased = errors.New("the cell was released")
-
-func sleepUntil(ctx context.Context, signal <-chan struct{}, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-signal:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -148,7 +148,7 @@
 // call asks the owner, here or on another VM.
 func call[Req, Res any](ctx context.Context, f *Front, req *Req,
 	here func(context.Context, *Req) (*Res, error),
-	there func(jobpb.JobsClient) func(context.Context, *connect.Request[Req]) (*connect.Response[Res], error),
+	there func(jobpb.JobsClient, context.Context, *connect.Request[Req]) (*connect.Response[Res], error),
 	notOwner func(*Res) bool,
 ) (*Res, error) {
 	if f.owner.Load() != nil {
@@ -164,7 +164,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	res, err := there(f.peers.client(owner.Address))(ctx, connect.NewRequest(req))
+	res, err := there(f.peers.client(owner.Address), ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
 	}
