entry/metricset: hold metrics once for the daemon and the front

The front had written the daemon's counters, totals and printing again. Each keeps its own form of histograms.

--- a/internal/entry/daemon/metrics.go
+++ b/internal/entry/daemon/metrics.go
@@ -2,17 +2,14 @@
 
 import (
 	"fmt"
-	"io"
 	"maps"
-	"sort"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/batch/scheduler"
+	"bamboofall.example/bamboofall/internal/entry/metricset"
 	"bamboofall.example/bamboofall/internal/entry/node"
 	"bamboofall.example/bamboofall/internal/request/router"
 )
@@ -20,37 +17,21 @@
 // latencyBuckets are the upper ends of the latency histogram's buckets.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 24)
 
-// metrics holds the counters of a daemon. The scope is tally's test scope: the
-// one that can be read without a reporter to another system.
+// metrics holds the metrics of a daemon.
 type metrics struct {
-	scope      tally.TestScope
+	*metricset.Set
 	dataCentre string
-	mu         sync.Mutex
-	// seen holds the last value of counters that the state machines keep.
-	seen map[string]int64
 }
 
 func newMetrics(dataCentre string) *metrics {
-	return &metrics{dataCentre: dataCentre, scope: tally.NewTestScope("", nil), seen: make(map[string]int64)}
-}
-
-// raise moves a counter up to a total that a state machine keeps.
-func (m *metrics) raise(name string, tags map[string]string, total int64) {
-	id := name + tagText(tags)
-	m.mu.Lock()
-	by := total - m.seen[id]
-	m.seen[id] = total
-	m.mu.Unlock()
-	if by > 0 {
-		m.scope.Tagged(tags).Counter(name).Inc(by)
-	}
+	return &metrics{metricset.New(nil), dataCentre}
 }
 
 func (m *metrics) takeRouter(c router.Counters) {
-	m.raise("requestsArrived", nil, c.Arrived())
-	m.raise("requestsForwarded", nil, c.Forwarded())
+	m.Raise("requestsArrived", nil, c.Arrived())
+	m.Raise("requestsForwarded", nil, c.Forwarded())
 	for o, n := range c.Outcomes {
-		m.raise("requestOutcomes", map[string]string{"outcome": o.String()}, n)
+		m.Raise("requestOutcomes", map[string]string{"outcome": o.String()}, n)
 	}
 	raiseAll(m, "requestRefusals", c.Refusals)
 	raiseAll(m, "requestUnknowns", c.Unknowns)
@@ -59,7 +40,7 @@
 
 func raiseAll[K ~string](m *metrics, name string, totals map[K]int64) {
 	for reason, n := range totals {
-		m.raise(name, map[string]string{"reason": string(reason)}, n)
+		m.Raise(name, map[string]string{"reason": string(reason)}, n)
 	}
 }
 
@@ -73,7 +54,7 @@
 		"workerQuarantines": b.Quarantined, "taskMoves": b.Moved, "reportNonsense": b.Nonsense,
 		"workerStaleTokens": b.StaleTokens, "workerRoundFailures": b.SyncFailures,
 	} {
-		m.raise(name, nil, n)
+		m.Raise(name, nil, n)
 	}
 	raiseAll(m, "voidRecords", c.VoidRecords)
 	raiseAll(m, "operatorRefusals", c.QuestionsRefused)
@@ -85,7 +66,7 @@
 		return
 	}
 	tags := map[string]string{"service": req.Service, "kind": req.Kind, "dataCentre": m.dataCentre}
-	m.scope.Tagged(tags).Histogram("requestLatency", latencyBuckets).RecordDuration(took)
+	m.Scope.Tagged(tags).Histogram("requestLatency", latencyBuckets).RecordDuration(took)
 }
 
 func (m *metrics) attempt(a router.Send, res router.SendResult) {
@@ -93,39 +74,18 @@
 		return
 	}
 	tags := map[string]string{"service": a.Request.Service, "end": fmt.Sprint(res.Status)}
-	m.scope.Tagged(tags).Counter("attemptFailures").Inc(1)
+	m.Scope.Tagged(tags).Counter("attemptFailures").Inc(1)
 }
 
-func tagText(tags map[string]string) string {
-	if len(tags) == 0 {
-		return ""
-	}
-	parts := make([]string, 0, len(tags))
-	for k, v := range tags {
-		parts = append(parts, fmt.Sprintf("%s=%q", k, v))
-	}
-	sort.Strings(parts)
-	return "{" + strings.Join(parts, ",") + "}"
-}
-
-// write prints all metrics, a line each.
-func (m *metrics) write(w io.Writer) {
-	snapshot := m.scope.Snapshot()
+// bucketLines prints the buckets of a histogram that hold something.
+func bucketLines(h tally.HistogramSnapshot) []string {
 	var lines []string
-	for _, c := range snapshot.Counters() {
-		lines = append(lines, fmt.Sprintf("%s%s %d", c.Name(), tagText(c.Tags()), c.Value()))
-	}
-	for _, h := range snapshot.Histograms() {
-		for bound, n := range h.Durations() {
-			if n > 0 {
-				tags := maps.Clone(h.Tags())
-				tags["le"] = bound.String()
-				lines = append(lines, fmt.Sprintf("%s%s %d", h.Name(), tagText(tags), n))
-			}
+	for bound, n := range h.Durations() {
+		if n > 0 {
+			tags := maps.Clone(h.Tags())
+			tags["le"] = bound.String()
+			lines = append(lines, fmt.Sprintf("%s%s %d", h.Name(), metricset.TagText(tags), n))
 		}
 	}
-	sort.Strings(lines)
-	for _, line := range lines {
-		fmt.Fprintln(w, line)
-	}
+	return lines
 }
--- a/internal/entry/front/callers.go
+++ b/internal/entry/front/callers.go
@@ -67,7 +67,7 @@
 		a = f.serveQueue(ctx, conf, q, rest, r)
 		cancel()
 	}
-	f.metrics.count("calls", map[string]string{"method": r.Method, "status": strconv.Itoa(a.status), "reason": a.reason})
+	f.metrics.Count("calls", map[string]string{"method": r.Method, "status": strconv.Itoa(a.status), "reason": a.reason})
 	f.metrics.took("call"+r.Method, now().Sub(began))
 	version := uint64(0)
 	if conf != nil {
@@ -188,7 +188,7 @@
 		Topic: topicInbox, Part: cellPart, Records: []bamboofall.StoreRecord{{Key: key, Value: value}}, At: -1,
 	})
 	if err == nil {
-		f.metrics.count("callsDeferred", nil)
+		f.metrics.Count("callsDeferred", nil)
 		return answer{status: http.StatusOK, body: platform.EncodeState(state.String())}
 	}
 	var notDone *bamboofall.NotDoneError
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -340,7 +340,7 @@
 	}
 	w, err := platform.DecodeWorker(r.Key, r.Value)
 	if err != nil {
-		o.front.metrics.count("workerEntriesRejected", nil)
+		o.front.metrics.Count("workerEntriesRejected", nil)
 		o.front.log.Event("worker entry rejected", logrus.Fields{"worker": r.Key, "error": err.Error()})
 		return
 	}
--- /dev/null
+++ b/internal/entry/metricset/metricset.go
@@ -0,0 +1,83 @@
+// Package metricset holds the counters and histograms of a process and prints
+// them as text.
+//
+// The scope is tally's test scope: the one that can be read without a reporter to
+// another system.
+package metricset
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Set is a set of metrics. Use New.
+type Set struct {
+	Scope tally.TestScope
+	mu    sync.Mutex
+	// seen holds the last value of counters that are kept elsewhere.
+	seen map[string]int64
+}
+
+// New returns an empty set. All its metrics have the given tags.
+func New(tags map[string]string) *Set {
+	return &Set{Scope: tally.NewTestScope("", tags), seen: make(map[string]int64)}
+}
+
+// Count adds one to a counter.
+func (s *Set) Count(name string, tags map[string]string) {
+	s.Scope.Tagged(tags).Counter(name).Inc(1)
+}
+
+// Raise moves a counter up to a total that is kept elsewhere. A total below the
+// last one has begun anew and counts from zero.
+func (s *Set) Raise(name string, tags map[string]string, total int64) {
+	id := name + TagText(tags)
+	s.mu.Lock()
+	by := total - s.seen[id]
+	if by < 0 {
+		by = total
+	}
+	s.seen[id] = total
+	s.mu.Unlock()
+	if by > 0 {
+		s.Scope.Tagged(tags).Counter(name).Inc(by)
+	}
+}
+
+// Write prints all counters, and the histograms as the function puts them into
+// lines.
+func (s *Set) Write(w io.Writer, lines func(tally.HistogramSnapshot) []string) error {
+	snapshot := s.Scope.Snapshot()
+	var out []string
+	for _, c := range snapshot.Counters() {
+		out = append(out, fmt.Sprintf("%s%s %d", c.Name(), TagText(c.Tags()), c.Value()))
+	}
+	for _, h := range snapshot.Histograms() {
+		out = append(out, lines(h)...)
+	}
+	sort.Strings(out)
+	for _, line := range out {
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			return fmt.Errorf("write metrics: %w", err)
+		}
+	}
+	return nil
+}
+
+// TagText returns tags as they stand behind a name.
+func TagText(tags map[string]string) string {
+	if len(tags) == 0 {
+		return ""
+	}
+	parts := make([]string, 0, len(tags))
+	for k, v := range tags {
+		parts = append(parts, fmt.Sprintf("%s=%q", k, v))
+	}
+	sort.Strings(parts)
+	return "{" + strings.Join(parts, ",") + "}"
+}
