entry/front: keep what callers send out of the names of counters

A malformed id and an error of the body became tags of counters, one for each wording, without a bound. Found by reading. Callers get the same texts; the log has the text as message. The HTTP server takes known methods only, so those stay.

--- a/internal/entry/front/callers.go
+++ b/internal/entry/front/callers.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -36,10 +38,16 @@
 
 // answer is what a caller gets.
 type answer struct {
-	status     int
-	body       []byte
-	reason     string
-	retryAfter time.Duration
+	status int
+	body   []byte
+	// reason is one of a few words; message may tell more of the call.
+	reason, message string
+	retryAfter      time.Duration
+}
+
+// malformed is the answer to a call that cannot be read.
+func malformed(err error) answer {
+	return answer{status: http.StatusBadRequest, reason: "malformed", message: err.Error()}
 }
 
 func (f *Front) serveReadiness(w http.ResponseWriter, _ *http.Request) {
@@ -75,7 +83,7 @@
 	}
 	f.log.Call(a.status < 300 && r.Method == http.MethodGet, logrus.Fields{
 		"method": r.Method, "job": id, "queue": queue, "status": a.status, "reason": a.reason,
-		"configuration": version, "ms": now().Sub(began).Milliseconds(),
+		"message": a.message, "configuration": version, "ms": now().Sub(began).Milliseconds(),
 	})
 	f.write(w, a)
 }
@@ -91,7 +99,7 @@
 	}
 	body := a.body
 	if body == nil && a.reason != "" {
-		body = platform.EncodeRefusal(a.reason, a.retryAfter)
+		body = platform.EncodeRefusal(cmp.Or(a.message, a.reason), a.retryAfter)
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(a.status)
@@ -130,7 +138,7 @@
 	}
 	id, err := platform.ParseJobID(rest)
 	if err != nil {
-		return answer{status: http.StatusBadRequest, reason: err.Error()}
+		return malformed(err)
 	}
 	switch r.Method {
 	case http.MethodPost:
@@ -140,14 +148,14 @@
 		}
 		body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 		if err != nil {
-			return answer{status: http.StatusBadRequest, reason: "the body is not whole"}
+			return malformed(fmt.Errorf("the body is not whole: %w", err))
 		}
 		if int64(len(body)) > limit {
 			return answer{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge"}
 		}
 		job, err := platform.DecodeJob(id, q.Name, body)
 		if err != nil {
-			return answer{status: http.StatusBadRequest, reason: err.Error()}
+			return malformed(err)
 		}
 		return f.submit(ctx, job)
 	case http.MethodGet:
@@ -179,7 +187,7 @@
 func (f *Front) deferCall(ctx context.Context, key string, m *jobpb.Deferred, state bamboofall.JobState, notRun bool) answer {
 	value, err := proto.Marshal(m)
 	if err != nil {
-		return answer{status: http.StatusBadRequest, reason: err.Error()}
+		return malformed(err)
 	}
 	if notRun && ctx.Err() != nil {
 		return answer{status: http.StatusServiceUnavailable, reason: "noTime", retryAfter: takeOverTime}
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -323,3 +323,26 @@
 	o := newOwner(context.Background(), f.fronts[0].Front, lease.Record{Epoch: 1}, time.Time{}, 1)
 	o.setConfiguration(&bamboofall.Configuration{Version: 1})
 }
+
+// What callers send must not become names of counters, or a flood of bad calls
+// would fill the memory.
+func TestBadCallsShareTheirCounters(t *testing.T) {
+	f := newFleet(t, 1, 1, time.Millisecond)
+	f.waitForOwner(-1)
+	counters := func() int {
+		snapshot := f.fronts[0].metrics.Scope.Snapshot()
+		return len(snapshot.Counters()) + len(snapshot.Histograms())
+	}
+	bad := func(n int) {
+		status, _ := f.do(0, http.MethodGet, fmt.Sprintf("/q/bad%d", n), "")
+		assert.Equal(t, status, http.StatusBadRequest)
+		status, _ = f.do(0, http.MethodPost, "/q/"+id(n), fmt.Sprintf(`{"steps":"%d"`, n))
+		assert.Equal(t, status, http.StatusBadRequest)
+	}
+	bad(0)
+	before := counters()
+	for n := range 5 {
+		bad(n + 1)
+	}
+	assert.Equal(t, counters(), before)
+}
