jobs/cell: say things once, drop what nothing read

Orders, lines and queue entries about a run are built in one place each; shares of a worker are worked out in one; a map that adopt filled and nobody read, a counter that nobody raised and parameters that nobody used are gone. A worker that refuses a connection to a start is now logged as silent, as for other calls.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -69,6 +69,28 @@
 	return r
 }
 
+// newOrder returns an order about a run.
+func (c *Cell) newOrder(now time.Time, kind OrderKind, a *attempt) Order {
+	return Order{
+		Kind: kind, Worker: a.worker.info.WorkerRef, attempt: a, worker: a.worker, sent: now, born: a.worker.born,
+		Start: bamboofall.StartOrder{Task: a.task.name(), Run: a.run, Token: c.cfg.Token},
+	}
+}
+
+// Whether a note is routine.
+const (
+	routine = true
+	rare    = false
+)
+
+// noteRun notes a decision about a run.
+func (c *Cell) noteRun(a *attempt, event string, isRoutine bool, detail string) {
+	c.note(Note{
+		Event: event, Job: a.task.step.occ.job.ID, Task: a.task.name().String(), Worker: a.worker.info.ID, Run: a.run,
+		Detail: detail, Routine: isRoutine,
+	})
+}
+
 // reserve puts an attempt at a worker.
 func (c *Cell) reserve(w *worker, t *task, run uint32) *attempt {
 	a := &attempt{task: t, worker: w, run: run, want: fullPace, paced: fullPace}
@@ -165,17 +187,11 @@
 	}
 	a.resumed = checkpoint != ""
 	c.counters.Started++
-	c.out.Orders = append(c.out.Orders, Order{
-		Kind: OrderStart, Worker: w.info.WorkerRef, attempt: a, worker: w, sent: now, born: w.born,
-		Start: bamboofall.StartOrder{
-			Task: t.name(), Run: a.run, Payload: t.step.occ.job.Payload, Checkpoint: checkpoint,
-			LeaseUntil: c.grant(now, w), Token: c.cfg.Token,
-		},
-	})
-	c.note(Note{
-		Event: "start", Job: t.step.occ.job.ID, Task: t.name().String(), Worker: w.info.ID, Run: a.run, Routine: true,
-		Detail: fmt.Sprintf("waited %v, worker uses %d of %d", now.Sub(t.step.readyAt).Round(time.Millisecond), w.used.MilliProcessors, w.info.Room.MilliProcessors),
-	})
+	o := c.newOrder(now, OrderStart, a)
+	o.Start.Payload, o.Start.Checkpoint, o.Start.LeaseUntil = t.step.occ.job.Payload, checkpoint, c.grant(now, w)
+	c.out.Orders = append(c.out.Orders, o)
+	c.noteRun(a, "start", routine, fmt.Sprintf("waited %v, worker uses %d of %d",
+		now.Sub(t.step.readyAt).Round(time.Millisecond), w.used.MilliProcessors, w.info.Room.MilliProcessors))
 }
 
 // Started takes over the answer to a start order.
@@ -198,26 +214,25 @@
 	}
 	var rejected *bamboofall.RejectedError
 	var notDone *bamboofall.NotDoneError
-	name := a.task.name().String()
 	switch {
 	case errors.As(err, &rejected):
 		c.counters.StartsRejected++
-		c.note(Note{Event: "start rejected", Job: a.task.step.occ.job.ID, Task: name, Worker: w.info.ID, Run: a.run, Detail: string(rejected.Cause)})
+		c.noteRun(a, "start rejected", rare, string(rejected.Cause))
 		c.release(a)
 		w.health.avoid(now)
 		w.wake(now)
 		c.rejected(now, w, rejected)
 		c.enqueue(a.task)
 	case errors.As(err, &notDone):
-		c.note(Note{Event: "start not done", Job: a.task.step.occ.job.ID, Task: name, Worker: w.info.ID, Run: a.run, Detail: err.Error()})
+		c.noteRun(a, "start not done", rare, err.Error())
 		c.release(a)
 		w.health.avoid(now)
-		w.failures++
+		c.unheard(w, err)
 		w.wake(now)
 		c.enqueue(a.task)
 	default:
 		c.counters.StartsUnknown++
-		c.note(Note{Event: "start unanswered", Job: a.task.step.occ.job.ID, Task: name, Worker: w.info.ID, Run: a.run, Detail: err.Error()})
+		c.noteRun(a, "start unanswered", rare, err.Error())
 		a.state = attemptUnsure
 		a.doubtedAt = now
 		w.health.avoid(now)
@@ -242,11 +257,8 @@
 func (c *Cell) orderStop(now time.Time, a *attempt) {
 	a.stopOrdered = now
 	a.stopOpen = true
-	c.out.Orders = append(c.out.Orders, Order{
-		Kind: OrderStop, Worker: a.worker.info.WorkerRef, attempt: a, worker: a.worker, sent: now, born: a.worker.born,
-		Start: bamboofall.StartOrder{Task: a.task.name(), Run: a.run, Token: c.cfg.Token},
-	})
-	c.note(Note{Event: "stop", Job: a.task.step.occ.job.ID, Task: a.task.name().String(), Worker: a.worker.info.ID, Run: a.run, Detail: a.stopWhy, Routine: true})
+	c.out.Orders = append(c.out.Orders, c.newOrder(now, OrderStop, a))
+	c.noteRun(a, "stop", routine, a.stopWhy)
 }
 
 // Stopped takes over the answer to a stop order.
@@ -272,10 +284,8 @@
 
 // watchAttempt orders stops again that were not answered.
 func (c *Cell) watchAttempt(now time.Time, a *attempt) {
-	if a.stopping && !a.stopOpen && now.Sub(a.stopOrdered) >= stopRetry && !a.worker.silent() {
-		if a.stopped.IsZero() {
-			c.orderStop(now, a)
-		}
+	if a.stopping && !a.stopOpen && a.stopped.IsZero() && now.Sub(a.stopOrdered) >= stopRetry && !a.worker.silent() {
+		c.orderStop(now, a)
 	}
 	c.suspect(now, a)
 }
@@ -286,11 +296,9 @@
 		return
 	}
 	c.counters.Lapsed++
-	c.note(Note{Event: "run lost", Job: a.task.step.occ.job.ID, Task: a.task.name().String(), Worker: a.worker.info.ID, Run: a.run, Detail: why})
+	c.noteRun(a, "run lost", rare, why)
 	c.release(a)
-	if a.checkpoint != "" {
-		c.keepCheckpoint(a.task, a.checkpoint)
-	}
+	c.keepCheckpoint(a.task, a.checkpoint)
 	c.enqueue(a.task)
 }
 
@@ -409,10 +417,6 @@
 
 // adopt takes over what a worker runs that this owner has not started.
 func (c *Cell) adopt(now time.Time, w *worker, report bamboofall.HoldReport) {
-	ended := make(map[string]uint32)
-	for _, e := range report.Ends {
-		ended[e.Task.String()] = max(ended[e.Task.String()], e.Run)
-	}
 	for _, p := range report.Running {
 		t := c.find(p.Task)
 		if t == nil {
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -77,10 +77,10 @@
 
 // Counters counts what an owner did.
 type Counters struct {
-	Accepted, Refused, Completed, Failed, Cancelled  int64
-	Started, Done, TaskFailures, Lapsed, Stopped     int64
-	StartsRejected, StartsUnknown, HoldFailures      int64
-	Quarantines, Duplicates, Paced, Adopted, Orphans int64
+	Accepted, Refused, Completed, Failed, Cancelled int64
+	Started, Done, TaskFailures, Lapsed, Stopped    int64
+	StartsRejected, StartsUnknown, HoldFailures     int64
+	Quarantines, Paced, Adopted, Orphans            int64
 }
 
 // Note is a decision worth a line in the log.
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -93,10 +93,8 @@
 	for _, d := range j.remaining {
 		j.chain = max(j.chain, d)
 	}
-	stretch := 1.0
 	if q != nil {
-		stretch = q.Stretch
-		j.due = accepted.Add(time.Duration(stretch*float64(j.chain)) + q.Slack)
+		j.due = accepted.Add(time.Duration(q.Stretch*float64(j.chain)) + q.Slack)
 	}
 	return j
 }
@@ -115,7 +113,7 @@
 }
 
 // begin opens an occurrence.
-func (c *Cell) begin(now time.Time, j *job, number int) *occurrence {
+func (j *job) begin(number int) *occurrence {
 	o := &occurrence{job: j, number: number, left: len(j.Steps)}
 	j.occurrences[number] = o
 	for i := range j.Steps {
@@ -155,9 +153,14 @@
 	if t.done || t.queued || len(t.attempts) > 0 || s.waitsFor > 0 || s.occ.job.state.Ended() {
 		return
 	}
+	c.queue(t)
+}
+
+// queue puts a task on the queue of its step.
+func (c *Cell) queue(t *task) {
 	t.queued = true
-	s.waiting = append(s.waiting, t)
-	c.ready[s] = true
+	t.step.waiting = append(t.step.waiting, t)
+	c.ready[t.step] = true
 	c.unsettled = true
 }
 
@@ -241,7 +244,7 @@
 func (c *Cell) dueOccurrences(now time.Time) {
 	for j := range c.timed {
 		for j.nextDue < j.Occurrences() && !now.Before(j.FirstRun.Add(time.Duration(j.nextDue)*j.Interval)) {
-			o := c.begin(now, j, j.nextDue)
+			o := j.begin(j.nextDue)
 			j.nextDue++
 			c.open(now, o)
 			c.pending.touch(j)
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -31,8 +31,6 @@
 type health struct {
 	suspicion.Worker
 	avoidUntil time.Time
-	// acknowledged is the last end that a hold order has named as stored.
-	acknowledged uint64
 	// slow is how much longer than expected tasks take, minus one.
 	slow float64
 }
@@ -147,16 +145,13 @@
 // again begins a run anew elsewhere: beside the first if copies are allowed, and
 // in its place if not.
 func (c *Cell) again(now time.Time, a *attempt, why string) {
-	t, s := a.task, a.task.step
-	if !s.Speculative {
+	t := a.task
+	if !t.step.Speculative {
 		c.stop(now, a, why)
 		return
 	}
 	if len(t.attempts) < copies && !t.queued {
-		t.queued = true
-		s.waiting = append(s.waiting, t)
-		c.ready[s] = true
-		c.unsettled = true
+		c.queue(t)
 	}
 }
 
@@ -193,8 +188,7 @@
 			a.want = fullPace
 			continue
 		}
-		share := float64(s.Size.MilliProcessors) / float64(w.info.Room.MilliProcessors)
-		disturbs := share*c.pressure.Pressure(worst.Image, pressure.Neighbour{Image: s.Image}) >= pacing.Disturbing
+		disturbs := w.share(s.Size.MilliProcessors)*c.pressure.Pressure(worst.Image, pressure.Neighbour{Image: s.Image}) >= pacing.Disturbing
 		a.want = pacing.Next(a.want, load, disturbs, now.Sub(w.overSince), c.cfg.HarmAfter)
 		if a.want > 0 {
 			a.heldSince = now
@@ -217,11 +211,10 @@
 		}
 		a.pacing = true
 		c.counters.Paced++
-		c.out.Orders = append(c.out.Orders, Order{
-			Kind: OrderPace, Worker: w.info.WorkerRef, attempt: a, worker: w, sent: now, born: w.born, Percent: a.want,
-			Start: bamboofall.StartOrder{Task: a.task.name(), Run: a.run, Token: c.cfg.Token},
-		})
-		c.note(Note{Event: "pace", Job: a.task.step.occ.job.ID, Task: a.task.name().String(), Worker: w.info.ID, Run: a.run, Detail: fmt.Sprintf("%d%%", a.want), Routine: true})
+		o := c.newOrder(now, OrderPace, a)
+		o.Percent = a.want
+		c.out.Orders = append(c.out.Orders, o)
+		c.noteRun(a, "pace", routine, fmt.Sprintf("%d%%", a.want))
 	}
 }
 
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -261,14 +261,14 @@
 // expectedTail returns the largest tail that is expected at a worker with one
 // more task of a step, as a share of its target.
 func (c *Cell) expectedTail(now time.Time, w *worker, s *step) float64 {
-	own := float64(s.Size.MilliProcessors) / float64(w.info.Room.MilliProcessors)
+	own := w.share(s.Size.MilliProcessors)
 	neighbour := pressure.Neighbour{Image: s.Image, Serves: !s.Fills}
 	worst := 0.0
 	for _, t := range c.expectedTails(now, w) {
 		worst = max(worst, t.tail+own*c.pressure.Pressure(t.image, neighbour))
 	}
 	if s.TailTarget > 0 {
-		worst = max(worst, c.expect(w, s.Image, w.shares()))
+		worst = max(worst, c.expect(s.Image, w.shares()))
 	}
 	return worst
 }
@@ -294,12 +294,13 @@
 	w.tails = w.tails[:0]
 	shares := w.shares()
 	for image := range w.serving {
-		w.tails = append(w.tails, expectedTail{image, c.expect(w, image, shares)})
+		w.tails = append(w.tails, expectedTail{image, c.expect(image, shares)})
 	}
 	return w.tails
 }
 
-func (c *Cell) expect(w *worker, image string, shares pressure.Shares) float64 {
+// expect returns the tail of an image beside what uses a worker.
+func (c *Cell) expect(image string, shares pressure.Shares) float64 {
 	tail := c.pressure.Alone(image)
 	for n, share := range shares {
 		tail += share * c.pressure.Pressure(image, n)
@@ -309,29 +310,33 @@
 
 // shares returns the shares of a worker's processors that are given to images.
 func (w *worker) shares() pressure.Shares {
-	room := float64(w.info.Room.MilliProcessors)
-	shares := make(pressure.Shares, len(w.filling)+len(w.serving))
+	shares := w.servingShares()
 	for image, cpu := range w.filling {
-		shares[pressure.Neighbour{Image: image}] = float64(cpu) / room
+		shares[pressure.Neighbour{Image: image}] = w.share(cpu)
 	}
+	return shares
+}
+
+// servingShares returns the shares that are given to images that serve.
+func (w *worker) servingShares() pressure.Shares {
+	shares := make(pressure.Shares, len(w.filling)+len(w.serving))
 	for image, cpu := range w.serving {
-		shares[pressure.Neighbour{Image: image, Serves: true}] = float64(cpu) / room
+		shares[pressure.Neighbour{Image: image, Serves: true}] = w.share(cpu)
 	}
 	return shares
 }
 
+// share returns processors as a share of the worker's.
+func (w *worker) share(milliProcessors int64) float64 {
+	return float64(milliProcessors) / float64(w.info.Room.MilliProcessors)
+}
+
 // usedShares returns the shares that images use now, as far as that is known.
 func (w *worker) usedShares() pressure.Shares {
-	room := float64(w.info.Room.MilliProcessors)
-	shares := w.shares()
-	for n := range shares {
-		if !n.Serves {
-			delete(shares, n)
-		}
-	}
+	shares := w.servingShares()
 	for _, a := range w.attempts {
 		if a.task.step.Fills && a.gauge > 0 {
-			shares[pressure.Neighbour{Image: a.task.step.Image}] += float64(a.gauge) / room
+			shares[pressure.Neighbour{Image: a.task.step.Image}] += w.share(a.gauge)
 		}
 	}
 	return shares
@@ -344,14 +349,10 @@
 		return false
 	}
 	free := w.free()
-	need := s.Size
 	if s.Fills {
 		free.MilliProcessors = w.unusedCPU() - w.fillCPU
 	}
-	if !need.Fits(free) {
-		return false
-	}
-	if !w.health.takes(now) {
+	if !s.Size.Fits(free) || !w.health.takes(now) {
 		return false
 	}
 	if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
@@ -418,7 +419,7 @@
 		c.dueOccurrences(now)
 	} else {
 		j.nextDue = 1
-		c.open(now, c.begin(now, j, 0))
+		c.open(now, j.begin(0))
 	}
 	c.note(Note{Event: "accepted", Job: j.ID, Detail: fmt.Sprintf(
 		"queue %s, steps %s, %v of work, %v ahead on %d milliprocessors, due in %v", spec.Queue, describe(spec), work.Round(time.Millisecond),
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -353,7 +353,7 @@
 		return nil
 	}
 	for _, m := range p.GetOpen() {
-		o := c.begin(now, j, int(m.GetNumber()))
+		o := j.begin(int(m.GetNumber()))
 		j.nextDue = max(j.nextDue, o.number+1)
 		for i, sm := range m.GetSteps() {
 			if i < len(o.steps) {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -30,6 +30,9 @@
 	clockFresh = 20 * time.Second
 	// stopRetry is the time after which a stop is ordered again.
 	stopRetry = 400 * time.Millisecond
+	// unlistedGrace is how long a worker is kept that is no longer listed: entries
+	// that lapsed while the store was away come back within two seconds.
+	unlistedGrace = 5 * time.Second
 	// silentAfter is how many calls must fail before a worker gets no new work.
 	silentAfter = 1
 )
@@ -72,7 +75,9 @@
 	// seen is the last end that is stored, got the last that was taken in.
 	seen, got uint64
 	gotAt     uint64
-	health    health
+	// acknowledged is the last end that a hold order has named as stored.
+	acknowledged uint64
+	health       health
 	// drainingSince is when the worker was first seen to leave.
 	drainingSince time.Time
 	// observedAt is when tails were last taken into account, overSince since
@@ -209,7 +214,7 @@
 	w.born = born
 	w.info.Born = born
 	w.synced = false
-	w.seen, w.got, w.gotAt = 0, 0, 0
+	w.seen, w.got, w.gotAt, w.acknowledged = 0, 0, 0, 0
 	w.leasesEnd = time.Time{}
 	w.nextHold = now
 	w.health = health{}
@@ -230,8 +235,6 @@
 	for _, a := range slices.Clone(w.attempts) {
 		c.watchAttempt(now, a)
 	}
-	// Wait for entries that lapsed while the store was away.
-	const unlistedGrace = 5 * time.Second
 	if !w.listed && w.unlistedAt.IsZero() {
 		w.unlistedAt = now
 	}
@@ -297,7 +300,7 @@
 			}
 		}
 		w.holding = true
-		w.health.acknowledged = max(w.health.acknowledged, o.Seen)
+		w.acknowledged = max(w.acknowledged, o.Seen)
 		c.out.Orders = append(c.out.Orders, Order{
 			Kind: OrderHold, Worker: w.info.WorkerRef, Hold: o, worker: w, sent: now, born: w.born,
 		})
@@ -305,7 +308,7 @@
 }
 
 // mustAcknowledge reports whether the worker lists ends that are stored.
-func (w *worker) mustAcknowledge() bool { return w.got > w.health.acknowledged }
+func (w *worker) mustAcknowledge() bool { return w.got > w.acknowledged }
 
 // unsure reports whether a start or stop is open, so that an answer is
 // needed soon.
@@ -339,18 +342,14 @@
 	}
 	if !w.synced {
 		w.synced = true
-		w.nextHold = now
 		c.unsettled = true
 		c.adopt(now, w, report)
 	}
 	c.takeEnds(now, w, report.Ends)
 	c.compare(now, o, w, report.Running)
 	w.nextHold = now
-	if w.got > w.seen {
+	if w.got > w.seen && !c.IsStored(w.gotAt) {
 		w.nextHold = now.Add(holdUnstored)
-		if c.IsStored(w.gotAt) {
-			w.nextHold = now
-		}
 	}
 }
 
@@ -362,6 +361,11 @@
 		c.rejected(now, w, rejected)
 		return
 	}
+	c.unheard(w, err)
+}
+
+// unheard notes that a worker did not answer.
+func (c *Cell) unheard(w *worker, err error) {
 	w.failures++
 	if w.failures == silentAfter {
 		c.note(Note{Event: "worker silent", Worker: w.info.ID, Detail: err.Error()})
