--- /dev/null
+++ b/internal/jobs/cell/ends.go
@@ -0,0 +1,109 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"bamboofall.example/bamboofall"
+)
+
+// keepCheckpoint notes the newest checkpoint of a task.
+func (c *Cell) keepCheckpoint(t *task, checkpoint string) {
+	if checkpoint == "" || t.done {
+		return
+	}
+	if g := t.step.gang; g != nil {
+		g.checkpoint = checkpoint
+		return
+	}
+	t.checkpoint = checkpoint
+}
+
+// takeEnds takes over the ends that a worker lists.
+func (c *Cell) takeEnds(now time.Time, w *worker, ends []bamboofall.End) {
+	for _, e := range ends {
+		if e.Number <= w.got {
+			continue
+		}
+		w.got = e.Number
+		w.gotAt = c.pending.next
+		c.end(now, w, e)
+	}
+	if w.got > w.seen && c.pending.empty() {
+		// These ends changed nothing; earlier ones may be under way.
+		w.gotAt = c.pending.next - 1
+	}
+}
+
+func (c *Cell) end(now time.Time, w *worker, e bamboofall.End) {
+	j := c.jobs[e.Task.Job]
+	t := c.find(e.Task)
+	if t == nil {
+		return
+	}
+	var a *attempt
+	for _, b := range w.attempts {
+		if b.task == t && b.run == e.Run {
+			a = b
+		}
+	}
+	c.note(Note{Event: "end " + e.Cause.String(), Job: j.ID, Task: e.Task.String(), Worker: w.info.ID, Run: e.Run, Routine: e.Cause == bamboofall.EndDone})
+	c.begun(j)
+	if a != nil {
+		c.release(a)
+	}
+	c.keepCheckpoint(t, e.Checkpoint)
+	switch e.Cause {
+	case bamboofall.EndDone:
+		c.counters.Done++
+		c.learnDone(now, w, a, t)
+		if t.step.gang != nil {
+			c.gangDone(now, t.step)
+		} else {
+			c.doneTask(now, t)
+		}
+		for _, other := range slices.Clone(t.attempts) {
+			c.stop(now, other, "another copy is done")
+		}
+	case bamboofall.EndFailed:
+		c.counters.TaskFailures++
+		c.learnFailure(now, w, t)
+		c.countFailure(now, t, e.Run)
+	case bamboofall.EndLapsed:
+		c.counters.Lapsed++
+	default:
+		c.counters.Stopped++
+	}
+	if !j.state.Ended() {
+		c.pending.touch(j)
+	}
+	c.enqueue(t)
+}
+
+// gangDone ends all tasks of a gang, for one end stands for all.
+func (c *Cell) gangDone(now time.Time, s *step) {
+	for i := range s.tasks {
+		c.doneTask(now, &s.tasks[i])
+	}
+}
+
+// countFailure counts a failed run once and fails the job if none is left.
+func (c *Cell) countFailure(now time.Time, t *task, run uint32) {
+	s := t.step
+	j := s.occ.job
+	if s.Standing || t.done {
+		return
+	}
+	runs := &t.failedRuns
+	if s.gang != nil {
+		runs = &s.gang.failedRuns
+	}
+	if slices.Contains(*runs, run) {
+		return
+	}
+	*runs = append(*runs, run)
+	if q := j.queue; q != nil && len(*runs) >= q.MaxAttempts {
+		c.finish(now, j, bamboofall.JobFailed, fmt.Sprintf("task %v has failed %d times, at last on worker %s", t.name(), len(*runs), t.lastWorker))
+	}
+}
--- /dev/null
+++ b/internal/jobs/cell/pace.go
@@ -0,0 +1,115 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/pacing"
+	"bamboofall.example/bamboofall/internal/jobs/pressure"
+)
+
+const (
+	// settleTime is how long a task that serves must have run for its tail to
+	// be its own.
+	settleTime = 1500 * time.Millisecond
+	// moveAfter is how long a task that fills is held back before it is moved.
+	moveAfter = 600 * time.Millisecond
+	// leaveMargin is the part of a draining worker's time that is left for stops.
+	leaveMargin = 600 * time.Millisecond
+)
+
+// observe learns from what a worker shows and decides on the shares of what
+// fills there.
+func (c *Cell) observe(now time.Time, w *worker) {
+	if now.Sub(w.observedAt) < pacing.Every {
+		return
+	}
+	w.observedAt = now
+	shares := w.usedShares()
+	load := 0.0
+	var worst *step
+	for _, a := range w.attempts {
+		s := a.task.step
+		if s.TailTarget <= 0 || a.state != attemptRunning || a.percent < fullPace || now.Sub(a.startedAt) < settleTime {
+			continue
+		}
+		tail := float64(a.gauge) / float64(s.TailTarget.Milliseconds())
+		c.pressure.Observe(s.Image, tail, shares)
+		if tail > load {
+			load, worst = tail, s
+		}
+	}
+	if load < 1 {
+		w.overSince = now
+	}
+	for _, a := range w.attempts {
+		s := a.task.step
+		if !s.Fills || a.state != attemptRunning || a.stopping {
+			continue
+		}
+		if worst == nil {
+			a.want = fullPace
+			continue
+		}
+		disturbs := w.share(s.Size.MilliProcessors)*c.pressure.Pressure(worst.Image, pressure.Neighbour{Image: s.Image}) >= pacing.Disturbing
+		a.want = pacing.Next(a.want, load, disturbs, now.Sub(w.overSince), c.cfg.HarmAfter)
+		if a.want > 0 {
+			a.heldSince = now
+		}
+	}
+}
+
+// pace orders the shares that are decided, and moves tasks that are held back.
+func (c *Cell) pace(now time.Time, w *worker) {
+	for _, a := range w.attempts {
+		if !a.task.step.Fills || a.state != attemptRunning || a.pacing || a.stopping {
+			continue
+		}
+		if a.want == 0 && a.task.step.Checkpointing && now.Sub(a.heldSince) >= moveAfter && c.choose(now, a.task) != nil {
+			c.stop(now, a, "it disturbs tasks that serve, and there is room elsewhere")
+			continue
+		}
+		if a.paced == a.want {
+			continue
+		}
+		a.pacing = true
+		c.counters.Paced++
+		o := c.newOrder(now, OrderPace, a)
+		o.Percent = a.want
+		c.out.Orders = append(c.out.Orders, o)
+		c.noteRun(a, "pace", routine, fmt.Sprintf("%d%%", a.want))
+	}
+}
+
+// Paced takes over the answer to a pace order.
+func (c *Cell) Paced(now time.Time, o Order, s bamboofall.Sighting, err error) {
+	o.attempt.pacing = false
+	if err == nil && c.sighted(now, o, s) {
+		o.attempt.paced = o.Percent
+	}
+}
+
+// evacuate moves what will not end before a draining worker leaves. Tasks that
+// last go as soon as there is room elsewhere, others if they keep what they did.
+func (c *Cell) evacuate(now time.Time, w *worker) {
+	if !w.info.Draining || w.drainingSince.IsZero() {
+		return
+	}
+	left := max(0, w.info.Remaining-now.Sub(w.drainingSince)-leaveMargin)
+	for _, a := range w.attempts {
+		s := a.task.step
+		if a.state != attemptRunning || a.stopping || s.gang != nil {
+			continue
+		}
+		if !s.Standing {
+			remaining := c.expected(s) * time.Duration(100-min(100, max(0, a.percent))) / 100
+			if !s.Checkpointing || remaining <= left {
+				continue
+			}
+		}
+		if c.choose(now, a.task) != nil {
+			c.stop(now, a, "its worker leaves")
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/cell/submit.go
@@ -0,0 +1,241 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/admission"
+	"bamboofall.example/bamboofall/internal/jobs/urgency"
+)
+
+// Refusal says why a job was not accepted.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Reasons of a refusal.
+const (
+	ReasonBacklog = "backlog"
+	ReasonAdvice  = "adviceNotSupported"
+	ReasonQueue   = "noSuchQueue"
+)
+
+// Submit decides on a job. It returns the flush that makes it durable, or why
+// it is refused.
+func (c *Cell) Submit(now time.Time, spec *bamboofall.Job, mustAccept bool) (uint64, *Refusal) {
+	if j := c.jobs[spec.ID]; j != nil {
+		return j.storedAt, nil
+	}
+	q := c.queues[spec.Queue]
+	if q == nil && !mustAccept {
+		return 0, &Refusal{Reason: ReasonQueue}
+	}
+	if q != nil && q.NeedsAdvice && !mustAccept {
+		// Starts without a ticket are rejected, and tickets are not built yet.
+		return 0, &Refusal{Reason: ReasonAdvice, RetryAfter: admission.MaxRetry}
+	}
+	j := newJob(spec, q, now)
+	load, work, d := c.judge(now, j)
+	if !d.Accept && !mustAccept {
+		c.counters.Refused++
+		c.note(Note{Event: "refused", Job: j.ID, Detail: fmt.Sprintf(
+			"queue %s, %v of work ahead on %d milliprocessors, wait %v, retry after %v", q.Name,
+			load.Ahead.Round(time.Second), load.MilliProcessors, d.Wait.Round(time.Millisecond), d.RetryAfter.Round(time.Millisecond))})
+		return 0, &Refusal{Reason: ReasonBacklog, RetryAfter: d.RetryAfter}
+	}
+	c.counters.Accepted++
+	c.jobs[j.ID] = j
+	c.pending.add(j)
+	if spec.Repetitions > 0 {
+		c.timed[j] = true
+		c.dueOccurrences(now)
+	} else {
+		j.nextDue = 1
+		c.open(now, j.begin(0))
+	}
+	c.note(Note{Event: "accepted", Job: j.ID, Detail: fmt.Sprintf(
+		"queue %s, steps %s, %v of work, %v ahead on %d milliprocessors, due in %v", spec.Queue, describe(spec), work.Round(time.Millisecond),
+		load.Ahead.Round(time.Second), load.MilliProcessors, j.due.Sub(now).Round(time.Millisecond))})
+	return j.storedAt, nil
+}
+
+// judge weighs a job against the load.
+func (c *Cell) judge(now time.Time, j *job) (admission.Load, time.Duration, admission.Decision) {
+	var l admission.Load
+	if j.queue == nil || j.Repetitions > 0 {
+		return l, 0, admission.Decision{Accept: true}
+	}
+	var roomOfAll, reserved int64
+	fills := slices.ContainsFunc(j.Steps, func(s bamboofall.Step) bool { return s.Fills })
+	for _, w := range c.order {
+		// A worker that this owner has not heard yet is taken as it is announced.
+		if !w.listed || w.silent() || w.info.Draining || w.info.Service != j.queue.Service {
+			continue
+		}
+		room := w.info.Room.MilliProcessors
+		free := w.free().MilliProcessors
+		standing := w.standingCPU
+		roomOfAll += room
+		reserved += standing
+		if fills {
+			standing = int64(servingUse * float64(standing))
+			free = w.unusedCPU()
+		}
+		l.MilliProcessors += room - standing
+		l.FreeMilliProcessors += max(0, free-w.fillCPU)
+	}
+	if fills && c.fillsGot > 0 {
+		// Interference leaves less to tasks that fill than is unused.
+		l.MilliProcessors = min(l.MilliProcessors, int64(c.fillsGot))
+		l.FreeMilliProcessors = 0
+	}
+	for _, other := range c.jobs {
+		if !other.state.Ended() && other.queue != nil && other.queue.Service == j.queue.Service && c.goesBefore(now, other, j) {
+			l.Ahead += c.remaining(now, other)
+		}
+	}
+	var own admission.Job
+	standing := false
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		standing = standing || s.Standing
+		own.Work += workOf(s.Size, s.Estimate) * time.Duration(s.Count)
+		if len(s.After) == 0 {
+			own.FirstMilliProcessors += s.Size.MilliProcessors * int64(s.Count)
+		}
+	}
+	if standing {
+		own.Work = 0
+		if float64(reserved+own.FirstMilliProcessors) > standingCap*float64(roomOfAll) && own.FirstMilliProcessors > 0 {
+			return l, 0, admission.Decision{RetryAfter: admission.MaxRetry}
+		}
+	}
+	own.Chain = j.chain
+	own.Until = urgency.LateFactor * j.due.Sub(now)
+	return l, own.Work, admission.Decide(l, own)
+}
+
+// standingCap is the share of the processors that standing tasks may reserve.
+// Beyond it urgent work finds no room for minutes.
+const standingCap = 0.85
+
+// goesBefore reports whether the work of a job is placed before that of a new
+// one: it is more urgent, or as urgent, nearer to its objective and in time.
+func (c *Cell) goesBefore(now time.Time, j, later *job) bool {
+	if j.queue.Priority != later.queue.Priority {
+		return j.queue.Priority < later.queue.Priority
+	}
+	if j.due.After(later.due) {
+		return false
+	}
+	left := time.Duration(0)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.left > 0 && s.waitsFor == 0 {
+				left = max(left, j.remaining[s.index])
+			}
+		}
+	}
+	return urgency.TierOf(now, j.accepted, j.due, left) == urgency.InTime
+}
+
+// workOf returns processor time: whole processors times run time.
+func workOf(size bamboofall.Resources, d time.Duration) time.Duration {
+	return time.Duration(float64(size.MilliProcessors) / 1000 * float64(d))
+}
+
+// remaining returns the processor time that a job still needs. Standing tasks
+// count as room that is gone, not as work.
+func (c *Cell) remaining(now time.Time, j *job) time.Duration {
+	total := time.Duration(0)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.Standing || s.left == 0 {
+				continue
+			}
+			expected := c.expected(s)
+			total += workOf(s.Size, expected) * time.Duration(s.left)
+			for i := range s.tasks {
+				for _, a := range s.tasks[i].attempts {
+					if a.state == attemptRunning && !s.tasks[i].done {
+						total -= workOf(s.Size, min(now.Sub(a.startedAt), expected*8/10))
+					}
+				}
+			}
+		}
+	}
+	return max(total, 0)
+}
+
+// Cancel cancels a job. It returns the flush that makes it durable and false if
+// the job is not known.
+func (c *Cell) Cancel(now time.Time, id bamboofall.JobID) (uint64, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return 0, false
+	}
+	if !j.state.Ended() {
+		c.finish(now, j, bamboofall.JobCancelled, "asked by the caller")
+	}
+	return j.storedAt, true
+}
+
+// CancelAhead cancels a job whose submission may not have arrived yet, so that
+// it never runs. It returns the flush that makes it durable.
+func (c *Cell) CancelAhead(now time.Time, id bamboofall.JobID) uint64 {
+	if c.jobs[id] == nil {
+		c.jobs[id] = newJob(&bamboofall.Job{ID: id}, nil, now)
+	}
+	flush, _ := c.Cancel(now, id)
+	return flush
+}
+
+// Lookup returns the state of a job as the store has it.
+func (c *Cell) Lookup(id bamboofall.JobID) (bamboofall.JobState, bool) {
+	j := c.jobs[id]
+	if j == nil || j.storedAt > c.pending.stored && c.pending.specs[id] != nil {
+		return 0, false
+	}
+	if j.shown == bamboofall.JobQueued && j.started {
+		return bamboofall.JobRunning, true
+	}
+	return j.shown, true
+}
+
+// Pending returns the number of jobs of a queue of which no task was started.
+func (c *Cell) Pending(queue string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.Job.Queue == queue && !j.started && !j.state.Ended() {
+			n++
+		}
+	}
+	return n
+}
+
+// describe sums up the steps of a job for the log.
+func describe(spec *bamboofall.Job) string {
+	var b strings.Builder
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		fmt.Fprintf(&b, "[%dx%dm %v", s.Count, s.Size.MilliProcessors, s.Estimate)
+		for _, flag := range []struct {
+			name string
+			set  bool
+		}{
+			{"gang", s.Gang}, {"sameRack", s.SameRack}, {"speculative", s.Speculative}, {"standing", s.Standing}, {"fills", s.Fills},
+			{"checkpointing", s.Checkpointing}, {s.Label, s.Label != ""}, {"near " + s.Rack, s.Rack != ""},
+			{fmt.Sprintf("apart %d", s.MaxPerWorker), s.MaxPerWorker > 0}, {"image " + s.Image, s.Image != ""},
+		} {
+			if flag.set {
+				b.WriteString(" " + flag.name)
+			}
+		}
+		b.WriteString("]")
+	}
+	return b.String()
+}
