--- a/internal/jobs/pressure/pressure.go
+++ b/internal/jobs/pressure/pressure.go
@@ -5,8 +5,7 @@
 // images disturb each other strongly, most not at all. For each image that
 // serves, its tail latency is fitted as a base and a pressure of each image that
 // fills or serves beside it times the share of the worker that it uses. Pressures
-// are not negative.
-// Old observations fade, as pressures change.
+// are not negative. Old observations fade, as pressures change.
 package pressure
 
 import (
@@ -107,13 +106,14 @@
 		m.fits[serving] = f
 	}
 	order := slices.SortedFunc(maps.Keys(beside), compareNeighbours)
-	for _, n := range order {
-		f.place(n)
+	columns := make([]int, len(order))
+	for i, n := range order {
+		columns[i] = f.place(n)
 	}
 	x := make([]float64, len(f.neighbours))
 	x[0] = 1
-	for _, n := range order {
-		x[f.place(n)] = beside[n]
+	for i, n := range order {
+		x[columns[i]] = beside[n]
 	}
 	expected := 0.0
 	for i, v := range x {
