--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -17,12 +17,15 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
 	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
+	"bamboofall.example/bamboofall/internal/wire/jobpb"
 	"bamboofall.example/bamboofall/platform"
 	"bamboofall.example/bamboofall/platform/standin"
 )
@@ -346,3 +349,91 @@
 	}
 	assert.Equal(t, counters(), before)
 }
+
+// Two VMs that claim with the same view must not both own the cell: the store
+// gives the first answer again to a sequence number that it has seen.
+func TestOneOfTwoClaimsWins(t *testing.T) {
+	f := newFleet(t, 0, 0, time.Millisecond)
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	var fronts []*Front
+	for i := range 2 {
+		path := filepath.Join(t.TempDir(), "node.toml")
+		text := standin.Settings(fmt.Sprintf("entry-%d", i), "127.0.0.1", strings.TrimPrefix(server.URL, "http://"), freePorts(t, 5))
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		set, err := platform.ReadSettings(path)
+		assert.NilError(t, err)
+		engine, err := httpclient.NewEngine()
+		assert.NilError(t, err)
+		t.Cleanup(engine.Stop)
+		fr := New(path, set, engine, NewLog(f.log, set.VM))
+		fr.config.Store(&bamboofall.Configuration{Version: 1})
+		fr.considerClaim(ctx, 0) // begins to wait
+		fronts = append(fronts, fr)
+	}
+	time.Sleep(lease.DefaultTiming().Stagger)
+	owners := 0
+	for _, fr := range fronts {
+		fr.considerClaim(ctx, 0)
+		if fr.owner.Load() != nil {
+			owners++
+		}
+	}
+	cancel()
+	for _, fr := range fronts {
+		fr.owners.Wait()
+	}
+	assert.Equal(t, owners, 1)
+}
+
+// refuseReads makes the store refuse to read on in a topic.
+func (f *fleet) refuseReads(topic string) {
+	f.store.SetFault(func(r *http.Request) standin.Fault {
+		if r.URL.Path == "/v1/log-read" && r.URL.Query().Get("topic") == topic {
+			return standin.FaultRefused
+		}
+		return standin.FaultNone
+	})
+}
+
+// An owner that cannot read the inbox does not know which jobs were accepted.
+func TestAnUnknownJobIsNotDeniedWithoutALookAtTheInbox(t *testing.T) {
+	f := newFleet(t, 1, 1, time.Millisecond)
+	f.waitForOwner(-1)
+	status, _ := f.do(0, http.MethodGet, "/q/"+id(9), "")
+	assert.Equal(t, status, http.StatusGone)
+	f.refuseReads(topicInbox)
+	time.Sleep(inboxFresh + inboxWait)
+	status, body := f.do(0, http.MethodGet, "/q/"+id(9), "")
+	assert.Equal(t, status, http.StatusServiceUnavailable, body)
+}
+
+// A successor knows what was accepted through the inbox before it answers, even if
+// it cannot follow the inbox.
+func TestASuccessorReadsTheInboxFirst(t *testing.T) {
+	f := newFleet(t, 3, 2, 50*time.Millisecond)
+	first := f.waitForOwner(-1)
+	other := (first + 1) % 3
+	f.fronts[first].stop()
+	f.refuseReads(topicInbox)
+	status, body := f.do(other, http.MethodPost, "/q/"+id(7), twoSteps)
+	assert.Equal(t, status, http.StatusOK, body)
+	f.waitForState(other, id(7), "completed")
+}
+
+// The inbox lists a cancellation before the submission that it cancels.
+func TestACancellationFromTheInboxComesFirst(t *testing.T) {
+	f := newFleet(t, 1, 1, 50*time.Millisecond)
+	f.waitForOwner(-1)
+	put := func(key string, m *jobpb.Deferred) {
+		value, err := proto.Marshal(m)
+		assert.NilError(t, err)
+		f.store.Put(topicInbox, key, value)
+	}
+	job, err := platform.DecodeJob(bamboofall.JobID(id(5)), "r-q", []byte(twoSteps))
+	assert.NilError(t, err)
+	put("c"+id(5), &jobpb.Deferred{Cancel: id(5)})
+	put("s"+id(5), &jobpb.Deferred{Job: cell.EncodeSpec(job)})
+	f.waitForState(0, id(5), "cancelled")
+}
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -1,14 +1,17 @@
 package cell_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
 
 // An owner that is replaced after it stored a job, but before it ordered a task,
@@ -74,3 +77,44 @@
 	}
 	assert.Equal(t, c.Pending("q"), 0)
 }
+
+// An image that serves alone must be learned as well: with its base taken too high
+// nothing would be placed beside it, and it would never be corrected.
+func TestTailsAreLearnedWithNothingBeside(t *testing.T) {
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, bamboofall.Worker{
+		WorkerRef: bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: benchStart, Service: "s",
+		Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
+	})
+	submit(c, "0000000000000001", "q", bamboofall.Step{
+		Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true, TailTarget: 50 * time.Millisecond, Image: "serving",
+	})
+	var learned *jobpb.Learned
+	var running []bamboofall.Placed
+	for now := benchStart; now.Before(benchStart.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		out := c.Step(now)
+		for _, o := range out.Orders {
+			seen := bamboofall.Sighting{Clock: now.Sub(benchStart) + time.Second, Born: benchStart}
+			switch o.Kind {
+			case cell.OrderStart:
+				running = append(running, bamboofall.Placed{Task: o.Start.Task, Run: o.Start.Run, Percent: 100, Gauge: 20})
+				c.Started(now, o, seen, nil)
+			case cell.OrderHold:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Running: running}, nil)
+			}
+		}
+		submit(c, fmt.Sprintf("%016x", now.UnixMilli()), "q", bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 64_000}})
+		records, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+		for _, r := range records {
+			if r.Key == "l" {
+				learned = &jobpb.Learned{}
+				assert.NilError(t, proto.Unmarshal(r.Value, learned))
+			}
+		}
+	}
+	assert.Equal(t, len(learned.GetFits()), 1)
+	assert.Equal(t, learned.GetFits()[0].GetImage(), "serving")
+}
--- a/internal/jobs/sim/worker.go
+++ b/internal/jobs/sim/worker.go
@@ -82,6 +82,9 @@
 	}
 }
 
+// Running returns the number of tasks that run at a worker.
+func (x *Worker) Running() int { return len(x.running) }
+
 // Crash takes a worker down and starts a new life of it later.
 func (x *Worker) Crash(down time.Duration) {
 	for _, r := range x.running {
