--- a/internal/entry/front/log.go
+++ b/internal/entry/front/log.go
@@ -16,7 +16,8 @@
 
 const (
 	// linesPerSecond bounds all lines, routinePerSecond those of runs that
-	// start and end as they should. A line costs some 10 us of a processor.
+	// start and end as they should. A line costs 13 us of a
+	// processor (BenchmarkLogLine).
 	linesPerSecond   = 500
 	routinePerSecond = 150
 	// burstSeconds is how long a burst of lines may be.
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -19,9 +19,10 @@
 
 // Reasons of a refusal.
 const (
-	ReasonBacklog = "backlog"
-	ReasonAdvice  = "adviceNotSupported"
-	ReasonQueue   = "noSuchQueue"
+	ReasonBacklog  = "backlog"
+	ReasonStanding = "standingTasksHaveTheirShare"
+	ReasonAdvice   = "adviceNotSupported"
+	ReasonQueue    = "noSuchQueue"
 )
 
 // Submit decides on a job. It returns the flush that makes it durable, or why
@@ -39,13 +40,13 @@
 		return 0, &Refusal{Reason: ReasonAdvice, RetryAfter: admission.MaxRetry}
 	}
 	j := newJob(spec, q, now)
-	load, work, d := c.judge(now, j)
-	if !d.Accept && !mustAccept {
+	v := c.judge(now, j)
+	if !v.Accept && !mustAccept {
 		c.counters.Refused++
 		c.note(Note{Event: "refused", Job: j.ID, Detail: fmt.Sprintf(
-			"queue %s, %v of work ahead on %d milliprocessors, wait %v, retry after %v", q.Name,
-			load.Ahead.Round(time.Second), load.MilliProcessors, d.Wait.Round(time.Millisecond), d.RetryAfter.Round(time.Millisecond))})
-		return 0, &Refusal{Reason: ReasonBacklog, RetryAfter: d.RetryAfter}
+			"%s: queue %s, %v of work ahead on %d milliprocessors, standing tasks reserve %d of %d, wait %v, retry after %v", v.reason, q.Name,
+			v.load.Ahead.Round(time.Second), v.load.MilliProcessors, v.standing, v.room, v.Wait.Round(time.Millisecond), v.RetryAfter.Round(time.Millisecond))})
+		return 0, &Refusal{Reason: v.reason, RetryAfter: v.RetryAfter}
 	}
 	c.counters.Accepted++
 	c.jobs[j.ID] = j
@@ -58,18 +59,31 @@
 		c.open(now, j.begin(0))
 	}
 	c.note(Note{Event: "accepted", Job: j.ID, Detail: fmt.Sprintf(
-		"queue %s, steps %s, %v of work, %v ahead on %d milliprocessors, due in %v", spec.Queue, describe(spec), work.Round(time.Millisecond),
-		load.Ahead.Round(time.Second), load.MilliProcessors, j.due.Sub(now).Round(time.Millisecond))})
+		"queue %s, steps %s, %v of work, %v ahead on %d milliprocessors, due in %v", spec.Queue, describe(spec), v.work.Round(time.Millisecond),
+		v.load.Ahead.Round(time.Second), v.load.MilliProcessors, j.due.Sub(now).Round(time.Millisecond))})
 	return j.storedAt, nil
 }
 
+// verdict is a decision on a job and what it was decided by.
+type verdict struct {
+	admission.Decision
+	load admission.Load
+	// work is the processor time of the job.
+	work time.Duration
+	// standing is what standing tasks reserve of the room of all workers, in
+	// thousandths of a processor.
+	standing, room int64
+	reason         string
+}
+
 // judge weighs a job against the load.
-func (c *Cell) judge(now time.Time, j *job) (admission.Load, time.Duration, admission.Decision) {
-	var l admission.Load
+func (c *Cell) judge(now time.Time, j *job) verdict {
+	v := verdict{reason: ReasonBacklog}
+	l := &v.load
 	if j.queue == nil || j.Repetitions > 0 {
-		return l, 0, admission.Decision{Accept: true}
+		v.Accept = true
+		return v
 	}
-	var roomOfAll, reserved int64
 	fills := slices.ContainsFunc(j.Steps, func(s bamboofall.Step) bool { return s.Fills })
 	for _, w := range c.order {
 		// A worker that this owner has not heard yet is taken as it is announced.
@@ -79,8 +93,8 @@
 		room := w.info.Room.MilliProcessors
 		free := w.free().MilliProcessors
 		standing := w.standingCPU
-		roomOfAll += room
-		reserved += standing
+		v.room += room
+		v.standing += standing
 		if fills {
 			standing = int64(servingUse * float64(standing))
 			free = w.unusedCPU()
@@ -110,13 +124,15 @@
 	}
 	if standing {
 		own.Work = 0
-		if float64(reserved+own.FirstMilliProcessors) > standingCap*float64(roomOfAll) && own.FirstMilliProcessors > 0 {
-			return l, 0, admission.Decision{RetryAfter: admission.MaxRetry}
+		if float64(v.standing+own.FirstMilliProcessors) > standingCap*float64(v.room) && own.FirstMilliProcessors > 0 {
+			v.reason, v.RetryAfter = ReasonStanding, admission.MaxRetry
+			return v
 		}
 	}
 	own.Chain = j.chain
 	own.Until = urgency.LateFactor * j.due.Sub(now)
-	return l, own.Work, admission.Decide(l, own)
+	v.work, v.Decision = own.Work, admission.Decide(v.load, own)
+	return v
 }
 
 // standingCap is the share of the processors that standing tasks may reserve.
