jobs/cell: ask a worker again once its ends are stored

Cause: after each end the next question to the worker waited 400 ms, although the store takes an append in some 10 ms. Ends, leases and tails were seen late, and a chain of two steps lost up to 0.8 s of an objective of some 1.5 s. Ruled out: the worker answering late (its answer waits for an end and comes at once). Change: workers with ends under way are remembered and asked again when the flush that holds the ends is stored; the 400 ms stay as the bound while the store is away.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -56,10 +56,12 @@
 	// unsettled is set when placement may find something to do.
 	unsettled bool
 	gated     []*attempt
-	pending   changes
-	counters  Counters
-	out       Output
-	nextScan  time.Time
+	// unstored are the workers with ends that are not in the store yet.
+	unstored []*worker
+	pending  changes
+	counters Counters
+	out      Output
+	nextScan time.Time
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -118,3 +118,64 @@
 	assert.Equal(t, len(learned.GetFits()), 1)
 	assert.Equal(t, learned.GetFits()[0].GetImage(), "serving")
 }
+
+// Ends are acknowledged as soon as they are stored, for the worker tells of the
+// next ones, and leases are renewed, with the call that acknowledges.
+func TestAWorkerIsAskedAgainOnceItsEndsAreStored(t *testing.T) {
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, bamboofall.Worker{
+		WorkerRef: bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: benchStart, Service: "s",
+		Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
+	})
+	submit(c, "0000000000000001", "q", bamboofall.Step{Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second})
+	now := benchStart
+	store := func() {
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+	}
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	var started []cell.Order
+	var hold *cell.Order
+	step := func() {
+		out := c.Step(now)
+		for i, o := range out.Orders {
+			switch o.Kind {
+			case cell.OrderStart:
+				c.Started(now, o, seen, nil)
+				started = append(started, o)
+			case cell.OrderHold:
+				hold = &out.Orders[i]
+			}
+		}
+	}
+	for range 3 {
+		step()
+		if hold != nil && len(started) == 0 {
+			c.Held(now, *hold, bamboofall.HoldReport{Sighting: seen}, nil)
+			hold = nil
+		}
+		store()
+	}
+	step()
+	assert.Equal(t, len(started), 2)
+	assert.Assert(t, hold != nil)
+
+	now = now.Add(time.Second)
+	report := bamboofall.HoldReport{
+		Sighting: seen,
+		Running:  []bamboofall.Placed{{Task: started[1].Start.Task, Run: started[1].Start.Run, Percent: 50}},
+		Ends:     []bamboofall.End{{Number: 1, Task: started[0].Start.Task, Run: started[0].Start.Run, Cause: bamboofall.EndDone}},
+	}
+	c.Held(now, *hold, report, nil)
+	hold = nil
+	step()
+	assert.Assert(t, hold == nil, "the end is not stored yet, so the worker would only repeat it")
+	now = now.Add(10 * time.Millisecond)
+	store()
+	step()
+	assert.Assert(t, hold != nil, "the end is stored")
+	assert.Equal(t, hold.Hold.Seen, uint64(1))
+	assert.Assert(t, hold.Hold.Wait > 0)
+}
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -145,6 +145,7 @@
 	}
 	p.shown = p.shown[n:]
 	c.openGates(now)
+	c.wakeStored(now)
 }
 
 // IsStored reports whether a flush is in the store.
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -350,6 +350,7 @@
 	w.nextHold = now
 	if w.got > w.seen && !c.IsStored(w.gotAt) {
 		w.nextHold = now.Add(holdUnstored)
+		c.unstored = append(c.unstored, w)
 	}
 }
 
@@ -406,6 +407,17 @@
 	return true
 }
 
+// wakeStored asks the workers again whose ends are stored by now.
+func (c *Cell) wakeStored(now time.Time) {
+	c.unstored = slices.DeleteFunc(c.unstored, func(w *worker) bool {
+		if !c.IsStored(w.gotAt) {
+			return false
+		}
+		w.wake(now)
+		return true
+	})
+}
+
 // wake makes the next hold of a worker due.
 func (w *worker) wake(now time.Time) {
 	if now.Before(w.nextHold) {
