jobs/pressure: learn little from far tails

Cause: workers that are slow or hang show tails of hundreds of targets. Ruled out: room (usable 66 of 66), order of waiting (all waiting tasks fill). Change: tails are cut at 3 targets, observations with residuals above half a target weigh less (Huber) and do not widen the spread. The owner's summary now names images that get nothing beside them.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -205,6 +205,9 @@
 // summaryEvery is the time between lines that sum up the cell.
 const summaryEvery = 2 * time.Second
 
+// namesNoted bounds the names in a note.
+const namesNoted = 5
+
 // summarize notes what the workers have, and what they do with it.
 func (c *Cell) summarize() {
 	var room, used, fills, standing int64
@@ -229,6 +232,10 @@
 		waiting += len(s.waiting)
 	}
 	known, open := c.Jobs()
+	if full := c.pressure.Above(maxExpectedTail); len(full) > 0 {
+		c.note(Note{Event: "images without fills", Detail: fmt.Sprintf(
+			"%d images are expected above %v of their target alone, the first: %v", len(full), maxExpectedTail, full[:min(len(full), namesNoted)])})
+	}
 	c.note(Note{Event: "summary", Detail: fmt.Sprintf(
 		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, filling %d; jobs %d known %d open; tasks waiting %d",
 		usable, serving, silent, room, used, standing, fills, known, open, waiting)})
--- a/internal/jobs/pressure/pressure.go
+++ b/internal/jobs/pressure/pressure.go
@@ -5,7 +5,9 @@
 // images disturb each other strongly, most not at all. For each image that
 // serves, its tail latency is fitted as a base and a pressure of each image that
 // fills or serves beside it times the share of the worker that it uses. Pressures
-// are not negative. Old observations fade, as pressures change.
+// are not negative. Old observations fade, as pressures change. The fit is robust
+// (Huber weights), for the tails of a sick worker, hundreds of targets long, would
+// else set the figures of its image everywhere.
 package pressure
 
 import (
@@ -33,6 +35,12 @@
 	spread = 1.3
 	// residualWeight is the weight of a new residual in their running mean.
 	residualWeight = 0.02
+	// farTail is the tail, in targets, above which the figure says no more than
+	// that the target is missed: a queue that grows has no tail.
+	farTail = 3.0
+	// farResidual is the residual, in targets, above which an observation weighs
+	// less: a worker that is sick shows long tails whatever runs beside.
+	farResidual = 0.5
 	// firstBase and firstVariance are assumed of an image that was not seen.
 	firstBase     = 0.45
 	firstVariance = 0.02
@@ -119,9 +127,14 @@
 	for i, v := range x {
 		expected += v * f.values[i]
 	}
-	residual := tail - expected
-	// Far tails are noise of their own; they must not set the spread.
-	f.variance += residualWeight * (min(residual*residual, 0.25) - f.variance)
+	tail = min(tail, farTail)
+	residual := math.Abs(tail - expected)
+	weight := 1.0
+	if residual > farResidual {
+		weight = farResidual / residual
+	} else {
+		f.variance += residualWeight * (residual*residual - f.variance)
+	}
 	for i := range x {
 		// The prior does not fade, so that a value without observations
 		// returns to it.
@@ -130,10 +143,10 @@
 			prior, moment = priorWeight, priorWeight*f.neighbours[i].prior()
 		}
 		for k := range x {
-			f.gram[i][k] = f.gram[i][k]*fade + x[i]*x[k]
+			f.gram[i][k] = f.gram[i][k]*fade + weight*x[i]*x[k]
 		}
 		f.gram[i][i] += (1 - fade) * prior
-		f.moments[i] = f.moments[i]*fade + (1-fade)*moment + x[i]*tail
+		f.moments[i] = f.moments[i]*fade + (1-fade)*moment + weight*x[i]*tail
 	}
 	f.solve()
 }
@@ -176,6 +189,19 @@
 	return base + spread*math.Sqrt(variance)
 }
 
+// Above returns the images that serve whose tails alone are expected to be above a
+// share of their target.
+func (m *Model) Above(share float64) []string {
+	var out []string
+	for image := range m.fits {
+		if m.Alone(image) > share {
+			out = append(out, image)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // compareNeighbours makes equal observations lead to equal fits.
 func compareNeighbours(a, b Neighbour) int {
 	if a.Serves != b.Serves {
--- a/internal/jobs/pressure/pressure_test.go
+++ b/internal/jobs/pressure/pressure_test.go
@@ -85,3 +85,21 @@
 	next.Restore([]Fit{{Image: "bad", Base: math.NaN()}, {Image: "s", Pressures: []Pressure{{fills("x"), math.Inf(1), 1}}}})
 	assert.Equal(t, next.Pressure("s", fills("x")), fillPrior)
 }
+
+// A sick worker shows tails of many targets whatever runs beside. They must not
+// keep tasks that fill from all other workers.
+func TestASickWorkerIsNotLearnedFrom(t *testing.T) {
+	m := New()
+	press := map[string]float64{"heavy": 10, "light": 1}
+	observe(m, 1, 200, press)
+	random := rand.New(rand.NewPCG(2, 1))
+	for i := range 120 { // one look in six, for some 20 s
+		observe(m, uint64(10+i), 5, press)
+		m.Observe("s", 20+400*random.Float64(), Shares{fills("light"): 0.1})
+	}
+	assert.Assert(t, m.Alone("s") < 0.8, "alone %v", m.Alone("s"))
+	assert.Equal(t, len(m.Above(0.8)), 0)
+	assert.DeepEqual(t, m.Above(0.1), []string{"s"})
+	assert.Assert(t, m.Pressure("s", fills("light")) < 3, "light %v", m.Pressure("s", fills("light")))
+	assert.Assert(t, math.Abs(m.Pressure("s", fills("heavy"))-10) < 2, "heavy %v", m.Pressure("s", fills("heavy")))
+}
