jobs/cell: tell why the most urgent step waits

The owner's summary had how many tasks wait, but not for what. It now names the most urgent step and counts the workers by what keeps the task from them.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -194,7 +194,7 @@
 	}
 	if now.Sub(c.lastSummary) >= summaryEvery {
 		c.lastSummary = now
-		c.summarize()
+		c.summarize(now)
 	}
 }
 
@@ -209,7 +209,7 @@
 const namesNoted = 5
 
 // summarize notes what the workers have, and what they do with it.
-func (c *Cell) summarize() {
+func (c *Cell) summarize(now time.Time) {
 	var room, used, fills, standing int64
 	usable, serving, silent, waiting := 0, 0, 0, 0
 	for _, w := range c.order {
@@ -231,6 +231,7 @@
 	for s := range c.ready {
 		waiting += len(s.waiting)
 	}
+	c.noteObstacles(now)
 	known, open := c.Jobs()
 	if full := c.pressure.Above(maxExpectedTail); len(full) > 0 {
 		c.note(Note{Event: "images without fills", Detail: fmt.Sprintf(
