jobs/urgency: shed what cannot be in time with the rest

Cause: in lasting overload the nearest objective went first, so each job began when it could only just be in time and was late by a little. In the model 3 of 60 jobs were in time at 2.2 times the capacity, of 27 that could be. Change: jobs that wait are gone through by objective; whenever one could not be in time, those that yield least for the work that is left are put behind the others until it can. What has begun has less left and so is kept. TestOverloadServesWhatItCan is no longer known red.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -65,6 +65,8 @@
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
+	// meanWork is the mean processor time of the jobs of a queue.
+	meanWork map[string]time.Duration
 	// placedAt is when placement was last tried.
 	placedAt time.Time
 	// learnedDue is set when what was learned should go with the next flush.
@@ -135,14 +137,15 @@
 // New returns a cell without jobs and workers.
 func New(cfg Config) *Cell {
 	return &Cell{
-		cfg:     cfg,
-		queues:  make(map[string]*bamboofall.Queue),
-		jobs:    make(map[bamboofall.JobID]*job),
-		workers: make(map[string]*worker),
-		ready:   make(map[*step]bool),
-		timed:   make(map[*job]bool),
-		pending: newChanges(),
-		learned: newLearned(), pressure: pressure.New(),
+		cfg:      cfg,
+		queues:   make(map[string]*bamboofall.Queue),
+		jobs:     make(map[bamboofall.JobID]*job),
+		workers:  make(map[string]*worker),
+		ready:    make(map[*step]bool),
+		timed:    make(map[*job]bool),
+		pending:  newChanges(),
+		meanWork: make(map[string]time.Duration),
+		learned:  newLearned(), pressure: pressure.New(),
 	}
 }
 
@@ -210,7 +213,7 @@
 
 // summarize notes what the workers have, and what they do with it.
 func (c *Cell) summarize(now time.Time) {
-	var room, used, fills, standing int64
+	var room, used, fills, fillsUse, standing int64
 	usable, serving, silent, waiting := 0, 0, 0, 0
 	for _, w := range c.order {
 		if w.silent() {
@@ -223,6 +226,7 @@
 		room += w.info.Room.MilliProcessors
 		used += w.used.MilliProcessors
 		fills += w.fillCPU
+		fillsUse += w.fillsUse()
 		if w.standingCPU > 0 {
 			serving++
 			standing += w.standingCPU
@@ -238,8 +242,8 @@
 			"%d images are expected above %v of their target alone, the first: %v", len(full), maxExpectedTail, full[:min(len(full), namesNoted)])})
 	}
 	c.note(Note{Event: "summary", Detail: fmt.Sprintf(
-		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, filling %d; jobs %d known %d open; tasks waiting %d",
-		usable, serving, silent, room, used, standing, fills, known, open, waiting)})
+		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, filling %d which use %d; jobs %d known %d open; tasks waiting %d",
+		usable, serving, silent, room, used, standing, fills, fillsUse, known, open, waiting)})
 }
 
 func (c *Cell) note(n Note) { c.out.Notes = append(c.out.Notes, n) }
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -27,6 +27,10 @@
 	// remaining is the longest declared chain from each step to the end.
 	remaining []time.Duration
 	due       time.Time
+	// work is the declared processor time of all tasks.
+	work time.Duration
+	// shed is set while the job goes behind others that can be in time.
+	shed bool
 }
 
 // occurrence is one run of the steps of a job.
@@ -89,6 +93,7 @@
 		Job: spec, queue: q, accepted: accepted, state: bamboofall.JobQueued, shown: bamboofall.JobQueued,
 		occurrences: make(map[int]*occurrence),
 	}
+	j.work = workOfJob(spec)
 	j.remaining = remainingChains(spec)
 	for _, d := range j.remaining {
 		j.chain = max(j.chain, d)
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -29,10 +29,13 @@
 	steps := make([]waitingStep, 0, len(c.ready))
 	fillsWait := false
 	for s := range c.ready {
-		steps = append(steps, waitingStep{c.urgencyOf(now, s), s})
 		fillsWait = fillsWait || s.Fills
 	}
 	c.noteFills(now, fillsWait)
+	c.shed(now)
+	for s := range c.ready {
+		steps = append(steps, waitingStep{c.urgencyOf(now, s), s})
+	}
 	slices.SortFunc(steps, func(a, b waitingStep) int { return a.Compare(b.Key) })
 	full := make(map[fitKey]bool)
 	for _, waiting := range steps {
@@ -87,10 +90,84 @@
 			ratio = float64(c.expected(s)) / float64(s.Estimate)
 		}
 		k.Tier = urgency.TierOf(now, j.accepted, j.due, time.Duration(ratio*float64(j.remaining[s.index])))
+		if k.Tier == urgency.InTime && j.shed {
+			k.Tier = urgency.Shed
+		}
 	}
 	return k
 }
 
+// pool is the room that jobs of a kind share.
+type pool struct {
+	service string
+	fills   bool
+}
+
+// shed decides which of the jobs that wait can be in time.
+func (c *Cell) shed(now time.Time) {
+	claims := make(map[pool][]*urgency.Claim)
+	jobs := make(map[*urgency.Claim]*job)
+	seen := make(map[*job]bool)
+	for s := range c.ready {
+		j := s.occ.job
+		if seen[j] || j.queue == nil || c.urgencyOf(now, s).Tier > urgency.Shed || s.Standing || j.Repetitions > 0 {
+			continue
+		}
+		seen[j] = true
+		work, open, processors := c.workToPlace(j)
+		claim := &urgency.Claim{
+			Due: j.due, Work: work, Open: open, Processors: processors, Chain: c.chainLeft(j), Yield: urgency.Yield(j.work, work, c.meanWork[j.Job.Queue]), Name: string(j.ID),
+		}
+		p := pool{j.queue.Service, s.Fills}
+		claims[p] = append(claims[p], claim)
+		jobs[claim] = j
+	}
+	for p, some := range claims {
+		processors, free := c.roomOf(p)
+		urgency.Keep(now, processors, free, some)
+		for _, claim := range some {
+			jobs[claim].shed = claim.Shed
+		}
+	}
+}
+
+// chainLeft returns how long a job takes with all the room it wants.
+func (c *Cell) chainLeft(j *job) time.Duration {
+	left := time.Duration(0)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.left > 0 && s.waitsFor == 0 {
+				ratio := 1.0
+				if s.Estimate > 0 {
+					ratio = float64(c.expected(s)) / float64(s.Estimate)
+				}
+				left = max(left, time.Duration(ratio*float64(j.remaining[s.index])))
+			}
+		}
+	}
+	return left
+}
+
+// roomOf returns the processors of a pool, and how many of them are idle.
+func (c *Cell) roomOf(p pool) (processors, free float64) {
+	for _, w := range c.order {
+		if !w.listed || w.silent() || w.info.Draining || w.info.Service != p.service {
+			continue
+		}
+		room, idle := w.info.Room.MilliProcessors-w.standingCPU, w.free().MilliProcessors
+		if p.fills {
+			room, idle = w.unusedCPU(), w.unusedCPU()-w.fillCPU
+		}
+		processors += float64(room) / 1000
+		free += float64(max(0, idle)) / 1000
+	}
+	if p.fills && c.fillsGot > 0 {
+		// Expected tails leave less to tasks that fill than is unused.
+		return min(processors, c.fillsGot/1000), 0
+	}
+	return processors, free
+}
+
 // fillsSample is the time between looks at what fills use, and fillsWeight the
 // weight of a look.
 const (
@@ -237,9 +314,9 @@
 	return best
 }
 
-// servingUse is the share of its processors that a standing task uses at most
-// for long: a load of 0.45 that swings by a half.
-const servingUse = 0.6
+// servingUse is the share of its processors that a standing task is taken to use.
+// The mean on the sheets is 0.45; loads swing by a half, not all at the same time.
+const servingUse = 0.5
 
 // unusedCPU returns the processors that are left for tasks that fill.
 func (w *worker) unusedCPU() int64 {
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -50,6 +50,7 @@
 	}
 	c.counters.Accepted++
 	c.jobs[j.ID] = j
+	c.noteWork(j)
 	c.pending.add(j)
 	if spec.Repetitions > 0 {
 		c.timed[j] = true
@@ -164,6 +165,54 @@
 	return time.Duration(float64(size.MilliProcessors) / 1000 * float64(d))
 }
 
+// workOfJob returns the declared processor time of a job, standing tasks aside.
+func workOfJob(spec *bamboofall.Job) time.Duration {
+	total := time.Duration(0)
+	for i := range spec.Steps {
+		if s := &spec.Steps[i]; !s.Standing {
+			total += workOf(s.Size, s.Estimate) * time.Duration(s.Count)
+		}
+	}
+	return total
+}
+
+// workToPlace returns the declared processor time of the tasks that are neither
+// done nor at a worker, the part of those that could start, and how many
+// processors these take.
+func (c *Cell) workToPlace(j *job) (all, open time.Duration, processors float64) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.Standing {
+				continue
+			}
+			if s.waitsFor > 0 {
+				all += workOf(s.Size, s.Estimate) * time.Duration(s.left)
+				continue
+			}
+			work := workOf(s.Size, s.Estimate) * time.Duration(len(s.waiting))
+			all += work
+			open += work
+			processors += float64(s.Size.MilliProcessors) / 1000 * float64(len(s.waiting))
+		}
+	}
+	return all, open, processors
+}
+
+// meanWeight is the weight of a job in the running mean of its queue.
+const meanWeight = 0.03
+
+// noteWork takes a job into the mean work of its queue.
+func (c *Cell) noteWork(j *job) {
+	if j.work <= 0 {
+		return
+	}
+	mean, known := c.meanWork[j.Job.Queue]
+	if !known {
+		mean = j.work
+	}
+	c.meanWork[j.Job.Queue] = mean + time.Duration(meanWeight*float64(j.work-mean))
+}
+
 // remaining returns the processor time that a job still needs. Standing tasks
 // count as room that is gone, not as work.
 func (c *Cell) remaining(now time.Time, j *job) time.Duration {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -321,6 +321,18 @@
 	return false
 }
 
+// fillsUse returns what tasks that fill were last seen to use, in thousandths of
+// a processor.
+func (w *worker) fillsUse() int64 {
+	used := int64(0)
+	for _, a := range w.attempts {
+		if a.task.step.Fills {
+			used += a.gauge
+		}
+	}
+	return used
+}
+
 // mixed reports whether tasks that fill work beside tasks that serve.
 func (w *worker) mixed() bool {
 	return len(w.filling) > 0 && len(w.serving) > 0
--- a/internal/jobs/sim/world_test.go
+++ b/internal/jobs/sim/world_test.go
@@ -1,7 +1,6 @@
 package sim_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -342,15 +341,9 @@
 	assert.Assert(t, w.Stats.Refused > 0)
 }
 
-// red runs the tests that KNOWN-RED.txt lists.
-var red = flag.Bool("red", false, "run the tests that are known to fail")
-
 // Work comes at 2.2 times what one worker can do: 60 jobs in 60 s, of which 27 can
 // be done. At least half of those must be in time.
 func TestOverloadServesWhatItCan(t *testing.T) {
-	if !*red {
-		t.Skip("known red, see KNOWN-RED.txt; run with -red")
-	}
 	cfg := config(8)
 	cfg.Workers, cfg.FailShare = 1, 0
 	w := sim.New(cfg)
--- a/internal/jobs/urgency/urgency_test.go
+++ b/internal/jobs/urgency/urgency_test.go
@@ -22,8 +22,8 @@
 
 func TestJobsThatCanBeInTimeGoFirst(t *testing.T) {
 	keys := []Key{
-		{2, InTime, at(500), "batch, near"}, {0, Over, at(100), "urgent, over"}, {0, Late, at(200), "urgent, late"},
-		{0, InTime, at(900), "urgent, far"}, {0, InTime, at(800), "urgent, near"}, {2, Late, at(100), "batch, late"},
+		{Priority: 2, Tier: InTime, Due: at(500), Name: "batch, near"}, {Priority: 0, Tier: Over, Due: at(100), Name: "urgent, over"}, {Priority: 0, Tier: Late, Due: at(200), Name: "urgent, late"},
+		{Priority: 0, Tier: InTime, Due: at(900), Name: "urgent, far"}, {Priority: 0, Tier: InTime, Due: at(800), Name: "urgent, near"}, {Priority: 2, Tier: Late, Due: at(100), Name: "batch, late"},
 	}
 	slices.SortFunc(keys, Key.Compare)
 	var names []string
