jobs/cell: wait only for workers that may run something

Ruled out: the leases of workers that do answer (settled in 0.1 s). Change: the record of a worker that leaves or is not listed is removed as soon as nothing runs there, and a worker that no former owner has recorded is not waited for.

--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -179,3 +181,103 @@
 	assert.Equal(t, hold.Hold.Seen, uint64(1))
 	assert.Assert(t, hold.Hold.Wait > 0)
 }
+
+// handOver is a cell with a job of which a task was released, and what its owner
+// has stored.
+func handOver(t *testing.T, workers ...bamboofall.Worker) (next *cell.Cell, announce func(c *cell.Cell)) {
+	t.Helper()
+	stored := make(map[string][]byte)
+	newCell := func(token bamboofall.Token) *cell.Cell {
+		c := cell.New(cell.Config{Token: token, Lease: 5 * time.Second, FormerLeases: benchStart.Add(9 * time.Second), KeepEnded: time.Minute, RemoteFactor: 2})
+		c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+		return c
+	}
+	first := newCell(1)
+	for _, w := range workers {
+		first.SetWorker(benchStart, w)
+	}
+	submit(first, "0000000000000001", "q", bamboofall.Step{Count: 64, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second})
+	for i := range 20 {
+		now := benchStart.Add(time.Duration(i) * 50 * time.Millisecond)
+		answer(first, first.Step(now), now)
+		records, number, err := first.Flush()
+		assert.NilError(t, err)
+		first.Stored(now, number)
+		for _, r := range records {
+			stored[r.Key] = r.Value
+			if r.Value == nil {
+				delete(stored, r.Key)
+			}
+		}
+	}
+	next = newCell(2)
+	var records []bamboofall.StoredRecord
+	for _, key := range slices.Sorted(maps.Keys(stored)) {
+		records = append(records, bamboofall.StoredRecord{StoreRecord: bamboofall.StoreRecord{Key: key, Value: stored[key]}})
+	}
+	assert.Equal(t, len(next.Restore(benchStart, records)), 0)
+	return next, func(c *cell.Cell) {
+		for _, w := range workers {
+			c.SetWorker(benchStart, w)
+		}
+	}
+}
+
+func testWorker(n int) bamboofall.Worker {
+	return bamboofall.Worker{
+		WorkerRef: bamboofall.WorkerRef{ID: fmt.Sprintf("i-%d", n), Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(80+n))}, Born: benchStart, Service: "s",
+		Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
+	}
+}
+
+// startsWithout plays some time in which one worker does not answer, and returns
+// the number of tasks that were started.
+func startsWithout(t *testing.T, c *cell.Cell, silent string) int {
+	t.Helper()
+	starts := 0
+	for i := range 20 {
+		now := benchStart.Add(time.Duration(i) * 100 * time.Millisecond)
+		out := c.Step(now)
+		heard := out
+		heard.Orders = nil
+		for _, o := range out.Orders {
+			if o.Worker.ID == silent {
+				continue
+			}
+			heard.Orders = append(heard.Orders, o)
+			if o.Kind == cell.OrderStart {
+				starts++
+			}
+		}
+		answer(c, heard, now)
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+	}
+	return starts
+}
+
+// A worker that may run tasks of a former owner keeps released tasks waiting
+// until its leases have ended.
+func TestASilentWorkerOfAFormerOwnerIsWaitedFor(t *testing.T) {
+	next, announce := handOver(t, testWorker(1), testWorker(2))
+	announce(next)
+	assert.Equal(t, startsWithout(t, next, "i-2"), 0)
+}
+
+// One that no former owner has used cannot, and is not waited for.
+func TestASilentWorkerThatWasNeverUsedIsNotWaitedFor(t *testing.T) {
+	next, announce := handOver(t, testWorker(1))
+	announce(next)
+	next.SetWorker(benchStart, testWorker(2))
+	assert.Assert(t, startsWithout(t, next, "i-2") > 0)
+}
+
+// Nor is one that was leaving and empty.
+func TestASilentWorkerThatLeftEmptyIsNotWaitedFor(t *testing.T) {
+	leaving := testWorker(2)
+	leaving.Draining, leaving.Remaining = true, 5*time.Second
+	next, announce := handOver(t, testWorker(1), leaving)
+	announce(next)
+	assert.Assert(t, startsWithout(t, next, "i-2") > 0)
+}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -45,6 +45,9 @@
 	// listed is set while the platform lists the worker.
 	listed     bool
 	unlistedAt time.Time
+	// recorded is set while a record says that tasks may run here. A new owner
+	// is in doubt about tasks until all recorded workers have answered.
+	recorded   bool
 	recordedAt uint64
 
 	// attempts are in the order in which they were placed.
@@ -61,8 +64,9 @@
 	tails   []expectedTail
 	tailsAt time.Time
 
-	// synced is set once this life has answered this owner.
-	synced bool
+	// synced is set once this life has answered this owner, former while this
+	// life may run what a former owner has started.
+	synced, former bool
 	// clock is the worker's clock at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -165,6 +169,9 @@
 		return // an announcement of an earlier life
 	}
 	w.info = info
+	if !info.Draining && !w.recorded {
+		c.record(w)
+	}
 	c.unsettled = true
 }
 
@@ -173,6 +180,19 @@
 	c.pending.workers[w.info.ID] = w
 	delete(c.pending.gone, keyWorker+w.info.ID)
 	w.recordedAt = c.pending.next
+	w.recorded = true
+}
+
+// dropRecord removes the record of a worker at which nothing runs and nothing
+// will be started, so that a new owner need not wait for its answer.
+func (c *Cell) dropRecord(now time.Time, w *worker) {
+	leaves := !w.listed || w.info.Draining
+	if !w.recorded || !leaves || len(w.attempts) > 0 || !w.synced && !now.After(w.leasesEnd) {
+		return
+	}
+	delete(c.pending.workers, w.info.ID)
+	c.pending.gone[keyWorker+w.info.ID] = true
+	w.recorded = false
 }
 
 // RemoveWorker takes over that a worker is no longer listed. It may still run.
@@ -199,6 +219,7 @@
 		WorkerRef: bamboofall.WorkerRef{ID: id, Address: address}, Born: fromUnixMS(m.GetBornUnixMs()),
 	})
 	w.leasesEnd = c.cfg.FormerLeases
+	w.recorded, w.former = true, true
 	c.addWorker(w)
 	return nil
 }
@@ -213,7 +234,7 @@
 	}
 	w.born = born
 	w.info.Born = born
-	w.synced = false
+	w.synced, w.former = false, false
 	w.seen, w.got, w.gotAt, w.acknowledged = 0, 0, 0, 0
 	w.leasesEnd = time.Time{}
 	w.nextHold = now
@@ -238,23 +259,22 @@
 	if !w.listed && w.unlistedAt.IsZero() {
 		w.unlistedAt = now
 	}
+	c.dropRecord(now, w)
 	if !w.listed && len(w.attempts) == 0 && now.After(w.leasesEnd) && now.Sub(w.unlistedAt) > unlistedGrace && !w.holding {
 		delete(c.workers, w.info.ID)
 		c.order = slices.DeleteFunc(c.order, func(x *worker) bool { return x == w })
-		delete(c.pending.workers, w.info.ID)
-		c.pending.gone[keyWorker+w.info.ID] = true
 	}
 }
 
-// settleDoubt ends the doubt about released tasks once every worker has told
-// what it runs, or its leases have ended.
+// settleDoubt ends the doubt about released tasks once every worker that a former
+// owner used has told what it runs, or its leases have ended.
 func (c *Cell) settleDoubt(now time.Time) {
 	if !c.inDoubt {
 		return
 	}
 	if now.Before(c.cfg.FormerLeases) {
 		for _, w := range c.order {
-			if !w.synced {
+			if w.former && !w.synced {
 				return
 			}
 		}
