entry/front: resolve unknown outcomes while the caller waits

Cause: a call whose owner or inbox gave no answer got 504 at once, although most of the caller's time was left; callers cannot repeat a call after that. Change: the call, which may be repeated here under its ID, goes to owner and inbox in turn until one has it or the time is up. If it is certain that nothing was stored the caller is told at once, as before. A refusal after a try with an unknown outcome is not told as a refusal. Two tests, of which one failed before.

--- a/internal/entry/front/callers.go
+++ b/internal/entry/front/callers.go
@@ -169,52 +169,81 @@
 // submit hands a job to the owner, or stores it for the next one.
 func (f *Front) submit(ctx context.Context, job *bamboofall.Job) answer {
 	req := &jobpb.SubmitRequest{Job: cell.EncodeSpec(job)}
-	res, err := call(ctx, f, req, f.submitHere, jobpb.JobsClient.Submit, (*jobpb.SubmitResponse).GetNotOwner)
-	switch {
-	case err == nil && res.GetAccepted():
-		return answer{status: http.StatusOK, body: platform.EncodeState(bamboofall.JobQueued.String())}
-	case err == nil:
-		return answer{
+	return f.handIn(ctx, "s"+string(job.ID), &jobpb.Deferred{Job: req.Job}, bamboofall.JobQueued, func() (*answer, error) {
+		res, err := call(ctx, f, req, f.submitHere, jobpb.JobsClient.Submit, (*jobpb.SubmitResponse).GetNotOwner)
+		if err != nil {
+			return nil, err
+		}
+		if res.GetAccepted() {
+			return nil, nil
+		}
+		return &answer{
 			status: http.StatusTooManyRequests, reason: res.GetReason(),
 			retryAfter: time.Duration(res.GetRetryAfterMs()) * time.Millisecond,
+		}, nil
+	})
+}
+
+// cancel cancels a job at the owner, or stores that for the next one.
+func (f *Front) cancel(ctx context.Context, id bamboofall.JobID) answer {
+	return f.handIn(ctx, "c"+string(id), &jobpb.Deferred{Cancel: string(id)}, bamboofall.JobCancelled, func() (*answer, error) {
+		res, err := call(ctx, f, &jobpb.CancelRequest{Id: string(id)}, f.cancelHere, jobpb.JobsClient.Cancel, (*jobpb.CancelResponse).GetNotOwner)
+		if err != nil {
+			return nil, err
 		}
-	}
-	return f.deferCall(ctx, "s"+string(job.ID), &jobpb.Deferred{Job: req.Job}, bamboofall.JobQueued, notSent(err))
+		if res.GetCancelled() {
+			return nil, nil
+		}
+		return &answer{status: http.StatusGone, reason: "unknownJob"}, nil
+	})
 }
 
-// deferCall stores a call in the inbox, which brings its job into a state. NotRun
-// says that no owner can have seen it.
-func (f *Front) deferCall(ctx context.Context, key string, m *jobpb.Deferred, state bamboofall.JobState, notRun bool) answer {
+// handIn has a call done by the owner, or stores it in the inbox for the next
+// one. The job of the call is then in the state. Owner returns an answer if the
+// call is declined, and nothing if it is done.
+//
+// A caller may go elsewhere if it is certain that nothing was done, so it is told
+// at once. With an unknown outcome it cannot, so the call, which may be repeated
+// here, is tried until the time is up.
+func (f *Front) handIn(ctx context.Context, key string, m *jobpb.Deferred, state bamboofall.JobState, owner func() (*answer, error)) answer {
+	done := answer{status: http.StatusOK, body: platform.EncodeState(state.String())}
+	unknown := answer{status: http.StatusGatewayTimeout, reason: "unknown"}
 	value, err := proto.Marshal(m)
 	if err != nil {
 		return malformed(err)
 	}
-	if notRun && ctx.Err() != nil {
-		return answer{status: http.StatusServiceUnavailable, reason: "noTime", retryAfter: takeOverTime}
-	}
-	_, err = f.store.Append(ctx, bamboofall.StoreAppend{
-		Topic: topicInbox, Part: cellPart, Records: []bamboofall.StoreRecord{{Key: key, Value: value}}, At: -1,
-	})
-	if err == nil {
-		f.metrics.Count("callsDeferred", nil)
-		return answer{status: http.StatusOK, body: platform.EncodeState(state.String())}
-	}
-	var notDone *bamboofall.NotDoneError
-	if notRun && errors.As(err, &notDone) {
-		return answer{status: http.StatusServiceUnavailable, reason: "noOwner", retryAfter: takeOverTime}
-	}
-	return answer{status: http.StatusGatewayTimeout, reason: "unknown"}
-}
-
-func (f *Front) cancel(ctx context.Context, id bamboofall.JobID) answer {
-	res, err := call(ctx, f, &jobpb.CancelRequest{Id: string(id)}, f.cancelHere, jobpb.JobsClient.Cancel, (*jobpb.CancelResponse).GetNotOwner)
-	switch {
-	case err == nil && res.GetCancelled():
-		return answer{status: http.StatusOK, body: platform.EncodeState(bamboofall.JobCancelled.String())}
-	case err == nil:
-		return answer{status: http.StatusGone, reason: "unknownJob"}
+	certain := true
+	for {
+		declined, err := owner()
+		switch {
+		case err == nil && declined == nil:
+			return done
+		case err == nil && (certain || declined.status == http.StatusGone):
+			return *declined
+		case err == nil:
+			return unknown // an earlier try may yet bring the job in
+		}
+		certain = certain && notSent(err)
+		if certain && ctx.Err() != nil {
+			return answer{status: http.StatusServiceUnavailable, reason: "noTime", retryAfter: takeOverTime}
+		}
+		_, err = f.store.Append(ctx, bamboofall.StoreAppend{
+			Topic: topicInbox, Part: cellPart, Records: []bamboofall.StoreRecord{{Key: key, Value: value}}, At: -1,
+		})
+		if err == nil {
+			f.metrics.Count("callsDeferred", nil)
+			return done
+		}
+		var notDone *bamboofall.NotDoneError
+		certain = certain && errors.As(err, &notDone)
+		if certain {
+			return answer{status: http.StatusServiceUnavailable, reason: "noOwner", retryAfter: takeOverTime}
+		}
+		sleep(ctx, ownerRetry)
+		if ctx.Err() != nil {
+			return unknown
+		}
 	}
-	return f.deferCall(ctx, "c"+string(id), &jobpb.Deferred{Cancel: string(id)}, bamboofall.JobCancelled, true)
 }
 
 func (f *Front) lookup(ctx context.Context, id bamboofall.JobID) answer {
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -302,6 +302,40 @@
 	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
 }
 
+// A caller cannot repeat a call with an unknown outcome, so the front does, as
+// long as the caller waits.
+func TestACallWithAnUnknownOutcomeIsTriedAgain(t *testing.T) {
+	f := newFleet(t, 2, 2, 50*time.Millisecond)
+	first := f.waitForOwner(-1)
+	other := 1 - first
+	f.fronts[first].stop()
+	var lost atomic.Int64
+	f.store.SetFault(func(r *http.Request) standin.Fault {
+		if strings.HasSuffix(r.URL.Path, "log-append") && r.URL.Query().Get("topic") == topicInbox && lost.Add(1) <= 2 {
+			return standin.FaultLost
+		}
+		return standin.FaultNone
+	})
+	status, body := f.do(other, http.MethodPost, "/q/"+id(1), twoSteps)
+	assert.Equal(t, status, http.StatusOK, body)
+	lost.Store(0)
+	status, body = f.do(other, http.MethodDelete, "/q/"+id(1), "")
+	assert.Equal(t, status, http.StatusOK, body)
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+}
+
+// If it is certain that nothing was stored, the caller can go elsewhere at once.
+func TestACallThatIsCertainlyNotDoneIsRefusedAtOnce(t *testing.T) {
+	f := newFleet(t, 2, 1, 50*time.Millisecond)
+	first := f.waitForOwner(-1)
+	f.fronts[first].stop()
+	f.store.SetFault(func(*http.Request) standin.Fault { return standin.FaultRefused })
+	began := time.Now()
+	status, body := f.do(1-first, http.MethodPost, "/q/"+id(1), twoSteps)
+	assert.Equal(t, status, http.StatusServiceUnavailable, body)
+	assert.Assert(t, time.Since(began) < time.Second)
+}
+
 func TestConfigurationComesIntoForceAndNeverReverts(t *testing.T) {
 	f := newFleet(t, 2, 1, time.Millisecond)
 	f.waitForOwner(-1)
