--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -299,7 +299,7 @@
 		}
 		if kind != placement.Normal {
 			view.Tail = c.expectedTail(now, w, s)
-			if kind == placement.Filling && view.Tail > maxExpectedTail {
+			if kind == placement.Filling && view.Tail > tailLimit(now, s) {
 				continue
 			}
 		}
@@ -404,7 +404,7 @@
 	count := make(map[obstacle]int)
 	for _, w := range c.order {
 		o := c.obstacleAt(now, t, w)
-		if o == noObstacle && first.Fills && c.expectedTail(now, w, first) > maxExpectedTail {
+		if o == noObstacle && first.Fills && c.expectedTail(now, w, first) > tailLimit(now, first) {
 			o = obstacleTail
 		}
 		if o == noObstacle {
--- a/internal/jobs/cell/tails.go
+++ b/internal/jobs/cell/tails.go
@@ -13,9 +13,24 @@
 	return same, len(w.serving) > 1 || len(w.serving) == 1 && !same
 }
 
-// maxExpectedTail is the expected tail, as a share of its target, up to which a
-// task that fills is placed.
-const maxExpectedTail = 0.8
+const (
+	// maxExpectedTail is the expected tail, as a share of its target, up to which
+	// a task that fills is placed.
+	maxExpectedTail = 0.8
+	// gentleTail is the same for a task that has waited for less than gentleWait,
+	// which is little against its objective: without a backlog it finds a worker
+	// where it disturbs less.
+	gentleTail = 0.65
+	gentleWait = 400 * time.Millisecond
+)
+
+// tailLimit returns the expected tail up to which a task of a step is placed.
+func tailLimit(now time.Time, s *step) float64 {
+	if now.Sub(s.readyAt) < gentleWait {
+		return gentleTail
+	}
+	return maxExpectedTail
+}
 
 // expectedTail returns the largest tail that is expected at a worker with one
 // more task of a step, as a share of its target.
