jobs/cell: settle starts in doubt at once

Cause: while workers leave orders unanswered, a start in doubt waited 0.7 s for its time-out and then for the end of the call that waits at that worker, up to 2 s; a call for ends that got no answer hid the worker for 2.7 s. One test, which failed before (it needs the second call).

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -227,11 +227,12 @@
 		c.noteRun(a, "start not done", rare, err.Error())
 		c.release(a)
 		w.health.avoid(now)
-		c.unheard(w, err)
+		c.unheard(now, w, err)
 		w.wake(now)
 		c.enqueue(a.task)
 	default:
 		c.counters.StartsUnknown++
+		c.noteLoss(now, err)
 		c.noteRun(a, "start unanswered", rare, err.Error())
 		a.state = attemptUnsure
 		a.doubtedAt = now
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -62,6 +62,8 @@
 	counters Counters
 	out      Output
 	nextScan time.Time
+	// lossyAt is when a call to a worker last got no answer.
+	lossyAt time.Time
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
@@ -124,6 +126,8 @@
 	sent    time.Time
 	// born is the life of the worker that the order is meant for.
 	born time.Time
+	// beside is set for a question beside a call that waits.
+	beside bool
 }
 
 // Output is what a step decided.
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -281,3 +281,54 @@
 	announce(next)
 	assert.Assert(t, startsWithout(t, next, "i-2") > 0)
 }
+
+// A start without an answer is settled at once, though the worker has a call that
+// waits for an end; and while answers get lost, calls wait less.
+func TestAStartInDoubtIsAskedAboutAtOnce(t *testing.T) {
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, testWorker(1))
+	submit(c, "0000000000000001", "q", bamboofall.Step{Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second})
+	now := benchStart
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	var starts, holds []cell.Order
+	step := func() {
+		for _, o := range c.Step(now).Orders {
+			switch o.Kind {
+			case cell.OrderStart:
+				starts = append(starts, o)
+			case cell.OrderHold:
+				holds = append(holds, o)
+			}
+		}
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+	}
+	step()
+	c.Held(now, holds[0], bamboofall.HoldReport{Sighting: seen}, nil)
+	for range 3 {
+		step()
+	}
+	assert.Equal(t, len(starts), 2)
+	c.Started(now, starts[0], seen, nil)
+	step()
+	assert.Equal(t, len(holds), 2)
+	assert.Assert(t, holds[1].Hold.Wait > time.Second)
+
+	now = now.Add(400 * time.Millisecond)
+	c.Started(now, starts[1], bamboofall.Sighting{}, &bamboofall.UnknownOutcomeError{Call: "start"})
+	step()
+	assert.Equal(t, len(holds), 3, "the worker is asked beside the call that waits")
+	assert.Equal(t, holds[2].Hold.Wait, time.Duration(0))
+	both := []bamboofall.Placed{
+		{Task: starts[0].Start.Task, Run: starts[0].Start.Run, Percent: 40}, {Task: starts[1].Start.Task, Run: starts[1].Start.Run},
+	}
+	c.Held(now, holds[2], bamboofall.HoldReport{Sighting: seen, Running: both}, nil)
+	step()
+	assert.Equal(t, len(holds), 3, "the start was done, so there is no more doubt")
+	c.Held(now, holds[1], bamboofall.HoldReport{Sighting: seen, Running: both}, nil)
+	step()
+	assert.Equal(t, len(holds), 4)
+	assert.Assert(t, holds[3].Hold.Wait < time.Second, "answers get lost")
+}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -20,6 +20,11 @@
 	// holdWaitBeside is holdWait at a worker with tasks that fill beside tasks
 	// that serve, whose tail latency must be watched.
 	holdWaitBeside = 500 * time.Millisecond
+	// holdWaitLossy is holdWait while answers get lost, as nothing is learned of a
+	// worker until a call without an answer has timed out.
+	holdWaitLossy = 400 * time.Millisecond
+	// lossyFor is how long after a call without an answer others are expected.
+	lossyFor = 5 * time.Second
 	// holdRetry is the time to the next try after a call that failed.
 	holdRetry = 200 * time.Millisecond
 	// holdUnstored is the time between calls while ends wait for the store, for
@@ -73,9 +78,11 @@
 	// leasesEnd is when all that this owner granted has ended for certain.
 	leasesEnd time.Time
 
-	holding  bool
-	nextHold time.Time
-	failures int
+	// holding is set while a call that may wait is under way, asking while one
+	// beside it is that does not.
+	holding, asking bool
+	nextHold        time.Time
+	failures        int
 	// seen is the last end that is stored, got the last that was taken in.
 	seen, got uint64
 	gotAt     uint64
@@ -294,6 +301,9 @@
 // hold renews leases and asks workers what they run.
 func (c *Cell) hold(now time.Time) {
 	for _, w := range c.order {
+		if w.holding && w.synced && !w.asking && w.unsure() {
+			c.ask(now, w)
+		}
 		if w.holding || now.Before(w.nextHold) {
 			continue
 		}
@@ -313,10 +323,7 @@
 		if w.synced && !w.silent() {
 			o.LeaseUntil = c.grant(now, w)
 			if !unstored && len(w.attempts) > 0 && !w.unsure() {
-				o.Wait = holdWait
-				if w.mixed() {
-					o.Wait = holdWaitBeside
-				}
+				o.Wait = c.holdWaitAt(now, w)
 			}
 		}
 		w.holding = true
@@ -327,6 +334,28 @@
 	}
 }
 
+// ask asks a worker for what it runs beside a call that waits for an end, for a
+// start is in doubt.
+func (c *Cell) ask(now time.Time, w *worker) {
+	w.asking = true
+	c.out.Orders = append(c.out.Orders, Order{
+		Kind: OrderHold, Worker: w.info.WorkerRef, Hold: bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.acknowledged},
+		worker: w, sent: now, born: w.born, beside: true,
+	})
+}
+
+// holdWaitAt returns how long a worker may wait for an end before it answers.
+func (c *Cell) holdWaitAt(now time.Time, w *worker) time.Duration {
+	wait := holdWait
+	if w.mixed() {
+		wait = holdWaitBeside
+	}
+	if !c.lossyAt.IsZero() && now.Sub(c.lossyAt) < lossyFor {
+		wait = min(wait, holdWaitLossy)
+	}
+	return wait
+}
+
 // mustAcknowledge reports whether the worker lists ends that are stored.
 func (w *worker) mustAcknowledge() bool { return w.got > w.acknowledged }
 
@@ -364,7 +393,11 @@
 	if c.workers[w.info.ID] != w {
 		return
 	}
-	w.holding = false
+	if o.beside {
+		w.asking = false
+	} else {
+		w.holding = false
+	}
 	if err != nil {
 		c.holdFailed(now, w, err)
 		return
@@ -379,6 +412,9 @@
 	}
 	c.takeEnds(now, w, report.Ends)
 	c.compare(now, o, w, report.Running)
+	if o.beside {
+		return
+	}
 	w.nextHold = now
 	if w.got > w.seen && !c.IsStored(w.gotAt) {
 		w.nextHold = now.Add(holdUnstored)
@@ -394,17 +430,26 @@
 		c.rejected(now, w, rejected)
 		return
 	}
-	c.unheard(w, err)
+	c.unheard(now, w, err)
 }
 
 // unheard notes that a worker did not answer.
-func (c *Cell) unheard(w *worker, err error) {
+func (c *Cell) unheard(now time.Time, w *worker, err error) {
 	w.failures++
+	c.noteLoss(now, err)
 	if w.failures == silentAfter {
 		c.note(Note{Event: "worker silent", Worker: w.info.ID, Detail: err.Error()})
 	}
 }
 
+// noteLoss notes that a call got no answer though it may have been done.
+func (c *Cell) noteLoss(now time.Time, err error) {
+	var unknown *bamboofall.UnknownOutcomeError
+	if errors.As(err, &unknown) {
+		c.lossyAt = now
+	}
+}
+
 // rejected takes over a rejection that says something of the worker itself.
 func (c *Cell) rejected(now time.Time, w *worker, r *bamboofall.RejectedError) {
 	switch r.Cause {
