jobs/cell: ask for ends that are overdue

A call that waits for ends and gets no answer hid short tasks for up to 2.4 s: a task of 237 ms was seen to be done after 2.8 s. Runs that take 1.4 times as long as expected are asked about beside that call. One test, which failed before.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -238,6 +238,7 @@
 		a.doubtedAt = now
 		w.health.avoid(now)
 		w.wake(now)
+		c.ask(now, w)
 	}
 }
 
@@ -281,10 +282,36 @@
 	}
 	a.stopped = now
 	a.worker.wake(now)
+	if a.state == attemptUnsure {
+		c.ask(now, a.worker)
+	}
+}
+
+const (
+	// overdueFactor and overdueSlack tell when the end of a run should have been
+	// seen. Few runs take longer, and a call that should tell may be lost.
+	overdueFactor = 1.4
+	overdueSlack  = 200 * time.Millisecond
+	// overdueEvery is the time between questions for ends that are overdue.
+	overdueEvery = 600 * time.Millisecond
+)
+
+// overdue reports whether the end of a run should have been seen.
+func (c *Cell) overdue(now time.Time, a *attempt) bool {
+	s := a.task.step
+	if s.Standing || s.Estimate <= 0 || a.state != attemptRunning || a.stopping || a.paced < fullPace {
+		return false
+	}
+	due := time.Duration(overdueFactor*float64(c.expected(s))) + overdueSlack
+	return now.Sub(a.startedAt) > due && now.Sub(a.confirmedAt) > overdueEvery
 }
 
-// watchAttempt orders stops again that were not answered.
+// watchAttempt asks for what is in doubt or overdue, and orders stops again that
+// were not answered.
 func (c *Cell) watchAttempt(now time.Time, a *attempt) {
+	if a.state == attemptUnsure || c.overdue(now, a) {
+		c.ask(now, a.worker)
+	}
 	if a.stopping && !a.stopOpen && a.stopped.IsZero() && now.Sub(a.stopOrdered) >= stopRetry && !a.worker.silent() {
 		c.orderStop(now, a)
 	}
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -332,3 +332,39 @@
 	assert.Equal(t, len(holds), 4)
 	assert.Assert(t, holds[3].Hold.Wait < time.Second, "answers get lost")
 }
+
+// A call that waits for ends may get no answer. A run that should have ended is
+// asked about beside it.
+func TestAnOverdueEndIsAskedFor(t *testing.T) {
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, testWorker(1))
+	submit(c, "0000000000000001", "q", bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: 200 * time.Millisecond})
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	var start *cell.Order
+	holds := 0
+	for now := benchStart; now.Before(benchStart.Add(time.Second)); now = now.Add(20 * time.Millisecond) {
+		for _, o := range c.Step(now).Orders {
+			switch {
+			case o.Kind == cell.OrderStart:
+				start = &o
+				c.Started(now, o, seen, nil)
+			case o.Kind == cell.OrderHold && start == nil:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen}, nil)
+			case o.Kind == cell.OrderHold:
+				holds++ // the first is lost
+				if holds == 2 {
+					c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+						{Number: 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone},
+					}}, nil)
+				}
+			}
+		}
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+	}
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+	assert.Equal(t, holds, 2)
+}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -25,6 +25,8 @@
 	holdWaitLossy = 400 * time.Millisecond
 	// lossyFor is how long after a call without an answer others are expected.
 	lossyFor = 5 * time.Second
+	// askEvery is the least time between questions beside a call that waits.
+	askEvery = 80 * time.Millisecond
 	// holdRetry is the time to the next try after a call that failed.
 	holdRetry = 200 * time.Millisecond
 	// holdUnstored is the time between calls while ends wait for the store, for
@@ -80,9 +82,9 @@
 
 	// holding is set while a call that may wait is under way, asking while one
 	// beside it is that does not.
-	holding, asking bool
-	nextHold        time.Time
-	failures        int
+	holding, asking   bool
+	nextHold, askedAt time.Time
+	failures          int
 	// seen is the last end that is stored, got the last that was taken in.
 	seen, got uint64
 	gotAt     uint64
@@ -301,9 +303,6 @@
 // hold renews leases and asks workers what they run.
 func (c *Cell) hold(now time.Time) {
 	for _, w := range c.order {
-		if w.holding && w.synced && !w.asking && w.unsure() {
-			c.ask(now, w)
-		}
 		if w.holding || now.Before(w.nextHold) {
 			continue
 		}
@@ -334,10 +333,12 @@
 	}
 }
 
-// ask asks a worker for what it runs beside a call that waits for an end, for a
-// start is in doubt.
+// ask asks a worker for what it runs beside a call that waits for an end.
 func (c *Cell) ask(now time.Time, w *worker) {
-	w.asking = true
+	if !w.holding || !w.synced || w.asking || now.Sub(w.askedAt) < askEvery {
+		return
+	}
+	w.asking, w.askedAt = true, now
 	c.out.Orders = append(c.out.Orders, Order{
 		Kind: OrderHold, Worker: w.info.WorkerRef, Hold: bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.acknowledged},
 		worker: w, sent: now, born: w.born, beside: true,
