jobs/suspicion: begin a task again twice at most

Cause: a run that takes much longer than declared was stopped as slow on each worker and begun again for ever; a run of minutes, which shows a new percent each few seconds, was stopped as standing still. Found by TestSuccessorGoesOnWithTheWork once overdue runs were looked at: tasks declared with 100 ms took 1.5 s. Change: two restarts a task; a run may show no progress for 4 percent of its expected time.

--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -68,6 +68,11 @@
 func newFleet(t *testing.T, fronts, workers int, work time.Duration) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: standin.NewStore(), log: &lines{}}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.log.String())
+		}
+	})
 	store := httptest.NewServer(f.store)
 	t.Cleanup(store.Close)
 	f.store.Put(platform.TopicOperator, "config", standin.Configuration(1, service, "q"))
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -79,6 +79,8 @@
 	checkpoint string
 	lastRun    uint32
 	attempts   []*attempt
+	// restarts counts the runs that were given up as slow or standing still.
+	restarts int
 	// lastWorker is where the task failed last.
 	lastWorker string
 }
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -114,7 +114,7 @@
 		}
 		return
 	}
-	if s.gang != nil || a.confirmedAt.Before(a.startedAt) {
+	if s.gang != nil || a.confirmedAt.Before(a.startedAt) || t.restarts >= suspicion.MaxRestarts {
 		return
 	}
 	expected := c.expected(s)
@@ -139,6 +139,7 @@
 func (c *Cell) again(now time.Time, a *attempt, why string) {
 	t := a.task
 	if !t.step.Speculative {
+		t.restarts++
 		c.stop(now, a, why)
 		return
 	}
--- a/internal/jobs/sim/world_test.go
+++ b/internal/jobs/sim/world_test.go
@@ -357,3 +357,22 @@
 	w.Run(80 * time.Second)
 	assert.Assert(t, w.Stats.InAim >= 27/2, "%+v", w.Stats)
 }
+
+// Tasks may take much longer than declared, everywhere. They must not be begun
+// again for ever as if their workers were slow.
+func TestTasksWithWrongEstimatesAreDone(t *testing.T) {
+	cfg := config(9)
+	cfg.FailShare = 0
+	w := sim.New(cfg)
+	for _, x := range w.Workers() {
+		x.Slow = 12
+	}
+	w.At(200*time.Millisecond, func() {
+		w.Submit(&bamboofall.Job{ID: "0000000000000001", Queue: "batch", Steps: []bamboofall.Step{{
+			Count: 8, Size: bamboofall.Resources{MilliProcessors: 4000}, Estimate: 500 * time.Millisecond,
+		}}})
+	})
+	w.Run(60 * time.Second)
+	state, _ := w.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
--- a/internal/jobs/suspicion/suspicion.go
+++ b/internal/jobs/suspicion/suspicion.go
@@ -17,8 +17,14 @@
 	maxPause   = 12 * time.Second
 	// probePause is the time between tasks for a worker that is tried again.
 	probePause = 2 * time.Second
-	// stallTime is how long a worker may show no progress of a run.
-	stallTime = 1500 * time.Millisecond
+	// stallTime is how long a worker may show no progress of a run, stallPercent
+	// the least progress, in percent of the expected time, that may stay away:
+	// progress is told in whole percents.
+	stallTime    = 1500 * time.Millisecond
+	stallPercent = 4
+	// MaxRestarts is how often a task is begun again because a run is slow or
+	// stands still. If it is the same elsewhere the task is to blame.
+	MaxRestarts = 2
 	// slowFactor and slowSlack tell when a run is better begun again elsewhere:
 	// declared times are off by up to a half.
 	slowFactor = 1.7
@@ -76,7 +82,9 @@
 }
 
 // Stalled reports whether a run stands still though its worker answers.
-func (p Progress) Stalled() bool { return p.Seen.Sub(p.Moved) >= stallTime }
+func (p Progress) Stalled() bool {
+	return p.Seen.Sub(p.Moved) >= max(stallTime, p.Expected*stallPercent/100)
+}
 
 // Slow reports whether a run would be done sooner if it began again elsewhere.
 func (p Progress) Slow() bool {
--- a/internal/jobs/suspicion/suspicion_test.go
+++ b/internal/jobs/suspicion/suspicion_test.go
@@ -74,3 +74,11 @@
 	}
 	assert.Equal(t, Progress{at(0), at(1500), at(1500), 50, time.Second}.Factor(), 3.0)
 }
+
+// A run of ten minutes shows a new percent each six seconds.
+func TestALongRunDoesNotStandStillBetweenPercents(t *testing.T) {
+	p := Progress{Began: start, Moved: start, Seen: start.Add(6 * time.Second), Percent: 1, Expected: 10 * time.Minute}
+	assert.Assert(t, !p.Stalled())
+	p.Seen = start.Add(25 * time.Second)
+	assert.Assert(t, p.Stalled())
+}
