entry/front, state/lease: shorten hand-overs while VMs are restarted in turn

Change: the reads go on at the same time; a released cell goes to a process younger than 20 s first; a VM that leaves ends once no calls have come for 0.5 s (it was killed at the end of its grace time); fills wait up to 1.5 s while tasks that serve are in doubt.

No process is killed at the end of its grace time.

--- a/internal/entry/front/callers.go
+++ b/internal/entry/front/callers.go
@@ -61,6 +61,12 @@
 // serveCaller answers a call about a job or a queue.
 func (f *Front) serveCaller(w http.ResponseWriter, r *http.Request) {
 	began := now()
+	f.calls.Add(1)
+	f.lastCall.Store(began.UnixNano())
+	defer func() {
+		f.lastCall.Store(now().UnixNano())
+		f.calls.Add(-1)
+	}()
 	conf := f.config.Load()
 	var a answer
 	id := ""
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -30,7 +30,14 @@
 	// cellPart is the partition of the one cell.
 	cellPart = 0
 	// exitMargin is the part of the grace period that is left for the end.
-	exitMargin = 700 * time.Millisecond
+	exitMargin = 1300 * time.Millisecond
+	// leaveTime is how long a process that leaves may get new calls: the platform
+	// asks for readiness each second and gives up after two misses.
+	leaveTime = 2500 * time.Millisecond
+	// leaveIdle is how long no call may have come for a process to end before
+	// its time, leaveCheck the time between looks.
+	leaveIdle  = 500 * time.Millisecond
+	leaveCheck = 100 * time.Millisecond
 	// storeRetry is the time between tries while the store does not answer.
 	storeRetry = 100 * time.Millisecond
 	// configurationWait is how long a read for a new configuration waits. A
@@ -61,6 +68,10 @@
 	// owners waits for owners that are stopping.
 	owners sync.WaitGroup
 
+	// calls is the number of callers' calls under way, lastCall when one last came
+	// or was answered, in Unix nanoseconds.
+	calls, lastCall atomic.Int64
+
 	leaving   chan struct{}
 	leaveOnce sync.Once
 }
@@ -78,7 +89,7 @@
 		workers: platform.NewWorkers(client),
 		peers:   newPeers(client),
 		metrics: newMetrics(string(set.DataCentre)),
-		lease:   lease.New(lease.DefaultTiming(), process, set.Peers, rank),
+		lease:   lease.New(now(), lease.DefaultTiming(), process, set.Peers, rank),
 		leaving: make(chan struct{}),
 	}
 	return f
@@ -115,9 +126,11 @@
 func (f *Front) listen(metricsPort uint16) (func(), error) {
 	var servers []*httpserver.Server
 	stop := func() {
+		var ended sync.WaitGroup
 		for _, s := range servers {
-			s.Stop()
+			ended.Go(s.Stop)
 		}
+		ended.Wait()
 	}
 	listeners := []struct {
 		name    string
@@ -153,15 +166,24 @@
 			}
 			f.log.Event("stopping", logrus.Fields{"signal": s.String()})
 			f.leave()
-			select {
-			case <-ctx.Done():
-			case <-time.After(f.set.Bounds.Grace - exitMargin):
-			}
+			f.finishCalls(ctx)
 			return nil
 		}
 	}
 }
 
+// finishCalls waits until no more calls are expected or the time is up.
+func (f *Front) finishCalls(ctx context.Context) {
+	began := now()
+	for at := began; ctx.Err() == nil && at.Sub(began) < f.set.Bounds.Grace-exitMargin; at = now() {
+		idle := f.calls.Load() == 0 && at.Sub(time.Unix(0, f.lastCall.Load())) >= leaveIdle
+		if idle && at.Sub(began) >= leaveTime {
+			return
+		}
+		sleep(ctx, leaveCheck)
+	}
+}
+
 // reload checks the settings file again. Addresses cannot change while the
 // process runs, so a change of them is logged and waits for a restart.
 func (f *Front) reload() {
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -110,14 +110,30 @@
 	inbox, workers int64
 }
 
-// restore fences former owners and reads what they stored.
+// restore fences former owners and reads what they stored. What an owner has taken
+// from the inbox it has stored with the cell before the fence, so the reads may go
+// on at the same time.
 func (o *owner) restore(ctx context.Context) (read ends, err error) {
-	fence := []bamboofall.StoreRecord{{Key: keyEpoch, Value: fmt.Appendf(nil, "%d", o.record.Epoch)}}
-	if err := o.append(ctx, fence); err != nil {
-		return read, err
-	}
-	records, _, err := o.newest(ctx, topicCells)
-	if err != nil {
+	var records, inbox, workers []bamboofall.StoredRecord
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() (err error) {
+		fence := []bamboofall.StoreRecord{{Key: keyEpoch, Value: fmt.Appendf(nil, "%d", o.record.Epoch)}}
+		if err := o.append(ctx, fence); err != nil {
+			return err
+		}
+		records, _, err = o.newest(ctx, topicCells)
+		return err
+	})
+	group.Go(func() (err error) {
+		inbox, read.inbox, err = o.newest(ctx, topicInbox)
+		o.inboxRead = now()
+		return err
+	})
+	group.Go(func() (err error) {
+		workers, read.workers, err = o.newest(ctx, platform.TopicWorkers)
+		return err
+	})
+	if err := group.Wait(); err != nil {
 		return read, err
 	}
 	o.cell.SetConfiguration(o.front.config.Load())
@@ -125,20 +141,9 @@
 		o.front.log.Event("record left out", logrus.Fields{"error": err.Error()})
 	}
 	// A job from the inbox is accepted, so it is known before the first question.
-	inbox, end, err := o.newest(ctx, topicInbox)
-	if err != nil {
-		return read, err
-	}
-	read.inbox = end
-	o.inboxRead = now()
 	for _, r := range inbox {
 		o.takeInbox(now(), r)
 	}
-	workers, end, err := o.newest(ctx, platform.TopicWorkers)
-	if err != nil {
-		return read, err
-	}
-	read.workers = end
 	for _, r := range workers {
 		o.takeWorker(now(), r)
 	}
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -53,6 +53,8 @@
 	// inDoubt is set while released tasks may run at workers that have not
 	// answered this owner.
 	inDoubt bool
+	// restoredAt is when the records of a former owner were read.
+	restoredAt time.Time
 	// unsettled is set when placement may find something to do.
 	unsettled bool
 	gated     []*attempt
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -234,7 +234,11 @@
 // the number of tasks that were started.
 func startsWithout(t *testing.T, c *cell.Cell, silent string) int {
 	t.Helper()
-	starts := 0
+	return len(startTimes(t, c, silent))
+}
+
+func startTimes(t *testing.T, c *cell.Cell, silent string) (starts []time.Duration) {
+	t.Helper()
 	for i := range 20 {
 		now := benchStart.Add(time.Duration(i) * 100 * time.Millisecond)
 		out := c.Step(now)
@@ -246,7 +250,7 @@
 			}
 			heard.Orders = append(heard.Orders, o)
 			if o.Kind == cell.OrderStart {
-				starts++
+				starts = append(starts, now.Sub(benchStart))
 			}
 		}
 		answer(c, heard, now)
@@ -368,3 +372,14 @@
 	assert.Equal(t, state, bamboofall.JobCompleted)
 	assert.Equal(t, holds, 2)
 }
+
+// After a hand-over the tasks that serve wait until it is known where they run.
+// Tasks that fill must not take their places meanwhile, nor wait for long.
+func TestFillsWaitForTasksThatServeAfterAHandOver(t *testing.T) {
+	next, announce := handOver(t, testWorker(1), testWorker(2))
+	announce(next)
+	submit(next, "0000000000000002", "q", bamboofall.Step{Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second, Fills: true, Image: "fill"})
+	starts := startTimes(t, next, "i-2")
+	assert.Assert(t, len(starts) > 0)
+	assert.Assert(t, starts[0] >= 1500*time.Millisecond, "%v", starts[0])
+}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -43,6 +43,9 @@
 		if c.inDoubt && s.released {
 			continue // a worker that has not answered may run its tasks
 		}
+		if c.inDoubt && s.Fills && now.Sub(c.restoredAt) < fillsInDoubt {
+			continue // it would take the place of tasks that serve
+		}
 		q := s.occ.job.queue
 		if q == nil {
 			continue
@@ -64,6 +67,10 @@
 	}
 }
 
+// fillsInDoubt is how long tasks that fill wait for tasks that serve to have their
+// places again after a hand-over. Workers answer within some tenths of a second.
+const fillsInDoubt = 1500 * time.Millisecond
+
 // fitKey names what decides whether a plain task finds room.
 type fitKey struct {
 	service string
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -327,6 +327,7 @@
 		}
 	}
 	slices.SortFunc(c.ended, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
+	c.restoredAt = now
 	c.inDoubt = len(c.workers) > 0
 	c.unsettled = true
 	return errs
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -7,7 +7,8 @@
 //
 // It answers owners that die, freeze or lose the store while others still reach
 // it. An owner that has not been confirmed for some time stops acting, so that a
-// successor knows when what the former owner granted has ended.
+// successor knows when what the former owner granted has ended. It answers restarts
+// in turn: a cell that is released goes to a process that has been restarted.
 package lease
 
 import (
@@ -25,6 +26,10 @@
 	Act time.Duration
 	// Stagger spreads claims, so that most processes see the first one.
 	Stagger time.Duration
+	// Young is the age up to which a process goes before others if an owner
+	// releases the cell. When processes are restarted in turn, older ones are
+	// about to be stopped as well.
+	Young time.Duration
 }
 
 // DefaultTiming returns bounds for a store that answers in milliseconds.
@@ -36,6 +41,7 @@
 		// a successor waits for it no longer than that.
 		Act:     3500 * time.Millisecond,
 		Stagger: 150 * time.Millisecond,
+		Young:   20 * time.Second,
 	}
 }
 
@@ -54,6 +60,9 @@
 	address netip.AddrPort
 	stagger time.Duration
 
+	// startedAt is when this process started.
+	startedAt time.Time
+
 	newest Record
 	known  bool
 	// heardAt is when the newest record was seen.
@@ -67,10 +76,10 @@
 	leaving     bool
 }
 
-// New returns a view that knows nothing. Rank is between 0 and 1 and should
-// differ between processes.
-func New(t Timing, process string, address netip.AddrPort, rank float64) *Lease {
-	return &Lease{timing: t, process: process, address: address, stagger: time.Duration(rank * float64(t.Stagger))}
+// New returns a view of a process that starts now and knows nothing. Rank is
+// between 0 and 1 and should differ between processes.
+func New(now time.Time, t Timing, process string, address netip.AddrPort, rank float64) *Lease {
+	return &Lease{timing: t, process: process, address: address, stagger: time.Duration(rank * float64(t.Stagger)), startedAt: now}
 }
 
 // Observe takes over a record, and the end of the partition behind it.
@@ -105,6 +114,8 @@
 	wait := l.stagger
 	if l.known && !l.newest.Released {
 		wait += l.timing.Expire
+	} else if now.Sub(l.startedAt) > l.timing.Young {
+		wait += l.timing.Stagger
 	}
 	if now.Sub(l.heardAt) < wait {
 		return Record{}, 0, false
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -18,7 +18,7 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 func TestAnEmptyCellIsClaimedAtOnce(t *testing.T) {
-	l := New(timing, "a", address, 0)
+	l := New(start, timing, "a", address, 0)
 	_, _, claim := l.Claim(start)
 	assert.Assert(t, !claim, "nothing was read yet")
 	l.Seen(start, 0)
@@ -32,7 +32,7 @@
 }
 
 func TestASilentOwnerIsReplaced(t *testing.T) {
-	l := New(timing, "b", address, 0.5)
+	l := New(start, timing, "b", address, 0.5)
 	l.Observe(start, Record{Epoch: 4, Address: address, Process: "a"}, 9)
 	l.Seen(at(timing.Expire), 9)
 	_, _, claim := l.Claim(at(timing.Expire))
@@ -44,7 +44,7 @@
 }
 
 func TestAReleasedCellIsClaimedWithoutWaiting(t *testing.T) {
-	l := New(timing, "b", address, 0)
+	l := New(start, timing, "b", address, 0)
 	l.Observe(start, Record{Epoch: 4, Address: address, Process: "a", Released: true}, 9)
 	_, known := l.Owner()
 	assert.Assert(t, !known)
@@ -55,12 +55,12 @@
 // An owner that sleeps must not act when it wakes. Its successor may count on
 // the end of all that it granted.
 func TestAnOwnerWithoutConfirmationStopsBeforeItsGrantsAreOver(t *testing.T) {
-	a := New(timing, "a", address, 0)
+	a := New(start, timing, "a", address, 0)
 	a.Seen(start, 0)
 	r, _, _ := a.Claim(start)
 	a.Claimed(start, r, 1)
 	a.Confirmed(1, at(time.Second))
-	b := New(timing, "b", address, 0)
+	b := New(start, timing, "b", address, 0)
 	b.Observe(at(time.Second), r, 2)
 	b.Seen(at(3*time.Second), 2)
 	next, _, claim := b.Claim(at(3 * time.Second))
@@ -75,7 +75,7 @@
 }
 
 func TestANewerOwnerDeposes(t *testing.T) {
-	a := New(timing, "a", address, 0)
+	a := New(start, timing, "a", address, 0)
 	a.Seen(start, 0)
 	r, _, _ := a.Claim(start)
 	a.Claimed(start, r, 1)
@@ -87,9 +87,25 @@
 }
 
 func TestALeavingProcessClaimsNothing(t *testing.T) {
-	l := New(timing, "a", address, 0)
+	l := New(start, timing, "a", address, 0)
 	l.Seen(start, 0)
 	l.Leave()
 	_, _, claim := l.Claim(at(time.Minute))
 	assert.Assert(t, !claim)
 }
+
+// Processes are restarted in turn. A cell that is released should not go to one
+// that is stopped next.
+func TestAReleasedCellGoesToAYoungProcess(t *testing.T) {
+	released := Record{Epoch: 4, Address: address, Process: "a", Released: true}
+	later := at(time.Hour)
+	young, old := New(later.Add(-time.Second), timing, "b", address, 1), New(start, timing, "c", address, 0)
+	young.Observe(later, released, 9)
+	old.Observe(later, released, 9)
+	_, _, claim := old.Claim(later.Add(timing.Stagger - time.Millisecond))
+	assert.Assert(t, !claim)
+	_, _, claim = young.Claim(later.Add(timing.Stagger))
+	assert.Assert(t, claim)
+	_, _, claim = old.Claim(later.Add(timing.Stagger))
+	assert.Assert(t, claim, "if there is no young one")
+}
