jobs/cell: give adopted fills their share

Cause: a new owner took tasks that fill as working at their full share, though the former owner may have set them to zero. Change: the share of an adopted run is unknown, so it is ordered. One test, which failed before.

--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -182,9 +182,11 @@
 	assert.Assert(t, hold.Hold.Wait > 0)
 }
 
-// handOver is a cell with a job of which a task was released, and what its owner
-// has stored.
-func handOver(t *testing.T, workers ...bamboofall.Worker) (next *cell.Cell, announce func(c *cell.Cell)) {
+// wideStep has more tasks than two workers can run.
+var wideStep = bamboofall.Step{Count: 64, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second}
+
+// handOver returns a cell after an owner that has started tasks of a step.
+func handOver(t *testing.T, step bamboofall.Step, workers ...bamboofall.Worker) (next *cell.Cell, announce func(c *cell.Cell)) {
 	t.Helper()
 	stored := make(map[string][]byte)
 	newCell := func(token bamboofall.Token) *cell.Cell {
@@ -196,7 +198,7 @@
 	for _, w := range workers {
 		first.SetWorker(benchStart, w)
 	}
-	submit(first, "0000000000000001", "q", bamboofall.Step{Count: 64, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second})
+	submit(first, "0000000000000001", "q", step)
 	for i := range 20 {
 		now := benchStart.Add(time.Duration(i) * 50 * time.Millisecond)
 		answer(first, first.Step(now), now)
@@ -264,14 +266,14 @@
 // A worker that may run tasks of a former owner keeps released tasks waiting
 // until its leases have ended.
 func TestASilentWorkerOfAFormerOwnerIsWaitedFor(t *testing.T) {
-	next, announce := handOver(t, testWorker(1), testWorker(2))
+	next, announce := handOver(t, wideStep, testWorker(1), testWorker(2))
 	announce(next)
 	assert.Equal(t, startsWithout(t, next, "i-2"), 0)
 }
 
 // One that no former owner has used cannot, and is not waited for.
 func TestASilentWorkerThatWasNeverUsedIsNotWaitedFor(t *testing.T) {
-	next, announce := handOver(t, testWorker(1))
+	next, announce := handOver(t, wideStep, testWorker(1))
 	announce(next)
 	next.SetWorker(benchStart, testWorker(2))
 	assert.Assert(t, startsWithout(t, next, "i-2") > 0)
@@ -281,7 +283,7 @@
 func TestASilentWorkerThatLeftEmptyIsNotWaitedFor(t *testing.T) {
 	leaving := testWorker(2)
 	leaving.Draining, leaving.Remaining = true, 5*time.Second
-	next, announce := handOver(t, testWorker(1), leaving)
+	next, announce := handOver(t, wideStep, testWorker(1), leaving)
 	announce(next)
 	assert.Assert(t, startsWithout(t, next, "i-2") > 0)
 }
@@ -376,10 +378,44 @@
 // After a hand-over the tasks that serve wait until it is known where they run.
 // Tasks that fill must not take their places meanwhile, nor wait for long.
 func TestFillsWaitForTasksThatServeAfterAHandOver(t *testing.T) {
-	next, announce := handOver(t, testWorker(1), testWorker(2))
+	next, announce := handOver(t, wideStep, testWorker(1), testWorker(2))
 	announce(next)
 	submit(next, "0000000000000002", "q", bamboofall.Step{Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second, Fills: true, Image: "fill"})
 	starts := startTimes(t, next, "i-2")
 	assert.Assert(t, len(starts) > 0)
 	assert.Assert(t, starts[0] >= 1500*time.Millisecond, "%v", starts[0])
 }
+
+// A former owner may have slowed or stopped the work of a task that fills. It must
+// not be taken as standing still.
+func TestAdoptedFillsAreGivenTheirShare(t *testing.T) {
+	next, announce := handOver(t, bamboofall.Step{
+		Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second, Fills: true, Image: "fill",
+	}, testWorker(1))
+	announce(next)
+	running := []bamboofall.Placed{{Task: bamboofall.TaskName{Job: "0000000000000001"}, Run: 1, Percent: 40}}
+	shares, stops := 0, 0
+	for i := range 40 {
+		now := benchStart.Add(time.Duration(i) * 100 * time.Millisecond)
+		seen := bamboofall.Sighting{Clock: now.Sub(benchStart) + time.Second, Born: benchStart}
+		for _, o := range next.Step(now).Orders {
+			switch o.Kind {
+			case cell.OrderHold:
+				next.Held(now, o, bamboofall.HoldReport{Sighting: seen, Running: running}, nil)
+			case cell.OrderPace:
+				shares++
+				assert.Equal(t, o.Percent, 100)
+				assert.Assert(t, i <= 1)
+				next.Paced(now, o, seen, nil)
+			case cell.OrderStop:
+				stops++
+				assert.Assert(t, i > 14, "it has had its share for less than 1.5 s")
+			}
+		}
+		_, number, err := next.Flush()
+		assert.NilError(t, err)
+		next.Stored(now, number)
+	}
+	assert.Equal(t, shares, 1)
+	assert.Equal(t, stops, 1)
+}
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -9,6 +9,8 @@
 
 const (
 	fullPace = pacing.Full
+	// unknownPace is the share of a run that a former owner may have slowed.
+	unknownPace = -1
 	// rateWeight is the weight of a new sample in a running mean.
 	rateWeight = 0.1
 	// slowWeight is the same for a worker, of which there are fewer samples.
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -32,6 +32,9 @@
 		a := c.reserve(w, t, p.Run)
 		a.state = attemptRunning
 		a.confirmedAt, a.startedAt, a.movedAt = now, now, now
+		if t.step.Fills {
+			a.paced = unknownPace
+		}
 		c.counters.Adopted++
 		if t.queued {
 			t.queued = false
