--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -72,8 +72,10 @@
 	// or was answered, in Unix nanoseconds.
 	calls, lastCall atomic.Int64
 
-	leaving   chan struct{}
-	leaveOnce sync.Once
+	// leaving is closed when this VM takes no new part, releasing when it gives
+	// the cell up.
+	leaving, releasing     chan struct{}
+	leaveOnce, releaseOnce sync.Once
 }
 
 // New returns an entry VM that has not started. Path names its settings file.
@@ -90,7 +92,7 @@
 		peers:   newPeers(client),
 		metrics: newMetrics(string(set.DataCentre)),
 		lease:   lease.New(now(), lease.DefaultTiming(), process, set.Peers, rank),
-		leaving: make(chan struct{}),
+		leaving: make(chan struct{}), releasing: make(chan struct{}),
 	}
 	return f
 }
@@ -166,19 +168,25 @@
 			}
 			f.log.Event("stopping", logrus.Fields{"signal": s.String()})
 			f.leave()
-			f.finishCalls(ctx)
+			f.finish(ctx)
 			return nil
 		}
 	}
 }
 
-// finishCalls waits until no more calls are expected or the time is up.
-func (f *Front) finishCalls(ctx context.Context) {
+// finish goes on until no more calls are expected or the time is up. An owner goes
+// on as well, so that a cell is not handed on more often than needed when VMs are
+// restarted in turn, and then releases the cell.
+func (f *Front) finish(ctx context.Context) {
 	began := now()
-	for at := began; ctx.Err() == nil && at.Sub(began) < f.set.Bounds.Grace-exitMargin; at = now() {
-		idle := f.calls.Load() == 0 && at.Sub(time.Unix(0, f.lastCall.Load())) >= leaveIdle
-		if idle && at.Sub(began) >= leaveTime {
-			return
+	grace := f.set.Bounds.Grace - exitMargin
+	for at := began; ctx.Err() == nil && at.Sub(began) < grace; at = now() {
+		if at.Sub(began) >= min(leaveTime, grace/2) {
+			f.releaseOnce.Do(func() { close(f.releasing) })
+			idle := f.calls.Load() == 0 && at.Sub(time.Unix(0, f.lastCall.Load())) >= leaveIdle
+			if idle && f.owner.Load() == nil {
+				return
+			}
 		}
 		sleep(ctx, leaveCheck)
 	}
@@ -195,7 +203,7 @@
 	f.log.Event("reload", logrus.Fields{"changed": *set != *f.set})
 }
 
-// leave stops taking part: no new callers, no ownership.
+// leave stops taking part: no new callers, no claims.
 func (f *Front) leave() {
 	f.leaveOnce.Do(func() {
 		f.leaseMu.Lock()
@@ -205,9 +213,11 @@
 	})
 }
 
-func (f *Front) isLeaving() bool {
+func (f *Front) isLeaving() bool { return closed(f.leaving) }
+
+func closed(c <-chan struct{}) bool {
 	select {
-	case <-f.leaving:
+	case <-c:
 		return true
 	default:
 		return false
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -307,6 +307,29 @@
 	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
 }
 
+// An owner that is told to stop takes no new callers, hands the cell over and ends
+// before its time.
+func TestAnOwnerThatLeavesHandsTheCellOver(t *testing.T) {
+	f := newFleet(t, 2, 2, 50*time.Millisecond)
+	first := f.waitForOwner(-1)
+	leaving := f.fronts[first].Front
+	leaving.set.Bounds.Grace = 20 * time.Second
+	leaving.leave()
+	status, body := f.do(1-first, http.MethodPost, "/q/"+id(1), twoSteps)
+	assert.Equal(t, status, http.StatusOK, body)
+	assert.Assert(t, leaving.owner.Load() != nil, "it goes on while it may get calls")
+	ready := httptest.NewRecorder()
+	leaving.serveReadiness(ready, nil)
+	assert.Equal(t, ready.Code, http.StatusServiceUnavailable)
+	began := time.Now()
+	leaving.finish(context.Background())
+	assert.Assert(t, time.Since(began) < 5*time.Second, "no call came")
+	assert.Assert(t, leaving.owner.Load() == nil)
+	f.waitForOwner(first)
+	f.waitForState(1-first, id(1), "completed")
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+}
+
 // A caller cannot repeat a call with an unknown outcome, so the front does, as
 // long as the caller waits.
 func TestACallWithAnUnknownOutcomeIsTriedAgain(t *testing.T) {
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -294,7 +294,7 @@
 	var err error
 	began := now()
 	switch {
-	case f.isLeaving() || !f.mayAct(o.record.Epoch):
+	case closed(f.releasing) || !f.mayAct(o.record.Epoch):
 		err = &bamboofall.NotDoneError{Call: "order", Reason: "the owner is not confirmed"}
 	case began.Sub(decided) > staleOrder:
 		err = &bamboofall.NotDoneError{Call: "order", Reason: "the process has slept"}
@@ -413,7 +413,7 @@
 // the answer.
 func ask[T any](ctx context.Context, o *owner, f func(at time.Time, answer func(T))) (T, error) {
 	var none T
-	if !o.ready.Load() || o.front.isLeaving() {
+	if !o.ready.Load() || closed(o.front.releasing) {
 		return none, errNotOwner
 	}
 	done := make(chan T, 1)
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -137,19 +137,19 @@
 	return f.lease.Owner()
 }
 
-// renewals appends to the owners' partition until the owner stops or is told to
-// leave, and then releases the cell.
+// renewals appends to the owners' partition until the owner stops or is to give
+// the cell up, and then releases it.
 func (o *owner) renewals(ctx context.Context) error {
 	every := lease.DefaultTiming().Renew
-	for ctx.Err() == nil && !o.front.isLeaving() {
+	for ctx.Err() == nil && !closed(o.front.releasing) {
 		var fenced *bamboofall.FencedError
 		switch err := o.renew(ctx, o.record); {
 		case err == nil:
-			sleepUntil(ctx, o.front.leaving, every)
+			sleepUntil(ctx, o.front.releasing, every)
 		case errors.As(err, &fenced):
 			return err
 		default:
-			sleepUntil(ctx, o.front.leaving, storeRetry)
+			sleepUntil(ctx, o.front.releasing, storeRetry)
 		}
 	}
 	if ctx.Err() != nil {
