--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -88,6 +88,8 @@
 	// seen is the last end that is stored, got the last that was taken in.
 	seen, got uint64
 	gotAt     uint64
+	// awaitsStore is set while the worker is asked again once its ends are stored.
+	awaitsStore bool
 	// acknowledged is the last end that a hold order has named as stored.
 	acknowledged uint64
 	health       health
@@ -419,7 +421,10 @@
 	w.nextHold = now
 	if w.got > w.seen && !c.IsStored(w.gotAt) {
 		w.nextHold = now.Add(holdUnstored)
-		c.unstored = append(c.unstored, w)
+		if !w.awaitsStore {
+			w.awaitsStore = true
+			c.unstored = append(c.unstored, w)
+		}
 	}
 }
 
@@ -491,6 +496,7 @@
 		if !c.IsStored(w.gotAt) {
 			return false
 		}
+		w.awaitsStore = false
 		w.wake(now)
 		return true
 	})
