jobs/cell: wait for ends that a silent worker may still tell of

Cause: a task at a worker that is cut off was begun again when the worker's lease had ended. If its only run ended as done during the cut nothing was left there to lapse, and the worker told of the end when it was back: the task was done twice. Ruled out: leases longer than the owner takes them for (starts follow the bound by 0.1 s), ends passed over without being taken in. Change: a silent worker at which no standing task was sure to lapse is waited for 6 s beyond its lease. Two tests, of which one failed before. Not covered: a new owner that never reaches such a worker.

--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -419,3 +419,74 @@
 	assert.Equal(t, shares, 1)
 	assert.Equal(t, stops, 1)
 }
+
+// silence plays a cell with two workers of which the first answers until a second
+// after its first task was started there, and again from nine seconds on. It
+// returns when tasks of the last job were started.
+func silence(t *testing.T, steps ...bamboofall.Step) (starts []time.Duration, c *cell.Cell) {
+	t.Helper()
+	c = cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, testWorker(1))
+	for i, s := range steps {
+		submit(c, fmt.Sprintf("%016x", i+1), "q", s)
+	}
+	last := bamboofall.JobID(fmt.Sprintf("%016x", len(steps)))
+	running := make(map[string][]bamboofall.Placed)
+	for d := time.Duration(0); d < 20*time.Second; d += 50 * time.Millisecond {
+		now := benchStart.Add(d)
+		if d == 500*time.Millisecond {
+			c.SetWorker(now, testWorker(2))
+		}
+		for _, o := range c.Step(now).Orders {
+			id := o.Worker.ID
+			seen := bamboofall.Sighting{Clock: d + time.Second, Born: benchStart}
+			silent := id == "i-1" && d > time.Second && d < 9*time.Second
+			switch {
+			case o.Kind == cell.OrderStart:
+				if o.Start.Task.Job == last {
+					starts = append(starts, d)
+				}
+				percent := 10
+				if o.Start.Task.Job != last {
+					percent = 100
+				}
+				running[id] = append(running[id], bamboofall.Placed{Task: o.Start.Task, Run: o.Start.Run, Percent: percent})
+				c.Started(now, o, seen, nil)
+			case o.Kind == cell.OrderHold && silent:
+				c.Held(now, o, bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: "hold"})
+			case o.Kind == cell.OrderHold && id == "i-1" && d >= 9*time.Second:
+				// Its task ended while it was out of reach, the others lapsed.
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+					{Number: 1, Task: bamboofall.TaskName{Job: last}, Run: 1, Cause: bamboofall.EndDone},
+				}}, nil)
+			case o.Kind == cell.OrderHold:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Running: running[id]}, nil)
+			}
+		}
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+	}
+	return starts, c
+}
+
+// A worker that is cut off may have ended its only task well, and tells of it when
+// it is back. The task must not be begun again before that if nothing else there
+// was sure to lapse with the lease.
+func TestATaskThatMayHaveEndedUnseenWaitsForItsWorker(t *testing.T) {
+	starts, c := silence(t, bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: 2 * time.Second})
+	assert.Equal(t, len(starts), 1, "%v", starts)
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// With a task that stays there the lease has lapsed for certain, and the end of the
+// other does not count.
+func TestATaskBesideOneThatStaysIsBegunAgainAfterTheLease(t *testing.T) {
+	starts, _ := silence(t,
+		bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true},
+		bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: 2 * time.Second})
+	assert.Equal(t, len(starts), 2, "%v", starts)
+	assert.Assert(t, starts[1] > 5*time.Second && starts[1] < 8*time.Second, "%v", starts)
+}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -40,6 +40,9 @@
 	// unlistedGrace is how long a worker is kept that is no longer listed: entries
 	// that lapsed while the store was away come back within two seconds.
 	unlistedGrace = 5 * time.Second
+	// unseenEnds is how long after the end of its leases a silent worker may still
+	// tell of runs that ended as done: cuts last up to 9 s.
+	unseenEnds = 6 * time.Second
 	// silentAfter is how many calls must fail before a worker gets no new work.
 	silentAfter = 1
 )
@@ -79,6 +82,8 @@
 	clockAt time.Time
 	// leasesEnd is when all that this owner granted has ended for certain.
 	leasesEnd time.Time
+	// leasesNoted is the end of leases that was last noted.
+	leasesNoted time.Time
 
 	// holding is set while a call that may wait is under way, asking while one
 	// beside it is that does not.
@@ -259,9 +264,15 @@
 	c.pace(now, w)
 	c.evacuate(now, w)
 	if len(w.attempts) > 0 && w.silent() && now.After(w.leasesEnd) {
-		c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the worker did not answer"})
+		patient := !w.lapses() && now.Before(w.leasesEnd.Add(unseenEnds))
+		if !patient || !w.leasesNoted.Equal(w.leasesEnd) {
+			w.leasesNoted = w.leasesEnd
+			c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the worker did not answer"})
+		}
 		for _, a := range slices.Clone(w.attempts) {
-			c.lost(now, a, "the lease ended unseen")
+			if !patient || a.task.step.Standing {
+				c.lost(now, a, "the lease ended unseen")
+			}
 		}
 	}
 	for _, a := range slices.Clone(w.attempts) {
@@ -277,6 +288,18 @@
 	}
 }
 
+// lapses reports whether something at a worker was sure to lapse with its lease.
+// If nothing was, a run may have ended as done before, and the worker may still
+// tell of it.
+func (w *worker) lapses() bool {
+	for _, a := range w.attempts {
+		if a.task.step.Standing && a.state == attemptRunning && !a.stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // settleDoubt ends the doubt about released tasks once every worker that a former
 // owner used has told what it runs, or its leases have ended.
 func (c *Cell) settleDoubt(now time.Time) {
