--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -29,6 +30,8 @@
 	due       time.Time
 	// work is the declared processor time of all tasks.
 	work time.Duration
+	// fills is set if one of its steps fills.
+	fills bool
 	// shed is set while the job goes behind others that can be in time.
 	shed bool
 }
@@ -96,6 +99,7 @@
 		occurrences: make(map[int]*occurrence),
 	}
 	j.work = workOfJob(spec)
+	j.fills = slices.ContainsFunc(spec.Steps, func(s bamboofall.Step) bool { return s.Fills })
 	j.remaining = remainingChains(spec)
 	for _, d := range j.remaining {
 		j.chain = max(j.chain, d)
--- /dev/null
+++ b/internal/jobs/cell/obstacle.go
@@ -0,0 +1,106 @@
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"bamboofall.example/bamboofall/internal/jobs/urgency"
+)
+
+// obstacle is why a task cannot start at a worker now.
+type obstacle string
+
+// The obstacles, in the order in which they are looked for.
+const (
+	noObstacle       obstacle = "fits"
+	obstacleUnusable obstacle = "unusable"
+	obstacleService  obstacle = "otherService"
+	obstacleRoom     obstacle = "noRoom"
+	obstacleMemory   obstacle = "noMemory"
+	obstacleHealth   obstacle = "suspect"
+	obstacleLabel    obstacle = "otherLabel"
+	obstacleHere     obstacle = "runsThere"
+	obstacleApart    obstacle = "apart"
+	obstacleTail     obstacle = "tail"
+)
+
+// obstacleAt returns what keeps a task from a worker, tails aside.
+func (c *Cell) obstacleAt(now time.Time, t *task, w *worker) obstacle {
+	s := t.step
+	if !w.listed || !w.synced || w.silent() || w.info.Draining {
+		return obstacleUnusable
+	}
+	if w.info.Service != s.occ.job.queue.Service {
+		return obstacleService
+	}
+	free := w.free()
+	if s.Fills {
+		free.MilliProcessors = w.unusedCPU() - w.fillCPU
+	}
+	if !s.Size.Fits(free) {
+		if s.Size.MemoryBytes > free.MemoryBytes {
+			return obstacleMemory
+		}
+		return obstacleRoom
+	}
+	if !w.health.takes(now) {
+		return obstacleHealth
+	}
+	if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
+		return obstacleLabel
+	}
+	for _, a := range t.attempts {
+		if a.worker == w {
+			return obstacleHere
+		}
+	}
+	if s.MaxPerWorker == 0 {
+		return noObstacle
+	}
+	here := 0
+	for _, a := range w.attempts {
+		if a.task.step == s {
+			here++
+		}
+	}
+	if here >= s.MaxPerWorker {
+		return obstacleApart
+	}
+	return noObstacle
+}
+
+// noteObstacles notes why the most urgent step with waiting tasks waits.
+func (c *Cell) noteObstacles(now time.Time) {
+	var first *step
+	var key urgency.Key
+	for s := range c.ready {
+		if s.occ.job.queue == nil || len(s.waiting) == 0 {
+			continue
+		}
+		if k := c.urgencyOf(now, s); first == nil || k.Compare(key) < 0 {
+			first, key = s, k
+		}
+	}
+	if first == nil {
+		return
+	}
+	t := first.waiting[0]
+	count := make(map[obstacle]int)
+	for _, w := range c.order {
+		o := c.obstacleAt(now, t, w)
+		if o == noObstacle && first.Fills && c.expectedTail(now, w, first) > tailLimit(now, first) {
+			o = obstacleTail
+		}
+		count[o]++
+	}
+	var parts []string
+	for _, o := range slices.Sorted(maps.Keys(count)) {
+		parts = append(parts, fmt.Sprintf("%s %d", o, count[o]))
+	}
+	c.note(Note{Event: "waiting", Job: first.occ.job.ID, Task: t.name().String(), Detail: fmt.Sprintf(
+		"waits %v for %d milliprocessors and %d MB, is the most urgent of %d steps; workers: %s",
+		now.Sub(first.readyAt).Round(time.Millisecond), first.Size.MilliProcessors, first.Size.MemoryBytes>>20, len(c.ready), strings.Join(parts, ", "))})
+}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -1,10 +1,7 @@
 package cell
 
 import (
-	"fmt"
-	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -92,11 +89,7 @@
 		k.Priority = j.queue.Priority
 	}
 	if !s.Standing && j.Repetitions == 0 {
-		ratio := 1.0
-		if s.Estimate > 0 {
-			ratio = float64(c.expected(s)) / float64(s.Estimate)
-		}
-		k.Tier = urgency.TierOf(now, j.accepted, j.due, time.Duration(ratio*float64(j.remaining[s.index])))
+		k.Tier = urgency.TierOf(now, j.accepted, j.due, c.chainFrom(s))
 		if k.Tier == urgency.InTime && j.shed {
 			k.Tier = urgency.Shed
 		}
@@ -104,77 +97,6 @@
 	return k
 }
 
-// pool is the room that jobs of a kind share.
-type pool struct {
-	service string
-	fills   bool
-}
-
-// shed decides which of the jobs that wait can be in time.
-func (c *Cell) shed(now time.Time) {
-	claims := make(map[pool][]*urgency.Claim)
-	jobs := make(map[*urgency.Claim]*job)
-	seen := make(map[*job]bool)
-	for s := range c.ready {
-		j := s.occ.job
-		if seen[j] || j.queue == nil || c.urgencyOf(now, s).Tier > urgency.Shed || s.Standing || j.Repetitions > 0 {
-			continue
-		}
-		seen[j] = true
-		work, open, processors := c.workToPlace(j)
-		claim := &urgency.Claim{
-			Due: j.due, Work: work, Open: open, Processors: processors, Chain: c.chainLeft(j), Yield: urgency.Yield(j.work, work, c.meanWork[j.Job.Queue]), Name: string(j.ID),
-		}
-		p := pool{j.queue.Service, s.Fills}
-		claims[p] = append(claims[p], claim)
-		jobs[claim] = j
-	}
-	for p, some := range claims {
-		processors, free := c.roomOf(p)
-		urgency.Keep(now, processors, free, some)
-		for _, claim := range some {
-			jobs[claim].shed = claim.Shed
-		}
-	}
-}
-
-// chainLeft returns how long a job takes with all the room it wants.
-func (c *Cell) chainLeft(j *job) time.Duration {
-	left := time.Duration(0)
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.left > 0 && s.waitsFor == 0 {
-				ratio := 1.0
-				if s.Estimate > 0 {
-					ratio = float64(c.expected(s)) / float64(s.Estimate)
-				}
-				left = max(left, time.Duration(ratio*float64(j.remaining[s.index])))
-			}
-		}
-	}
-	return left
-}
-
-// roomOf returns the processors of a pool, and how many of them are idle.
-func (c *Cell) roomOf(p pool) (processors, free float64) {
-	for _, w := range c.order {
-		if !w.listed || w.silent() || w.info.Draining || w.info.Service != p.service {
-			continue
-		}
-		room, idle := w.info.Room.MilliProcessors-w.standingCPU, w.free().MilliProcessors
-		if p.fills {
-			room, idle = w.unusedCPU(), w.unusedCPU()-w.fillCPU
-		}
-		processors += float64(room) / 1000
-		free += float64(max(0, idle)) / 1000
-	}
-	if p.fills && c.fillsGot > 0 {
-		// Expected tails leave less to tasks that fill than is unused.
-		return min(processors, c.fillsGot/1000), 0
-	}
-	return processors, free
-}
-
 // fillsSample is the time between looks at what fills use, and fillsWeight the
 // weight of a look.
 const (
@@ -329,101 +251,3 @@
 func (w *worker) unusedCPU() int64 {
 	return w.free().MilliProcessors + int64((1-servingUse)*float64(w.standingCPU))
 }
-
-// obstacle is why a task cannot start at a worker now.
-type obstacle string
-
-// The obstacles, in the order in which they are looked for.
-const (
-	noObstacle       obstacle = ""
-	obstacleUnusable obstacle = "unusable"
-	obstacleService  obstacle = "otherService"
-	obstacleRoom     obstacle = "noRoom"
-	obstacleMemory   obstacle = "noMemory"
-	obstacleHealth   obstacle = "suspect"
-	obstacleLabel    obstacle = "otherLabel"
-	obstacleHere     obstacle = "runsThere"
-	obstacleApart    obstacle = "apart"
-	obstacleTail     obstacle = "tail"
-)
-
-// obstacleAt returns what keeps a task from a worker, tails aside.
-func (c *Cell) obstacleAt(now time.Time, t *task, w *worker) obstacle {
-	s := t.step
-	if !w.listed || !w.synced || w.silent() || w.info.Draining {
-		return obstacleUnusable
-	}
-	if w.info.Service != s.occ.job.queue.Service {
-		return obstacleService
-	}
-	free := w.free()
-	if s.Fills {
-		free.MilliProcessors = w.unusedCPU() - w.fillCPU
-	}
-	if !s.Size.Fits(free) {
-		if s.Size.MemoryBytes > free.MemoryBytes {
-			return obstacleMemory
-		}
-		return obstacleRoom
-	}
-	if !w.health.takes(now) {
-		return obstacleHealth
-	}
-	if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
-		return obstacleLabel
-	}
-	for _, a := range t.attempts {
-		if a.worker == w {
-			return obstacleHere
-		}
-	}
-	if s.MaxPerWorker == 0 {
-		return noObstacle
-	}
-	here := 0
-	for _, a := range w.attempts {
-		if a.task.step == s {
-			here++
-		}
-	}
-	if here >= s.MaxPerWorker {
-		return obstacleApart
-	}
-	return noObstacle
-}
-
-// noteObstacles notes why the most urgent step with waiting tasks waits.
-func (c *Cell) noteObstacles(now time.Time) {
-	var first *step
-	var key urgency.Key
-	for s := range c.ready {
-		if s.occ.job.queue == nil || len(s.waiting) == 0 {
-			continue
-		}
-		if k := c.urgencyOf(now, s); first == nil || k.Compare(key) < 0 {
-			first, key = s, k
-		}
-	}
-	if first == nil {
-		return
-	}
-	t := first.waiting[0]
-	count := make(map[obstacle]int)
-	for _, w := range c.order {
-		o := c.obstacleAt(now, t, w)
-		if o == noObstacle && first.Fills && c.expectedTail(now, w, first) > tailLimit(now, first) {
-			o = obstacleTail
-		}
-		if o == noObstacle {
-			o = "fit"
-		}
-		count[o]++
-	}
-	var parts []string
-	for _, o := range slices.Sorted(maps.Keys(count)) {
-		parts = append(parts, fmt.Sprintf("%s %d", o, count[o]))
-	}
-	c.note(Note{Event: "waiting", Job: first.occ.job.ID, Task: t.name().String(), Detail: fmt.Sprintf(
-		"waits %v for %d milliprocessors and %d MB, is the most urgent of %d steps; workers: %s",
-		now.Sub(first.readyAt).Round(time.Millisecond), first.Size.MilliProcessors, first.Size.MemoryBytes>>20, len(c.ready), strings.Join(parts, ", "))})
-}
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -85,7 +84,6 @@
 		v.Accept = true
 		return v
 	}
-	fills := slices.ContainsFunc(j.Steps, func(s bamboofall.Step) bool { return s.Fills })
 	for _, w := range c.order {
 		// A worker that this owner has not heard yet is taken as it is announced.
 		if !w.listed || w.silent() || w.info.Draining || w.info.Service != j.queue.Service {
@@ -96,14 +94,14 @@
 		standing := w.standingCPU
 		v.room += room
 		v.standing += standing
-		if fills {
+		if j.fills {
 			standing = int64(servingUse * float64(standing))
 			free = w.unusedCPU()
 		}
 		l.MilliProcessors += room - standing
 		l.FreeMilliProcessors += max(0, free-w.fillCPU)
 	}
-	if fills && c.fillsGot > 0 {
+	if j.fills && c.fillsGot > 0 {
 		// Interference leaves less to tasks that fill than is unused.
 		l.MilliProcessors = min(l.MilliProcessors, int64(c.fillsGot))
 		l.FreeMilliProcessors = 0
@@ -176,43 +174,6 @@
 	return total
 }
 
-// workToPlace returns the declared processor time of the tasks that are neither
-// done nor at a worker, the part of those that could start, and how many
-// processors these take.
-func (c *Cell) workToPlace(j *job) (all, open time.Duration, processors float64) {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.Standing {
-				continue
-			}
-			if s.waitsFor > 0 {
-				all += workOf(s.Size, s.Estimate) * time.Duration(s.left)
-				continue
-			}
-			work := workOf(s.Size, s.Estimate) * time.Duration(len(s.waiting))
-			all += work
-			open += work
-			processors += float64(s.Size.MilliProcessors) / 1000 * float64(len(s.waiting))
-		}
-	}
-	return all, open, processors
-}
-
-// meanWeight is the weight of a job in the running mean of its queue.
-const meanWeight = 0.03
-
-// noteWork takes a job into the mean work of its queue.
-func (c *Cell) noteWork(j *job) {
-	if j.work <= 0 {
-		return
-	}
-	mean, known := c.meanWork[j.Job.Queue]
-	if !known {
-		mean = j.work
-	}
-	c.meanWork[j.Job.Queue] = mean + time.Duration(meanWeight*float64(j.work-mean))
-}
-
 // remaining returns the processor time that a job still needs. Standing tasks
 // count as room that is gone, not as work.
 func (c *Cell) remaining(now time.Time, j *job) time.Duration {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -263,18 +263,7 @@
 func (c *Cell) watchWorker(now time.Time, w *worker) {
 	c.pace(now, w)
 	c.evacuate(now, w)
-	if len(w.attempts) > 0 && w.silent() && now.After(w.leasesEnd) {
-		patient := !w.lapses() && now.Before(w.leasesEnd.Add(unseenEnds))
-		if !patient || !w.leasesNoted.Equal(w.leasesEnd) {
-			w.leasesNoted = w.leasesEnd
-			c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the worker did not answer"})
-		}
-		for _, a := range slices.Clone(w.attempts) {
-			if !patient || a.task.step.Standing {
-				c.lost(now, a, "the lease ended unseen")
-			}
-		}
-	}
+	c.endLeases(now, w)
 	for _, a := range slices.Clone(w.attempts) {
 		c.watchAttempt(now, a)
 	}
@@ -288,6 +277,24 @@
 	}
 }
 
+// endLeases takes off the runs of a silent worker whose leases have ended.
+func (c *Cell) endLeases(now time.Time, w *worker) {
+	if len(w.attempts) == 0 || !w.silent() || !now.After(w.leasesEnd) {
+		return
+	}
+	// Standing tasks never end as done, so nothing is lost by not waiting.
+	standingOnly := !w.lapses() && now.Before(w.leasesEnd.Add(unseenEnds))
+	if !standingOnly || !w.leasesNoted.Equal(w.leasesEnd) {
+		w.leasesNoted = w.leasesEnd
+		c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the worker did not answer"})
+	}
+	for _, a := range slices.Clone(w.attempts) {
+		if !standingOnly || a.task.step.Standing {
+			c.lost(now, a, "the lease ended unseen")
+		}
+	}
+}
+
 // lapses reports whether something at a worker was sure to lapse with its lease.
 // If nothing was, a run may have ended as done before, and the worker may still
 // tell of it.
