jobs/cell: give each job a task while there is room

Ruled out: workers (42 to 44 of 47 usable), memory (0 to 3 workers), suspicion. Change: where less than 0.52 of a service's processors is reserved, a job without a running task for 2 s is given one, up to an expected tail of the target itself. One test, which failed before (4 of 13 jobs had begun).

--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -29,6 +29,7 @@
 		fillsWait = fillsWait || s.Fills
 	}
 	c.noteFills(now, fillsWait)
+	c.feedStarved(now)
 	c.shed(now)
 	for s := range c.ready {
 		steps = append(steps, waitingStep{c.urgencyOf(now, s), s})
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
@@ -119,3 +121,91 @@
 	}
 	c.meanWork[j.Job.Queue] = mean + time.Duration(meanWeight*float64(j.work-mean))
 }
+
+const (
+	// spareUse is the share of a service's processors that is reserved below which
+	// no job may be without a running task for long.
+	spareUse = 0.52
+	// starveAfter is the time after which such a job is given one.
+	starveAfter = 2 * time.Second
+	// starvedTail is the expected tail up to which that task is placed. What it
+	// disturbs more than that is for pacing to undo.
+	starvedTail = 1.0
+)
+
+// feedStarved gives a task to each job that has none running, where less than
+// about half of the room is reserved. Tails, not room, then keep tasks that fill
+// waiting, and those of late jobs would wait until all others are done.
+func (c *Cell) feedStarved(now time.Time) {
+	var starved []*step
+	for s := range c.ready {
+		j := s.occ.job
+		if s.Standing || s.gang != nil || j.queue == nil || c.inDoubt && s.released || now.Sub(s.readyAt) < starveAfter {
+			continue
+		}
+		if !j.hasRuns() && c.hasSpare(j.queue.Service) {
+			starved = append(starved, s)
+		}
+	}
+	slices.SortFunc(starved, func(a, b *step) int {
+		if d := a.readyAt.Compare(b.readyAt); d != 0 {
+			return d
+		}
+		return strings.Compare(string(a.occ.job.ID), string(b.occ.job.ID))
+	})
+	for _, s := range starved {
+		t := s.firstWaiting()
+		if t == nil || s.occ.job.hasRuns() {
+			continue
+		}
+		s.starved = true
+		w := c.choose(now, t)
+		s.starved = false
+		if w == nil {
+			continue
+		}
+		s.waiting = slices.DeleteFunc(s.waiting, func(x *task) bool { return x == t })
+		t.queued = false
+		if len(s.waiting) == 0 {
+			delete(c.ready, s)
+		}
+		c.start(now, w, t, c.nextRun(t))
+	}
+}
+
+// firstWaiting returns the first waiting task that still needs a run, or nil: what
+// a worker tells may have ended a task meanwhile.
+func (s *step) firstWaiting() *task {
+	for _, t := range s.waiting {
+		if !t.done && len(t.attempts) == 0 {
+			return t
+		}
+	}
+	return nil
+}
+
+// hasRuns reports whether a task of a job is at a worker.
+func (j *job) hasRuns() bool {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				if len(s.tasks[i].attempts) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// hasSpare reports whether much of a service's room is not reserved.
+func (c *Cell) hasSpare(service string) bool {
+	used, room := int64(0), int64(0)
+	for _, w := range c.order {
+		if w.listed && w.synced && !w.silent() && !w.info.Draining && w.info.Service == service {
+			used += w.used.MilliProcessors
+			room += w.info.Room.MilliProcessors
+		}
+	}
+	return float64(used) < spareUse*float64(room)
+}
--- a/internal/jobs/sim/world_test.go
+++ b/internal/jobs/sim/world_test.go
@@ -376,3 +376,29 @@
 	state, _ := w.Lookup("0000000000000001")
 	assert.Equal(t, state, bamboofall.JobCompleted)
 }
+
+// Tails keep most tasks that fill waiting while more than half of the room is not
+// reserved. No job may be without a running task for long then.
+func TestNoJobStarvesWhileThereIsRoom(t *testing.T) {
+	cfg := config(10)
+	cfg.FailShare = 0
+	w := sim.New(cfg)
+	w.At(200*time.Millisecond, func() {
+		w.Submit(&bamboofall.Job{ID: "00000000000000ff", Queue: "standing", Steps: []bamboofall.Step{{
+			Count: 12, Size: bamboofall.Resources{MilliProcessors: 12_000}, Estimate: time.Second, Standing: true,
+			Image: "a", TailTarget: 50 * time.Millisecond, MaxPerWorker: 1,
+		}}})
+	})
+	const jobs = 12
+	for n := range jobs {
+		w.At(10*time.Second, func() {
+			w.Submit(&bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n)), Queue: "batch", Steps: []bamboofall.Step{{
+				Count: 4, Size: bamboofall.Resources{MilliProcessors: 2000}, Estimate: 4 * time.Second, Fills: true, Image: "heavy", Checkpointing: true,
+			}}})
+		})
+	}
+	w.Run(14 * time.Second)
+	assert.Equal(t, w.Stats.Accepted, jobs+1)
+	assert.Equal(t, len(w.Stats.FirstStart), jobs+1)
+	assert.DeepEqual(t, w.Violations(), []string(nil))
+}
