jobs/cell: place starved tasks the common way

Found by reading the whole change once more. Jobs without a running task were given one by a copy of the common path, which left out that the first task sets the rack of a step of one rack. Both now call startWaiting; TestAStarvedStepStaysOnOneRack failed before (i-1, i-2).

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -225,7 +225,7 @@
 		if w.silent() {
 			silent++
 		}
-		if !w.listed || !w.synced || w.silent() || w.info.Draining {
+		if !w.usable() {
 			continue
 		}
 		usable++
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -490,3 +490,39 @@
 	assert.Equal(t, len(starts), 2, "%v", starts)
 	assert.Assert(t, starts[1] > 5*time.Second && starts[1] < 8*time.Second, "%v", starts)
 }
+
+// The first task that is placed of a step of one rack sets the rack, whichever way
+// it is placed.
+func TestAStarvedStepStaysOnOneRack(t *testing.T) {
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	for i, rack := range []string{"r1-1", "r2-1", "r1-1"} {
+		w := testWorker(i + 1)
+		w.Labels, w.Room.MilliProcessors = []string{rack}, 1500
+		c.SetWorker(benchStart, w)
+	}
+	submit(c, "0000000000000001", "q", bamboofall.Step{
+		Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second, SameRack: true,
+	})
+	// The workers answer late, so the job has waited for long.
+	var used []string
+	for d := time.Duration(0); len(used) < 2 && d < 5*time.Second; d += 100 * time.Millisecond {
+		now := benchStart.Add(d)
+		out := c.Step(now)
+		for _, o := range out.Orders {
+			if o.Kind == cell.OrderStart {
+				used = append(used, o.Worker.ID)
+			}
+			if d < 3*time.Second && o.Kind == cell.OrderHold {
+				c.Held(now, o, bamboofall.HoldReport{}, &bamboofall.NotDoneError{Call: "hold"})
+			}
+		}
+		if d >= 3*time.Second {
+			answer(c, out, now)
+		}
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+	}
+	assert.DeepEqual(t, used, []string{"i-1", "i-3"})
+}
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -63,8 +63,6 @@
 	// rack is where the tasks of a step of one rack go.
 	rack string
 	gang *gangState
-	// starved is set while a task is placed because its job has none running.
-	starved bool
 }
 
 // gangState is what the tasks of a gang share.
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -30,7 +30,7 @@
 // obstacleAt returns what keeps a task from a worker, tails aside.
 func (c *Cell) obstacleAt(now time.Time, t *task, w *worker) obstacle {
 	s := t.step
-	if !w.listed || !w.synced || w.silent() || w.info.Draining {
+	if !w.usable() {
 		return obstacleUnusable
 	}
 	if w.info.Service != s.occ.job.queue.Service {
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -144,11 +144,7 @@
 			waiting = append(waiting, t)
 			continue
 		}
-		t.queued = false
-		if s.SameRack && s.rack == "" {
-			s.rack = w.rack()
-		}
-		c.start(now, w, t, c.nextRun(t))
+		c.startWaiting(now, w, t)
 	}
 	s.waiting = waiting
 	if len(waiting) == 0 {
@@ -157,15 +153,20 @@
 	return fits
 }
 
+// startWaiting starts a task that is taken off the queue of its step. The first
+// one of a step of one rack sets the rack.
+func (c *Cell) startWaiting(now time.Time, w *worker, t *task) {
+	t.queued = false
+	if s := t.step; s.SameRack && s.rack == "" {
+		s.rack = w.rack()
+	}
+	c.start(now, w, t, c.nextRun(t))
+}
+
 // placeGang places all tasks of a gang or none.
 func (c *Cell) placeGang(now time.Time, s *step) {
-	for i := range s.tasks {
-		if len(s.tasks[i].attempts) > 0 {
-			return // the former run has not ended everywhere
-		}
-	}
-	if len(s.waiting) < s.left {
-		return
+	if s.hasRuns() || len(s.waiting) < s.left {
+		return // the former run has not ended everywhere
 	}
 	run := s.gang.run
 	chosen := make([]*worker, 0, len(s.tasks))
@@ -201,6 +202,12 @@
 
 // choose returns the best worker for a task, or nil.
 func (c *Cell) choose(now time.Time, t *task) *worker {
+	return c.chooseBelow(now, t, tailLimit(now, t.step))
+}
+
+// chooseBelow is choose with another limit of the expected tail for a task that
+// fills.
+func (c *Cell) chooseBelow(now time.Time, t *task, limit float64) *worker {
 	var best *worker
 	bestScore := 0.0
 	s := t.step
@@ -229,7 +236,7 @@
 		}
 		if kind != placement.Normal {
 			view.Tail = c.expectedTail(now, w, s)
-			if kind == placement.Filling && view.Tail > tailLimit(now, s) {
+			if kind == placement.Filling && view.Tail > limit {
 				continue
 			}
 		}
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -1,8 +1,8 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
@@ -138,38 +138,37 @@
 // waiting, and those of late jobs would wait until all others are done.
 func (c *Cell) feedStarved(now time.Time) {
 	var starved []*step
+	spare := make(map[string]bool)
 	for s := range c.ready {
 		j := s.occ.job
 		if s.Standing || s.gang != nil || j.queue == nil || c.inDoubt && s.released || now.Sub(s.readyAt) < starveAfter {
 			continue
 		}
-		if !j.hasRuns() && c.hasSpare(j.queue.Service) {
+		service := j.queue.Service
+		if _, known := spare[service]; !known {
+			spare[service] = c.hasSpare(service)
+		}
+		if spare[service] && !j.hasRuns() {
 			starved = append(starved, s)
 		}
 	}
 	slices.SortFunc(starved, func(a, b *step) int {
-		if d := a.readyAt.Compare(b.readyAt); d != 0 {
-			return d
-		}
-		return strings.Compare(string(a.occ.job.ID), string(b.occ.job.ID))
+		return cmp.Or(a.readyAt.Compare(b.readyAt), cmp.Compare(a.occ.job.ID, b.occ.job.ID))
 	})
 	for _, s := range starved {
 		t := s.firstWaiting()
 		if t == nil || s.occ.job.hasRuns() {
 			continue
 		}
-		s.starved = true
-		w := c.choose(now, t)
-		s.starved = false
+		w := c.chooseBelow(now, t, starvedTail)
 		if w == nil {
 			continue
 		}
 		s.waiting = slices.DeleteFunc(s.waiting, func(x *task) bool { return x == t })
-		t.queued = false
 		if len(s.waiting) == 0 {
 			delete(c.ready, s)
 		}
-		c.start(now, w, t, c.nextRun(t))
+		c.startWaiting(now, w, t)
 	}
 }
 
@@ -187,22 +186,23 @@
 // hasRuns reports whether a task of a job is at a worker.
 func (j *job) hasRuns() bool {
 	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for i := range s.tasks {
-				if len(s.tasks[i].attempts) > 0 {
-					return true
-				}
-			}
+		if slices.ContainsFunc(o.steps, (*step).hasRuns) {
+			return true
 		}
 	}
 	return false
 }
 
+// hasRuns reports whether a task of a step is at a worker.
+func (s *step) hasRuns() bool {
+	return slices.ContainsFunc(s.tasks, func(t task) bool { return len(t.attempts) > 0 })
+}
+
 // hasSpare reports whether much of a service's room is not reserved.
 func (c *Cell) hasSpare(service string) bool {
 	used, room := int64(0), int64(0)
 	for _, w := range c.order {
-		if w.listed && w.synced && !w.silent() && !w.info.Draining && w.info.Service == service {
+		if w.usable() && w.info.Service == service {
 			used += w.used.MilliProcessors
 			room += w.info.Room.MilliProcessors
 		}
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -111,12 +111,11 @@
 			l.Ahead += c.remaining(now, other)
 		}
 	}
-	var own admission.Job
+	own := admission.Job{Work: j.work}
 	standing := false
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		standing = standing || s.Standing
-		own.Work += workOf(s.Size, s.Estimate) * time.Duration(s.Count)
 		if len(s.After) == 0 {
 			own.FirstMilliProcessors += s.Size.MilliProcessors * int64(s.Count)
 		}
--- a/internal/jobs/cell/tails.go
+++ b/internal/jobs/cell/tails.go
@@ -26,9 +26,6 @@
 
 // tailLimit returns the expected tail up to which a task of a step is placed.
 func tailLimit(now time.Time, s *step) float64 {
-	if s.starved {
-		return starvedTail
-	}
 	if now.Sub(s.readyAt) < gentleWait {
 		return gentleTail
 	}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"errors"
 	"net/netip"
 	"slices"
 	"strings"
@@ -14,27 +13,6 @@
 )
 
 const (
-	// holdWait is how long a worker may wait for an end before it answers. The
-	// platform allows 2 s.
-	holdWait = 2 * time.Second
-	// holdWaitBeside is holdWait at a worker with tasks that fill beside tasks
-	// that serve, whose tail latency must be watched.
-	holdWaitBeside = 500 * time.Millisecond
-	// holdWaitLossy is holdWait while answers get lost, as nothing is learned of a
-	// worker until a call without an answer has timed out.
-	holdWaitLossy = 400 * time.Millisecond
-	// lossyFor is how long after a call without an answer others are expected.
-	lossyFor = 5 * time.Second
-	// askEvery is the least time between questions beside a call that waits.
-	askEvery = 80 * time.Millisecond
-	// holdRetry is the time to the next try after a call that failed.
-	holdRetry = 200 * time.Millisecond
-	// holdUnstored is the time between calls while ends wait for the store, for
-	// the worker repeats them at once.
-	holdUnstored = 400 * time.Millisecond
-	// clockFresh is the age at which the clock of an idle worker is looked at
-	// again: after it a lease would be shorter by up to 0.4 s.
-	clockFresh = 20 * time.Second
 	// stopRetry is the time after which a stop is ordered again.
 	stopRetry = 400 * time.Millisecond
 	// unlistedGrace is how long a worker is kept that is no longer listed: entries
@@ -149,6 +127,11 @@
 
 func (w *worker) silent() bool { return w.failures >= silentAfter }
 
+// usable reports whether a worker may be given work.
+func (w *worker) usable() bool {
+	return w.listed && w.synced && !w.silent() && !w.info.Draining
+}
+
 // LeaseBound returns how long a lease can last at a worker whose clock is slow,
 // from the time at which it is granted.
 func LeaseBound(lease time.Duration) time.Duration {
@@ -331,210 +314,3 @@
 	at, _ := slices.BinarySearchFunc(c.order, w, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
 	c.order = slices.Insert(c.order, at, w)
 }
-
-// hold renews leases and asks workers what they run.
-func (c *Cell) hold(now time.Time) {
-	for _, w := range c.order {
-		if w.holding || now.Before(w.nextHold) {
-			continue
-		}
-		unstored := w.got > w.seen && !c.IsStored(w.gotAt)
-		if !unstored {
-			w.seen = w.got
-		}
-		if w.synced && !w.silent() && len(w.attempts) == 0 && !w.mustAcknowledge() && now.Sub(w.clockAt) < clockFresh {
-			continue
-		}
-		if !w.synced && !w.listed && now.After(w.leasesEnd) {
-			continue
-		}
-		o := bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.seen}
-		// A worker that does not answer gets no new lease: the call may be carried
-		// out late, and the end of the leases could never be told.
-		if w.synced && !w.silent() {
-			o.LeaseUntil = c.grant(now, w)
-			if !unstored && len(w.attempts) > 0 && !w.unsure() {
-				o.Wait = c.holdWaitAt(now, w)
-			}
-		}
-		w.holding = true
-		w.acknowledged = max(w.acknowledged, o.Seen)
-		c.out.Orders = append(c.out.Orders, Order{
-			Kind: OrderHold, Worker: w.info.WorkerRef, Hold: o, worker: w, sent: now, born: w.born,
-		})
-	}
-}
-
-// ask asks a worker for what it runs beside a call that waits for an end.
-func (c *Cell) ask(now time.Time, w *worker) {
-	if !w.holding || !w.synced || w.asking || now.Sub(w.askedAt) < askEvery {
-		return
-	}
-	w.asking, w.askedAt = true, now
-	c.out.Orders = append(c.out.Orders, Order{
-		Kind: OrderHold, Worker: w.info.WorkerRef, Hold: bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.acknowledged},
-		worker: w, sent: now, born: w.born, beside: true,
-	})
-}
-
-// holdWaitAt returns how long a worker may wait for an end before it answers.
-func (c *Cell) holdWaitAt(now time.Time, w *worker) time.Duration {
-	wait := holdWait
-	if w.mixed() {
-		wait = holdWaitBeside
-	}
-	if !c.lossyAt.IsZero() && now.Sub(c.lossyAt) < lossyFor {
-		wait = min(wait, holdWaitLossy)
-	}
-	return wait
-}
-
-// mustAcknowledge reports whether the worker lists ends that are stored.
-func (w *worker) mustAcknowledge() bool { return w.got > w.acknowledged }
-
-// unsure reports whether a start or stop is open, so that an answer is
-// needed soon.
-func (w *worker) unsure() bool {
-	for _, a := range w.attempts {
-		if a.state == attemptUnsure {
-			return true
-		}
-	}
-	return false
-}
-
-// fillsUse returns what tasks that fill were last seen to use, in thousandths of
-// a processor.
-func (w *worker) fillsUse() int64 {
-	used := int64(0)
-	for _, a := range w.attempts {
-		if a.task.step.Fills {
-			used += a.gauge
-		}
-	}
-	return used
-}
-
-// mixed reports whether tasks that fill work beside tasks that serve.
-func (w *worker) mixed() bool {
-	return len(w.filling) > 0 && len(w.serving) > 0
-}
-
-// Held takes over the answer to a hold order.
-func (c *Cell) Held(now time.Time, o Order, report bamboofall.HoldReport, err error) {
-	w := o.worker
-	if c.workers[w.info.ID] != w {
-		return
-	}
-	if o.beside {
-		w.asking = false
-	} else {
-		w.holding = false
-	}
-	if err != nil {
-		c.holdFailed(now, w, err)
-		return
-	}
-	if !c.sighted(now, o, report.Sighting) {
-		return
-	}
-	if !w.synced {
-		w.synced = true
-		c.unsettled = true
-		c.adopt(now, w, report)
-	}
-	c.takeEnds(now, w, report.Ends)
-	c.compare(now, o, w, report.Running)
-	if o.beside {
-		return
-	}
-	w.nextHold = now
-	if w.got > w.seen && !c.IsStored(w.gotAt) {
-		w.nextHold = now.Add(holdUnstored)
-		if !w.awaitsStore {
-			w.awaitsStore = true
-			c.unstored = append(c.unstored, w)
-		}
-	}
-}
-
-func (c *Cell) holdFailed(now time.Time, w *worker, err error) {
-	c.counters.HoldFailures++
-	w.nextHold = now.Add(holdRetry)
-	var rejected *bamboofall.RejectedError
-	if errors.As(err, &rejected) {
-		c.rejected(now, w, rejected)
-		return
-	}
-	c.unheard(now, w, err)
-}
-
-// unheard notes that a worker did not answer.
-func (c *Cell) unheard(now time.Time, w *worker, err error) {
-	w.failures++
-	c.noteLoss(now, err)
-	if w.failures == silentAfter {
-		c.note(Note{Event: "worker silent", Worker: w.info.ID, Detail: err.Error()})
-	}
-}
-
-// noteLoss notes that a call got no answer though it may have been done.
-func (c *Cell) noteLoss(now time.Time, err error) {
-	var unknown *bamboofall.UnknownOutcomeError
-	if errors.As(err, &unknown) {
-		c.lossyAt = now
-	}
-}
-
-// rejected takes over a rejection that says something of the worker itself.
-func (c *Cell) rejected(now time.Time, w *worker, r *bamboofall.RejectedError) {
-	switch r.Cause {
-	case bamboofall.RejectFenced:
-		c.out.Deposed = true
-		c.note(Note{Event: "fenced", Worker: w.info.ID, Detail: "the worker has seen a larger token"})
-	case bamboofall.RejectLife:
-		if r.Born.After(w.born) {
-			c.reborn(now, w, r.Born)
-		}
-	}
-}
-
-// sighted takes over the clock and the life that an answer shows. It reports
-// false if the answer is of another life than the order.
-func (c *Cell) sighted(now time.Time, o Order, s bamboofall.Sighting) bool {
-	w := o.worker
-	if !s.Born.IsZero() && s.Born.After(w.born) {
-		c.reborn(now, w, s.Born)
-	}
-	if !s.Born.IsZero() && s.Born.Before(w.born) || !o.born.Equal(w.born) && s.Born.IsZero() {
-		return false
-	}
-	if w.failures >= silentAfter {
-		c.unsettled = true
-		c.note(Note{Event: "worker answers again", Worker: w.info.ID})
-	}
-	w.failures = 0
-	if s.Clock > 0 {
-		w.clock, w.clockAt = s.Clock, now
-	}
-	return true
-}
-
-// wakeStored asks the workers again whose ends are stored by now.
-func (c *Cell) wakeStored(now time.Time) {
-	c.unstored = slices.DeleteFunc(c.unstored, func(w *worker) bool {
-		if !c.IsStored(w.gotAt) {
-			return false
-		}
-		w.awaitsStore = false
-		w.wake(now)
-		return true
-	})
-}
-
-// wake makes the next hold of a worker due.
-func (w *worker) wake(now time.Time) {
-	if now.Before(w.nextHold) {
-		w.nextHold = now
-	}
-}
