jobs/cell: begin a task again only when its worker has told, or after a bound

A worker had listed the ends, the owner had timed out and dropped the answer, and endLeases began the finite tasks again at the end of the leases since a standing task ran beside them: that lapse was taken to excuse the ends. It does not: the tasks were really done, and they were told of before the lapse.

Standing tasks, those that allow copies, and those that need no run any more are given up at the end of the lease, as before. A task that allows copies used to wait for 6 s as well.

TestATaskBesideOneThatStaysIsBegunAgainAfterTheLease asserted the excuse. Its places take TestATaskBesideOneThatStaysWaitsForItsWorker, which asserts one start of the finite task and, with the same bounds as before, the restart of the standing one, and TestATaskOfAWorkerThatStaysSilentIsBegunAgain for the bound. Before: cell_test.go:491: assertion failed: 2 (int) != 1 (int): map[:[100ms 6.5s]:[100ms 6.5s]] cell_test.go:505: assertion failed: expression is false: again[1] >= bound-time.Second && again[1] <= bound+time.Second: map[:[100ms 6.5s]:[100ms 6.5s]] cell_test.go:513: assertion failed: 1 (int) != 2 (int): map[:[100ms]]

hold.go is touched for the time at which a worker fell silent.

--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -421,10 +421,11 @@
 }
 
 // silence plays a cell with two workers of which the first answers until a second
-// after its first task was started there, and again from nine seconds on. It
-// returns when tasks of the last job were started.
-func silence(t *testing.T, steps ...bamboofall.Step) (starts []time.Duration, c *cell.Cell) {
+// after its first task was started there, and again once it is back. It tells then
+// that its finite task was done. It returns when tasks of each job were started.
+func silence(t *testing.T, back time.Duration, steps ...bamboofall.Step) (starts map[bamboofall.JobID][]time.Duration, c *cell.Cell) {
 	t.Helper()
+	starts = make(map[bamboofall.JobID][]time.Duration)
 	c = cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
 	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
 	c.SetWorker(benchStart, testWorker(1))
@@ -441,12 +442,10 @@
 		for _, o := range c.Step(now).Orders {
 			id := o.Worker.ID
 			seen := bamboofall.Sighting{Clock: d + time.Second, Born: benchStart}
-			silent := id == "i-1" && d > time.Second && d < 9*time.Second
+			silent := id == "i-1" && d > time.Second && d < back
 			switch {
 			case o.Kind == cell.OrderStart:
-				if o.Start.Task.Job == last {
-					starts = append(starts, d)
-				}
+				starts[o.Start.Task.Job] = append(starts[o.Start.Task.Job], d)
 				percent := 10
 				if o.Start.Task.Job != last {
 					percent = 100
@@ -455,7 +454,7 @@
 				c.Started(now, o, seen, nil)
 			case o.Kind == cell.OrderHold && silent:
 				c.Held(now, o, bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: "hold"})
-			case o.Kind == cell.OrderHold && id == "i-1" && d >= 9*time.Second:
+			case o.Kind == cell.OrderHold && id == "i-1" && d >= back:
 				// Its task ended while it was out of reach, the others lapsed.
 				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
 					{Number: 1, Task: bamboofall.TaskName{Job: last}, Run: 1, Cause: bamboofall.EndDone},
@@ -471,24 +470,48 @@
 	return starts, c
 }
 
+var (
+	finiteStep   = bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: 2 * time.Second}
+	standingStep = bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true}
+)
+
 // A worker that is cut off may have ended its only task well, and tells of it when
-// it is back. The task must not be begun again before that if nothing else there
-// was sure to lapse with the lease.
+// it is back. The task must not be begun again before that.
 func TestATaskThatMayHaveEndedUnseenWaitsForItsWorker(t *testing.T) {
-	starts, c := silence(t, bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: 2 * time.Second})
-	assert.Equal(t, len(starts), 1, "%v", starts)
+	starts, c := silence(t, 9*time.Second, finiteStep)
+	assert.Equal(t, len(starts["0000000000000001"]), 1, "%v", starts)
 	state, _ := c.Lookup("0000000000000001")
 	assert.Equal(t, state, bamboofall.JobCompleted)
 }
 
-// With a task that stays there the lease has lapsed for certain, and the end of the
-// other does not count.
-func TestATaskBesideOneThatStaysIsBegunAgainAfterTheLease(t *testing.T) {
-	starts, _ := silence(t,
-		bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true},
-		bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: 2 * time.Second})
-	assert.Equal(t, len(starts), 2, "%v", starts)
-	assert.Assert(t, starts[1] > 5*time.Second && starts[1] < 8*time.Second, "%v", starts)
+// Nor if a task that stays lapses beside it: that one is begun again after the
+// lease, but the other may have been done before.
+func TestATaskBesideOneThatStaysWaitsForItsWorker(t *testing.T) {
+	starts, c := silence(t, 9*time.Second, standingStep, finiteStep)
+	assert.Equal(t, len(starts["0000000000000002"]), 1, "%v", starts)
+	state, _ := c.Lookup("0000000000000002")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+	stays := starts["0000000000000001"]
+	assert.Equal(t, len(stays), 2, "%v", starts)
+	assert.Assert(t, stays[1] > 5*time.Second && stays[1] < 8*time.Second, "%v", starts)
+}
+
+// A worker that stays silent for longer than any cut is not waited for.
+func TestATaskOfAWorkerThatStaysSilentIsBegunAgain(t *testing.T) {
+	starts, _ := silence(t, time.Hour, standingStep, finiteStep)
+	again := starts["0000000000000002"]
+	assert.Equal(t, len(again), 2, "%v", starts)
+	bound := time.Second + cell.LeaseBound(5*time.Second) + cell.UnseenEnds
+	assert.Assert(t, again[1] >= bound-time.Second && again[1] <= bound+time.Second, "%v", starts)
+}
+
+// A copy may run beside a run that may have ended.
+func TestATaskThatAllowsCopiesIsBegunAgainAfterTheLease(t *testing.T) {
+	step := finiteStep
+	step.Speculative = true
+	starts, _ := silence(t, 9*time.Second, step)
+	assert.Equal(t, len(starts["0000000000000001"]), 2, "%v", starts)
+	assert.Assert(t, starts["0000000000000001"][1] < 8*time.Second, "%v", starts)
 }
 
 // The first task that is placed of a step of one rack sets the rack, whichever way
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -174,6 +174,9 @@
 
 // unheard notes that a worker did not answer.
 func (c *Cell) unheard(now time.Time, w *worker, err error) {
+	if w.failures == 0 {
+		w.silentSince = now
+	}
 	w.failures++
 	c.noteLoss(now, err)
 	if w.failures == silentAfter {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -18,9 +18,9 @@
 	// unlistedGrace is how long a worker is kept that is no longer listed: entries
 	// that lapsed while the store was away come back within two seconds.
 	unlistedGrace = 5 * time.Second
-	// unseenEnds is how long after the end of its leases a silent worker may still
+	// UnseenEnds is how long after the end of its leases a silent worker may still
 	// tell of runs that ended as done: cuts last up to 9 s.
-	unseenEnds = 6 * time.Second
+	UnseenEnds = 6 * time.Second
 	// silentAfter is how many calls must fail before a worker gets no new work.
 	silentAfter = 1
 )
@@ -68,6 +68,8 @@
 	holding, asking   bool
 	nextHold, askedAt time.Time
 	failures          int
+	// silentSince is when the first of these calls failed.
+	silentSince time.Time
 	// seen is the last end that is stored, got the last that was taken in.
 	seen, got uint64
 	gotAt     uint64
@@ -260,36 +262,35 @@
 	}
 }
 
-// endLeases takes off the runs of a silent worker whose leases have ended.
+// endLeases takes off the runs of a silent worker whose leases have ended. A run
+// that may have ended as done waits for the worker to tell, but not for ever.
 func (c *Cell) endLeases(now time.Time, w *worker) {
 	if len(w.attempts) == 0 || !w.silent() || !now.After(w.leasesEnd) {
 		return
 	}
-	// Standing tasks never end as done, so nothing is lost by not waiting.
-	standingOnly := !w.lapses() && now.Before(w.leasesEnd.Add(unseenEnds))
-	if !standingOnly || !w.leasesNoted.Equal(w.leasesEnd) {
+	untold := now.After(w.leasesEnd.Add(UnseenEnds)) && now.Sub(w.silentSince) > UnseenEnds
+	if untold || !w.leasesNoted.Equal(w.leasesEnd) {
 		w.leasesNoted = w.leasesEnd
 		c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the worker did not answer"})
 	}
 	for _, a := range slices.Clone(w.attempts) {
-		if !standingOnly || a.task.step.Standing {
+		if untold || !a.mayBeDone() {
 			c.lost(now, a, "the lease ended unseen")
 		}
 	}
 }
 
-// lapses reports whether something at a worker was sure to lapse with its lease.
-// If nothing was, a run may have ended as done before, and the worker may still
-// tell of it.
-func (w *worker) lapses() bool {
-	for _, a := range w.attempts {
-		if a.task.step.Standing && a.state == attemptRunning && !a.stopping {
-			return true
-		}
-	}
-	return false
+// mayBeDone reports whether the run of an attempt may have ended as done, so that
+// its task must not be begun again before its worker has told.
+func (a *attempt) mayBeDone() bool {
+	t := a.task
+	return a.state != attemptGated && !t.done && t.step.onlyOnce() && !t.step.occ.job.state.Ended()
 }
 
+// onlyOnce reports whether a task of a step must not be begun again once a run of
+// it is done. Standing tasks never are, and others may allow copies.
+func (s *step) onlyOnce() bool { return !s.Standing && !s.Speculative }
+
 // settleDoubt ends the doubt about released tasks once every worker that a former
 // owner used has told what it runs, or its leases have ended.
 func (c *Cell) settleDoubt(now time.Time) {
