jobs/cell: wait for ends that a former owner did not store

After a take-over tasks were begun again once the former owner's leases had ended, though a worker that had not answered yet could still list an end as done that the former owner had not stored. It then really ran twice. A worker that is no longer listed is kept, asked and left on record for as long.

place.go and shed.go ask (*Cell).doubted in place of the two flags.

Before: TestEndsAtASilentWorkerOfAFormerOwnerAreWaitedFor/finite: cell_test.go:293: assertion failed: expression is false: starts[0] >= test.first && starts[0] <= test.first+500*time.Millisecond: 9s TestAnEndThatAFormerOwnerDidNotStoreIsTakenInLate: cell_test.go:327: assertion failed: running (state bamboofall.JobState) != completed (bamboofall.JobCompleted bamboofall.JobState)

--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -236,13 +236,13 @@
 // the number of tasks that were started.
 func startsWithout(t *testing.T, c *cell.Cell, silent string) int {
 	t.Helper()
-	return len(startTimes(t, c, silent))
+	return len(startTimes(t, c, silent, 2*time.Second))
 }
 
-func startTimes(t *testing.T, c *cell.Cell, silent string) (starts []time.Duration) {
+func startTimes(t *testing.T, c *cell.Cell, silent string, until time.Duration) (starts []time.Duration) {
 	t.Helper()
-	for i := range 20 {
-		now := benchStart.Add(time.Duration(i) * 100 * time.Millisecond)
+	for d := time.Duration(0); d < until; d += 100 * time.Millisecond {
+		now := benchStart.Add(d)
 		out := c.Step(now)
 		heard := out
 		heard.Orders = nil
@@ -271,6 +271,62 @@
 	assert.Equal(t, startsWithout(t, next, "i-2"), 0)
 }
 
+// After the end of the leases nothing runs there, but what ended there as done may
+// still be listed: only tasks that never end so are begun again then.
+func TestEndsAtASilentWorkerOfAFormerOwnerAreWaitedFor(t *testing.T) {
+	standing, copied := wideStep, wideStep
+	standing.Standing, copied.Speculative = true, true
+	leases := 9 * time.Second
+	for _, test := range []struct {
+		name  string
+		step  bamboofall.Step
+		first time.Duration
+	}{
+		{"finite", wideStep, leases + cell.UnseenEnds}, {"standing", standing, leases}, {"speculative", copied, leases},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			test.step.Count = 40
+			next, announce := handOver(t, test.step, testWorker(1), testWorker(2))
+			announce(next)
+			starts := startTimes(t, next, "i-2", 20*time.Second)
+			assert.Assert(t, len(starts) > 0)
+			assert.Assert(t, starts[0] >= test.first && starts[0] <= test.first+500*time.Millisecond, "%v", starts[0])
+		})
+	}
+}
+
+// A task that a worker lists as done after the end of its leases is not begun again.
+func TestAnEndThatAFormerOwnerDidNotStoreIsTakenInLate(t *testing.T) {
+	next, announce := handOver(t, finiteStep, testWorker(1))
+	announce(next)
+	starts := 0
+	for d := time.Duration(0); d < 20*time.Second; d += 100 * time.Millisecond {
+		now := benchStart.Add(d)
+		for _, o := range next.Step(now).Orders {
+			switch {
+			case o.Kind == cell.OrderStart:
+				starts++
+			case d < 14*time.Second:
+				next.Held(now, o, bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: "hold"})
+			default:
+				next.Held(now, o, bamboofall.HoldReport{
+					Sighting: bamboofall.Sighting{Clock: d, Born: benchStart},
+					Ends:     []bamboofall.End{{Number: 1, Task: bamboofall.TaskName{Job: "0000000000000001"}, Run: 1, Cause: bamboofall.EndDone}},
+				}, nil)
+			}
+		}
+		if d == 10*time.Second {
+			next.RemoveWorker(now, "i-1") // its entry lapses, too
+		}
+		_, number, err := next.Flush()
+		assert.NilError(t, err)
+		next.Stored(now, number)
+	}
+	assert.Equal(t, starts, 0)
+	state, _ := next.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
 // One that no former owner has used cannot, and is not waited for.
 func TestASilentWorkerThatWasNeverUsedIsNotWaitedFor(t *testing.T) {
 	next, announce := handOver(t, wideStep, testWorker(1))
@@ -381,7 +437,7 @@
 	next, announce := handOver(t, wideStep, testWorker(1), testWorker(2))
 	announce(next)
 	submit(next, "0000000000000002", "q", bamboofall.Step{Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second, Fills: true, Image: "fill"})
-	starts := startTimes(t, next, "i-2")
+	starts := startTimes(t, next, "i-2", 2*time.Second)
 	assert.Assert(t, len(starts) > 0)
 	assert.Assert(t, starts[0] >= 1500*time.Millisecond, "%v", starts[0])
 }
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -45,7 +45,7 @@
 		if w.synced && !w.silent() && len(w.attempts) == 0 && !w.mustAcknowledge() && now.Sub(w.clockAt) < clockFresh {
 			continue
 		}
-		if !w.synced && !w.listed && now.After(w.leasesEnd) {
+		if !w.synced && !w.listed && now.After(w.toldUntil()) {
 			continue
 		}
 		o := bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.seen}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -38,7 +38,7 @@
 	full := make(map[fitKey]bool)
 	for _, waiting := range steps {
 		s := waiting.step
-		if c.inDoubt && s.released {
+		if c.doubted(now, s) {
 			continue // a worker that has not answered may run its tasks
 		}
 		if c.inDoubt && s.Fills && now.Sub(c.restoredAt) < fillsInDoubt {
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -141,7 +141,7 @@
 	spare := make(map[string]bool)
 	for s := range c.ready {
 		j := s.occ.job
-		if s.Standing || s.gang != nil || j.queue == nil || c.inDoubt && s.released || now.Sub(s.readyAt) < starveAfter {
+		if s.Standing || s.gang != nil || j.queue == nil || c.doubted(now, s) || now.Sub(s.readyAt) < starveAfter {
 			continue
 		}
 		service := j.queue.Service
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -188,7 +188,7 @@
 // will be started, so that a new owner need not wait for its answer.
 func (c *Cell) dropRecord(now time.Time, w *worker) {
 	leaves := !w.listed || w.info.Draining
-	if !w.recorded || !leaves || len(w.attempts) > 0 || !w.synced && !now.After(w.leasesEnd) {
+	if !w.recorded || !leaves || len(w.attempts) > 0 || !w.synced && !now.After(w.toldUntil()) {
 		return
 	}
 	delete(c.pending.workers, w.info.ID)
@@ -256,7 +256,7 @@
 		w.unlistedAt = now
 	}
 	c.dropRecord(now, w)
-	if !w.listed && len(w.attempts) == 0 && now.After(w.leasesEnd) && now.Sub(w.unlistedAt) > unlistedGrace && !w.holding {
+	if !w.listed && len(w.attempts) == 0 && now.After(w.toldUntil()) && now.Sub(w.unlistedAt) > unlistedGrace && !w.holding {
 		delete(c.workers, w.info.ID)
 		c.order = slices.DeleteFunc(c.order, func(x *worker) bool { return x == w })
 	}
@@ -292,23 +292,38 @@
 func (s *step) onlyOnce() bool { return !s.Standing && !s.Speculative }
 
 // settleDoubt ends the doubt about released tasks once every worker that a former
-// owner used has told what it runs, or its leases have ended.
+// owner used has told what it runs and what has ended there, or none can any more.
 func (c *Cell) settleDoubt(now time.Time) {
 	if !c.inDoubt {
 		return
 	}
-	if now.Before(c.cfg.FormerLeases) {
-		for _, w := range c.order {
-			if w.former && !w.synced {
-				return
-			}
-		}
+	if now.Before(c.cfg.FormerLeases.Add(UnseenEnds)) && slices.ContainsFunc(c.order, (*worker).owesReport) {
+		return
 	}
 	c.inDoubt = false
 	c.unsettled = true
 	c.note(Note{Event: "recovery complete", Detail: "every worker has answered or its leases have ended"})
 }
 
+// owesReport reports whether a worker may run, or list as done, what a former
+// owner has started there.
+func (w *worker) owesReport() bool { return w.former && !w.synced }
+
+// doubted reports whether a task of a step may run at a worker that has not
+// answered this owner, or may have ended there as done.
+func (c *Cell) doubted(now time.Time, s *step) bool {
+	return c.inDoubt && s.released && (s.onlyOnce() || now.Before(c.cfg.FormerLeases))
+}
+
+// toldUntil returns the time from which a worker can tell nothing of what was
+// started there.
+func (w *worker) toldUntil() time.Time {
+	if w.owesReport() {
+		return w.leasesEnd.Add(UnseenEnds)
+	}
+	return w.leasesEnd
+}
+
 // addWorker adds a worker to the map and to the ordered list.
 func (c *Cell) addWorker(w *worker) {
 	c.workers[w.info.ID] = w
