jobs/cell: lose no run whose end may be on a later page

A worker lists 500 ends at a time. A run that was neither running nor among them was taken for lost and begun again, and after a take-over such a worker counted as having told all, though an end as done could follow on the next page. So many ends wait when the store has been away. A full page now tells only what it lists.

Before: TestARunWhoseEndIsOnALaterPageIsNotLost: cell_test.go:624: assertion failed: 1 (starts int) != 0 (int) TestEndsOnLaterPagesAreWaitedForAfterAHandOver: cell_test.go:653: assertion failed: 1 (starts int) != 0 (int)

--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -561,6 +561,100 @@
 	assert.Assert(t, again[1] >= bound-time.Second && again[1] <= bound+time.Second, "%v", starts)
 }
 
+// oneTask returns a cell with a worker at which the only task of a job has been
+// ordered, the start order, and a function that steps the cell, stores what it
+// flushes, and returns its orders.
+func oneTask(t *testing.T) (c *cell.Cell, start cell.Order, step func(now time.Time) []cell.Order) {
+	t.Helper()
+	c = cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, testWorker(1))
+	submit(c, "0000000000000001", "q", finiteStep)
+	step = func(now time.Time) []cell.Order {
+		out := c.Step(now)
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+		return out.Orders
+	}
+	for i := 0; i < 5 && start.Kind == 0; i++ {
+		for _, o := range step(benchStart) {
+			if o.Kind == cell.OrderStart {
+				start = o
+				continue
+			}
+			c.Held(benchStart, o, bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: time.Second, Born: benchStart}}, nil)
+		}
+	}
+	assert.Equal(t, start.Kind, cell.OrderStart)
+	return c, start, step
+}
+
+// fullPage returns as many ends as a worker lists at a time, of a task that is not
+// known.
+func fullPage(first uint64) (ends []bamboofall.End) {
+	for n := range uint64(cell.EndsListed) {
+		ends = append(ends, bamboofall.End{Number: first + n, Task: bamboofall.TaskName{Job: "00000000000000ff", Index: int(n)}, Run: 1, Cause: bamboofall.EndStopped})
+	}
+	return ends
+}
+
+// Workers list only so many ends at a time. A run that is neither running nor in a
+// full list may have ended as done, which is told with the next.
+func TestARunWhoseEndIsOnALaterPageIsNotLost(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, seen, nil)
+	done := bamboofall.End{Number: cell.EndsListed + 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone}
+	starts := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for _, o := range step(now) {
+			switch {
+			case o.Kind == cell.OrderStart:
+				starts++
+			case o.Hold.Seen == 0:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: fullPage(1)}, nil)
+			default:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{done}}, nil)
+			}
+		}
+	}
+	assert.Equal(t, starts, 0)
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// The same for a new owner.
+func TestEndsOnLaterPagesAreWaitedForAfterAHandOver(t *testing.T) {
+	next, announce := handOver(t, finiteStep, testWorker(1))
+	announce(next)
+	starts := 0
+	for d := time.Duration(0); d < 3*time.Second; d += 100 * time.Millisecond {
+		now := benchStart.Add(d)
+		seen := bamboofall.Sighting{Clock: time.Second + d, Born: benchStart}
+		for _, o := range next.Step(now).Orders {
+			switch {
+			case o.Kind == cell.OrderStart:
+				starts++
+			case o.Hold.Seen == 0:
+				next.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: fullPage(1)}, nil)
+			default:
+				next.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+					{Number: cell.EndsListed + 1, Task: bamboofall.TaskName{Job: "0000000000000001"}, Run: 1, Cause: bamboofall.EndDone},
+				}}, nil)
+			}
+		}
+		_, number, err := next.Flush()
+		assert.NilError(t, err)
+		next.Stored(now, number)
+	}
+	assert.Equal(t, starts, 0)
+	state, _ := next.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
 // A copy may run beside a run that may have ended.
 func TestATaskThatAllowsCopiesIsBegunAgainAfterTheLease(t *testing.T) {
 	step := finiteStep
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -146,8 +146,9 @@
 		c.unsettled = true
 		c.adopt(now, w, report)
 	}
+	w.told = w.told || allEnds(report)
 	c.takeEnds(now, w, report.Ends)
-	c.compare(now, o, w, report.Running)
+	c.compare(now, o, w, report)
 	if o.beside {
 		return
 	}
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -8,6 +8,9 @@
 	"bamboofall.example/bamboofall"
 )
 
+// EndsListed is how many ends a worker lists at a time, as on the users' page.
+const EndsListed = 500
+
 // find returns a task of an open occurrence, or nil.
 func (c *Cell) find(name bamboofall.TaskName) *task {
 	j := c.jobs[name.Job]
@@ -60,7 +63,10 @@
 }
 
 // compare holds what a worker says it runs against what it should run.
-func (c *Cell) compare(now time.Time, o Order, w *worker, running []bamboofall.Placed) {
+func (c *Cell) compare(now time.Time, o Order, w *worker, report bamboofall.HoldReport) {
+	running := report.Running
+	// What is not running may have ended, and its end be listed later.
+	endsKnown := allEnds(report)
 	type key struct {
 		task bamboofall.TaskName
 		run  uint32
@@ -75,6 +81,7 @@
 		switch {
 		case p != nil:
 			c.runs(now, a, p)
+		case !endsKnown:
 		case a.state == attemptRunning && a.confirmedAt.Before(o.sent) && (!a.stopping || !a.stopped.IsZero() && a.stopped.Before(o.sent)):
 			c.lost(now, a, "the worker does not run it any more")
 		case a.state == attemptUnsure && !a.stopped.IsZero() && a.stopped.Before(o.sent):
@@ -95,6 +102,9 @@
 	}
 }
 
+// allEnds reports whether an answer lists all the ends that there are.
+func allEnds(report bamboofall.HoldReport) bool { return len(report.Ends) < EndsListed }
+
 // runs takes over that a worker runs what it should.
 func (c *Cell) runs(now time.Time, a *attempt, p *bamboofall.Placed) {
 	if a.state != attemptRunning {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -55,6 +55,8 @@
 	// synced is set once this life has answered this owner, former while this
 	// life may run what a former owner has started.
 	synced, former bool
+	// told is set once this life has listed all its ends in one answer.
+	told bool
 	// clock is the worker's clock at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -235,7 +237,7 @@
 	}
 	w.born = born
 	w.info.Born = born
-	w.synced, w.former = false, false
+	w.synced, w.former, w.told = false, false, false
 	w.seen, w.got, w.gotAt, w.acknowledged = 0, 0, 0, 0
 	w.leasesEnd = time.Time{}
 	w.nextHold = now
@@ -307,7 +309,7 @@
 
 // owesReport reports whether a worker may run, or list as done, what a former
 // owner has started there.
-func (w *worker) owesReport() bool { return w.former && !w.synced }
+func (w *worker) owesReport() bool { return w.former && !w.told }
 
 // doubted reports whether a task of a step may run at a worker that has not
 // answered this owner, or may have ended there as done.
