jobs/cell: ask what became of a start that is rejected as old

A worker rejects a run as old if one with its number or a later one was stopped or has ended there. That can be this very run, if its order arrived twice, and it may have ended as done; the task was begun again at once. The worker's list now decides, as for a start without an answer.

attempt.go is touched for it.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -215,6 +215,11 @@
 	var rejected *bamboofall.RejectedError
 	var notDone *bamboofall.NotDoneError
 	switch {
+	case errors.As(err, &rejected) && rejected.Cause == bamboofall.RejectOld:
+		// A run with this number was there, and may have ended as done.
+		c.counters.StartsRejected++
+		c.noteRun(a, "start rejected", rare, string(rejected.Cause))
+		c.doubt(now, a)
 	case errors.As(err, &rejected):
 		c.counters.StartsRejected++
 		c.noteRun(a, "start rejected", rare, string(rejected.Cause))
@@ -234,14 +239,19 @@
 		c.counters.StartsUnknown++
 		c.noteLoss(now, err)
 		c.noteRun(a, "start unanswered", rare, err.Error())
-		a.state = attemptUnsure
-		a.doubtedAt = now
-		w.health.avoid(now)
-		w.wake(now)
-		c.ask(now, w)
+		c.doubt(now, a)
 	}
 }
 
+// doubt asks the worker what became of a start.
+func (c *Cell) doubt(now time.Time, a *attempt) {
+	a.state = attemptUnsure
+	a.doubtedAt = now
+	a.worker.health.avoid(now)
+	a.worker.wake(now)
+	c.ask(now, a.worker)
+}
+
 // stop makes a run end.
 func (c *Cell) stop(now time.Time, a *attempt, why string) {
 	if a.stopping {
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -655,6 +655,56 @@
 	assert.Equal(t, state, bamboofall.JobCompleted)
 }
 
+// A worker rejects a run as old that has ended there, for an order can arrive
+// twice. What became of it is in the worker's list.
+func TestAStartRejectedAsOldMayHaveBeenDone(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart.Add(300 * time.Millisecond)
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, bamboofall.Sighting{}, &bamboofall.RejectedError{Call: "start", Cause: bamboofall.RejectOld, Sighting: seen})
+	starts := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for _, o := range step(now) {
+			switch o.Kind {
+			case cell.OrderStart:
+				starts++
+			case cell.OrderHold:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+					{Number: 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone},
+				}}, nil)
+			}
+		}
+	}
+	assert.Equal(t, starts, 0)
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// If it lists nothing, the task is begun again.
+func TestAStartRejectedAsOldIsBegunAgainOnceTheWorkerHasTold(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, bamboofall.Sighting{}, &bamboofall.RejectedError{Call: "start", Cause: bamboofall.RejectOld, Sighting: seen})
+	starts := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for _, o := range step(now) {
+			switch o.Kind {
+			case cell.OrderStart:
+				starts++
+				assert.Assert(t, o.Start.Run > start.Start.Run)
+			case cell.OrderStop:
+				c.Stopped(now, o, seen, nil)
+			case cell.OrderHold:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen}, nil)
+			}
+		}
+	}
+	assert.Equal(t, starts, 1)
+}
+
 // A copy may run beside a run that may have ended.
 func TestATaskThatAllowsCopiesIsBegunAgainAfterTheLease(t *testing.T) {
 	step := finiteStep
