--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -236,13 +236,13 @@
 // the number of tasks that were started.
 func startsWithout(t *testing.T, c *cell.Cell, silent string) int {
 	t.Helper()
-	return len(startTimes(t, c, silent))
+	return len(startTimes(t, c, silent, 2*time.Second))
 }
 
-func startTimes(t *testing.T, c *cell.Cell, silent string) (starts []time.Duration) {
+func startTimes(t *testing.T, c *cell.Cell, silent string, until time.Duration) (starts []time.Duration) {
 	t.Helper()
-	for i := range 20 {
-		now := benchStart.Add(time.Duration(i) * 100 * time.Millisecond)
+	for d := time.Duration(0); d < until; d += 100 * time.Millisecond {
+		now := benchStart.Add(d)
 		out := c.Step(now)
 		heard := out
 		heard.Orders = nil
@@ -271,6 +271,62 @@
 	assert.Equal(t, startsWithout(t, next, "i-2"), 0)
 }
 
+// After the end of the leases nothing runs there, but what ended there as done may
+// still be listed: only tasks that never end so are begun again then.
+func TestEndsAtASilentWorkerOfAFormerOwnerAreWaitedFor(t *testing.T) {
+	standing, copied := wideStep, wideStep
+	standing.Standing, copied.Speculative = true, true
+	leases := 9 * time.Second
+	for _, test := range []struct {
+		name  string
+		step  bamboofall.Step
+		first time.Duration
+	}{
+		{"finite", wideStep, leases + cell.UnseenEnds}, {"standing", standing, leases}, {"speculative", copied, leases},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			test.step.Count = 40
+			next, announce := handOver(t, test.step, testWorker(1), testWorker(2))
+			announce(next)
+			starts := startTimes(t, next, "i-2", 20*time.Second)
+			assert.Assert(t, len(starts) > 0)
+			assert.Assert(t, starts[0] >= test.first && starts[0] <= test.first+500*time.Millisecond, "%v", starts[0])
+		})
+	}
+}
+
+// A task that a worker lists as done after the end of its leases is not begun again.
+func TestAnEndThatAFormerOwnerDidNotStoreIsTakenInLate(t *testing.T) {
+	next, announce := handOver(t, finiteStep, testWorker(1))
+	announce(next)
+	starts := 0
+	for d := time.Duration(0); d < 20*time.Second; d += 100 * time.Millisecond {
+		now := benchStart.Add(d)
+		for _, o := range next.Step(now).Orders {
+			switch {
+			case o.Kind == cell.OrderStart:
+				starts++
+			case d < 14*time.Second:
+				next.Held(now, o, bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: "hold"})
+			default:
+				next.Held(now, o, bamboofall.HoldReport{
+					Sighting: bamboofall.Sighting{Clock: d, Born: benchStart},
+					Ends:     []bamboofall.End{{Number: 1, Task: bamboofall.TaskName{Job: "0000000000000001"}, Run: 1, Cause: bamboofall.EndDone}},
+				}, nil)
+			}
+		}
+		if d == 10*time.Second {
+			next.RemoveWorker(now, "i-1") // its entry lapses, too
+		}
+		_, number, err := next.Flush()
+		assert.NilError(t, err)
+		next.Stored(now, number)
+	}
+	assert.Equal(t, starts, 0)
+	state, _ := next.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
 // One that no former owner has used cannot, and is not waited for.
 func TestASilentWorkerThatWasNeverUsedIsNotWaitedFor(t *testing.T) {
 	next, announce := handOver(t, wideStep, testWorker(1))
@@ -381,7 +437,7 @@
 	next, announce := handOver(t, wideStep, testWorker(1), testWorker(2))
 	announce(next)
 	submit(next, "0000000000000002", "q", bamboofall.Step{Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second, Fills: true, Image: "fill"})
-	starts := startTimes(t, next, "i-2")
+	starts := startTimes(t, next, "i-2", 2*time.Second)
 	assert.Assert(t, len(starts) > 0)
 	assert.Assert(t, starts[0] >= 1500*time.Millisecond, "%v", starts[0])
 }
@@ -421,10 +477,11 @@
 }
 
 // silence plays a cell with two workers of which the first answers until a second
-// after its first task was started there, and again from nine seconds on. It
-// returns when tasks of the last job were started.
-func silence(t *testing.T, steps ...bamboofall.Step) (starts []time.Duration, c *cell.Cell) {
+// after its first task was started there, and again once it is back. It tells then
+// that its finite task was done. It returns when tasks of each job were started.
+func silence(t *testing.T, back time.Duration, steps ...bamboofall.Step) (starts map[bamboofall.JobID][]time.Duration, c *cell.Cell) {
 	t.Helper()
+	starts = make(map[bamboofall.JobID][]time.Duration)
 	c = cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
 	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
 	c.SetWorker(benchStart, testWorker(1))
@@ -441,12 +498,10 @@
 		for _, o := range c.Step(now).Orders {
 			id := o.Worker.ID
 			seen := bamboofall.Sighting{Clock: d + time.Second, Born: benchStart}
-			silent := id == "i-1" && d > time.Second && d < 9*time.Second
+			silent := id == "i-1" && d > time.Second && d < back
 			switch {
 			case o.Kind == cell.OrderStart:
-				if o.Start.Task.Job == last {
-					starts = append(starts, d)
-				}
+				starts[o.Start.Task.Job] = append(starts[o.Start.Task.Job], d)
 				percent := 10
 				if o.Start.Task.Job != last {
 					percent = 100
@@ -455,7 +510,7 @@
 				c.Started(now, o, seen, nil)
 			case o.Kind == cell.OrderHold && silent:
 				c.Held(now, o, bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: "hold"})
-			case o.Kind == cell.OrderHold && id == "i-1" && d >= 9*time.Second:
+			case o.Kind == cell.OrderHold && id == "i-1" && d >= back:
 				// Its task ended while it was out of reach, the others lapsed.
 				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
 					{Number: 1, Task: bamboofall.TaskName{Job: last}, Run: 1, Cause: bamboofall.EndDone},
@@ -471,24 +526,192 @@
 	return starts, c
 }
 
+var (
+	finiteStep   = bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: 2 * time.Second}
+	standingStep = bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true}
+)
+
 // A worker that is cut off may have ended its only task well, and tells of it when
-// it is back. The task must not be begun again before that if nothing else there
-// was sure to lapse with the lease.
+// it is back. The task must not be begun again before that.
 func TestATaskThatMayHaveEndedUnseenWaitsForItsWorker(t *testing.T) {
-	starts, c := silence(t, bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: 2 * time.Second})
-	assert.Equal(t, len(starts), 1, "%v", starts)
+	starts, c := silence(t, 9*time.Second, finiteStep)
+	assert.Equal(t, len(starts["0000000000000001"]), 1, "%v", starts)
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// Nor if a task that stays lapses beside it: that one is begun again after the
+// lease, but the other may have been done before.
+func TestATaskBesideOneThatStaysWaitsForItsWorker(t *testing.T) {
+	starts, c := silence(t, 9*time.Second, standingStep, finiteStep)
+	assert.Equal(t, len(starts["0000000000000002"]), 1, "%v", starts)
+	state, _ := c.Lookup("0000000000000002")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+	stays := starts["0000000000000001"]
+	assert.Equal(t, len(stays), 2, "%v", starts)
+	assert.Assert(t, stays[1] > 5*time.Second && stays[1] < 8*time.Second, "%v", starts)
+}
+
+// A worker that stays silent for longer than any cut is not waited for.
+func TestATaskOfAWorkerThatStaysSilentIsBegunAgain(t *testing.T) {
+	starts, _ := silence(t, time.Hour, standingStep, finiteStep)
+	again := starts["0000000000000002"]
+	assert.Equal(t, len(again), 2, "%v", starts)
+	bound := time.Second + cell.LeaseBound(5*time.Second) + cell.UnseenEnds
+	assert.Assert(t, again[1] >= bound-time.Second && again[1] <= bound+time.Second, "%v", starts)
+}
+
+// oneTask returns a cell with a worker at which the only task of a job has been
+// ordered, the start order, and a function that steps the cell, stores what it
+// flushes, and returns its orders.
+func oneTask(t *testing.T) (c *cell.Cell, start cell.Order, step func(now time.Time) []cell.Order) {
+	t.Helper()
+	c = cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, testWorker(1))
+	submit(c, "0000000000000001", "q", finiteStep)
+	step = func(now time.Time) []cell.Order {
+		out := c.Step(now)
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+		return out.Orders
+	}
+	for i := 0; i < 5 && start.Kind == 0; i++ {
+		for _, o := range step(benchStart) {
+			if o.Kind == cell.OrderStart {
+				start = o
+				continue
+			}
+			c.Held(benchStart, o, bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: time.Second, Born: benchStart}}, nil)
+		}
+	}
+	assert.Equal(t, start.Kind, cell.OrderStart)
+	return c, start, step
+}
+
+// fullPage returns as many ends as a worker lists at a time, of a task that is not
+// known.
+func fullPage(first uint64) (ends []bamboofall.End) {
+	for n := range uint64(cell.EndsListed) {
+		ends = append(ends, bamboofall.End{Number: first + n, Task: bamboofall.TaskName{Job: "00000000000000ff", Index: int(n)}, Run: 1, Cause: bamboofall.EndStopped})
+	}
+	return ends
+}
+
+// Workers list only so many ends at a time. A run that is neither running nor in a
+// full list may have ended as done, which is told with the next.
+func TestARunWhoseEndIsOnALaterPageIsNotLost(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, seen, nil)
+	done := bamboofall.End{Number: cell.EndsListed + 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone}
+	starts := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for _, o := range step(now) {
+			switch {
+			case o.Kind == cell.OrderStart:
+				starts++
+			case o.Hold.Seen == 0:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: fullPage(1)}, nil)
+			default:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{done}}, nil)
+			}
+		}
+	}
+	assert.Equal(t, starts, 0)
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// The same for a new owner.
+func TestEndsOnLaterPagesAreWaitedForAfterAHandOver(t *testing.T) {
+	next, announce := handOver(t, finiteStep, testWorker(1))
+	announce(next)
+	starts := 0
+	for d := time.Duration(0); d < 3*time.Second; d += 100 * time.Millisecond {
+		now := benchStart.Add(d)
+		seen := bamboofall.Sighting{Clock: time.Second + d, Born: benchStart}
+		for _, o := range next.Step(now).Orders {
+			switch {
+			case o.Kind == cell.OrderStart:
+				starts++
+			case o.Hold.Seen == 0:
+				next.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: fullPage(1)}, nil)
+			default:
+				next.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+					{Number: cell.EndsListed + 1, Task: bamboofall.TaskName{Job: "0000000000000001"}, Run: 1, Cause: bamboofall.EndDone},
+				}}, nil)
+			}
+		}
+		_, number, err := next.Flush()
+		assert.NilError(t, err)
+		next.Stored(now, number)
+	}
+	assert.Equal(t, starts, 0)
+	state, _ := next.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// A worker rejects a run as old that has ended there, for an order can arrive
+// twice. What became of it is in the worker's list.
+func TestAStartRejectedAsOldMayHaveBeenDone(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart.Add(300 * time.Millisecond)
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, bamboofall.Sighting{}, &bamboofall.RejectedError{Call: "start", Cause: bamboofall.RejectOld, Sighting: seen})
+	starts := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for _, o := range step(now) {
+			switch o.Kind {
+			case cell.OrderStart:
+				starts++
+			case cell.OrderHold:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+					{Number: 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone},
+				}}, nil)
+			}
+		}
+	}
+	assert.Equal(t, starts, 0)
 	state, _ := c.Lookup("0000000000000001")
 	assert.Equal(t, state, bamboofall.JobCompleted)
 }
 
-// With a task that stays there the lease has lapsed for certain, and the end of the
-// other does not count.
-func TestATaskBesideOneThatStaysIsBegunAgainAfterTheLease(t *testing.T) {
-	starts, _ := silence(t,
-		bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true},
-		bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: 2 * time.Second})
-	assert.Equal(t, len(starts), 2, "%v", starts)
-	assert.Assert(t, starts[1] > 5*time.Second && starts[1] < 8*time.Second, "%v", starts)
+// If it lists nothing, the task is begun again.
+func TestAStartRejectedAsOldIsBegunAgainOnceTheWorkerHasTold(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, bamboofall.Sighting{}, &bamboofall.RejectedError{Call: "start", Cause: bamboofall.RejectOld, Sighting: seen})
+	starts := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for _, o := range step(now) {
+			switch o.Kind {
+			case cell.OrderStart:
+				starts++
+				assert.Assert(t, o.Start.Run > start.Start.Run)
+			case cell.OrderStop:
+				c.Stopped(now, o, seen, nil)
+			case cell.OrderHold:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen}, nil)
+			}
+		}
+	}
+	assert.Equal(t, starts, 1)
+}
+
+// A copy may run beside a run that may have ended.
+func TestATaskThatAllowsCopiesIsBegunAgainAfterTheLease(t *testing.T) {
+	step := finiteStep
+	step.Speculative = true
+	starts, _ := silence(t, 9*time.Second, step)
+	assert.Equal(t, len(starts["0000000000000001"]), 2, "%v", starts)
+	assert.Assert(t, starts["0000000000000001"][1] < 8*time.Second, "%v", starts)
 }
 
 // The first task that is placed of a step of one rack sets the rack, whichever way
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -45,7 +45,7 @@
 		if w.synced && !w.silent() && len(w.attempts) == 0 && !w.mustAcknowledge() && now.Sub(w.clockAt) < clockFresh {
 			continue
 		}
-		if !w.synced && !w.listed && now.After(w.leasesEnd) {
+		if !w.synced && !w.listed && now.After(w.toldUntil()) {
 			continue
 		}
 		o := bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.seen}
@@ -146,8 +146,9 @@
 		c.unsettled = true
 		c.adopt(now, w, report)
 	}
+	w.told = w.told || allEnds(report)
 	c.takeEnds(now, w, report.Ends)
-	c.compare(now, o, w, report.Running)
+	c.compare(now, o, w, report)
 	if o.beside {
 		return
 	}
@@ -174,6 +175,9 @@
 
 // unheard notes that a worker did not answer.
 func (c *Cell) unheard(now time.Time, w *worker, err error) {
+	if w.failures == 0 {
+		w.silentSince = now
+	}
 	w.failures++
 	c.noteLoss(now, err)
 	if w.failures == silentAfter {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -18,9 +18,9 @@
 	// unlistedGrace is how long a worker is kept that is no longer listed: entries
 	// that lapsed while the store was away come back within two seconds.
 	unlistedGrace = 5 * time.Second
-	// unseenEnds is how long after the end of its leases a silent worker may still
+	// UnseenEnds is how long after the end of its leases a silent worker may still
 	// tell of runs that ended as done: cuts last up to 9 s.
-	unseenEnds = 6 * time.Second
+	UnseenEnds = 6 * time.Second
 	// silentAfter is how many calls must fail before a worker gets no new work.
 	silentAfter = 1
 )
@@ -55,6 +55,8 @@
 	// synced is set once this life has answered this owner, former while this
 	// life may run what a former owner has started.
 	synced, former bool
+	// told is set once this life has listed all its ends in one answer.
+	told bool
 	// clock is the worker's clock at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -68,6 +70,8 @@
 	holding, asking   bool
 	nextHold, askedAt time.Time
 	failures          int
+	// silentSince is when the first of these calls failed.
+	silentSince time.Time
 	// seen is the last end that is stored, got the last that was taken in.
 	seen, got uint64
 	gotAt     uint64
@@ -186,7 +190,7 @@
 // will be started, so that a new owner need not wait for its answer.
 func (c *Cell) dropRecord(now time.Time, w *worker) {
 	leaves := !w.listed || w.info.Draining
-	if !w.recorded || !leaves || len(w.attempts) > 0 || !w.synced && !now.After(w.leasesEnd) {
+	if !w.recorded || !leaves || len(w.attempts) > 0 || !w.synced && !now.After(w.toldUntil()) {
 		return
 	}
 	delete(c.pending.workers, w.info.ID)
@@ -233,7 +237,7 @@
 	}
 	w.born = born
 	w.info.Born = born
-	w.synced, w.former = false, false
+	w.synced, w.former, w.told = false, false, false
 	w.seen, w.got, w.gotAt, w.acknowledged = 0, 0, 0, 0
 	w.leasesEnd = time.Time{}
 	w.nextHold = now
@@ -254,60 +258,74 @@
 		w.unlistedAt = now
 	}
 	c.dropRecord(now, w)
-	if !w.listed && len(w.attempts) == 0 && now.After(w.leasesEnd) && now.Sub(w.unlistedAt) > unlistedGrace && !w.holding {
+	if !w.listed && len(w.attempts) == 0 && now.After(w.toldUntil()) && now.Sub(w.unlistedAt) > unlistedGrace && !w.holding {
 		delete(c.workers, w.info.ID)
 		c.order = slices.DeleteFunc(c.order, func(x *worker) bool { return x == w })
 	}
 }
 
-// endLeases takes off the runs of a silent worker whose leases have ended.
+// endLeases takes off the runs of a silent worker whose leases have ended. A run
+// that may have ended as done waits for the worker to tell, but not for ever.
 func (c *Cell) endLeases(now time.Time, w *worker) {
 	if len(w.attempts) == 0 || !w.silent() || !now.After(w.leasesEnd) {
 		return
 	}
-	// Standing tasks never end as done, so nothing is lost by not waiting.
-	standingOnly := !w.lapses() && now.Before(w.leasesEnd.Add(unseenEnds))
-	if !standingOnly || !w.leasesNoted.Equal(w.leasesEnd) {
+	untold := now.After(w.leasesEnd.Add(UnseenEnds)) && now.Sub(w.silentSince) > UnseenEnds
+	if untold || !w.leasesNoted.Equal(w.leasesEnd) {
 		w.leasesNoted = w.leasesEnd
 		c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the worker did not answer"})
 	}
 	for _, a := range slices.Clone(w.attempts) {
-		if !standingOnly || a.task.step.Standing {
+		if untold || !a.mayBeDone() {
 			c.lost(now, a, "the lease ended unseen")
 		}
 	}
 }
 
-// lapses reports whether something at a worker was sure to lapse with its lease.
-// If nothing was, a run may have ended as done before, and the worker may still
-// tell of it.
-func (w *worker) lapses() bool {
-	for _, a := range w.attempts {
-		if a.task.step.Standing && a.state == attemptRunning && !a.stopping {
-			return true
-		}
-	}
-	return false
+// mayBeDone reports whether the run of an attempt may have ended as done, so that
+// its task must not be begun again before its worker has told.
+func (a *attempt) mayBeDone() bool {
+	t := a.task
+	return a.state != attemptGated && !t.done && t.step.onlyOnce() && !t.step.occ.job.state.Ended()
 }
 
+// onlyOnce reports whether a task of a step must not be begun again once a run of
+// it is done. Standing tasks never are, and others may allow copies.
+func (s *step) onlyOnce() bool { return !s.Standing && !s.Speculative }
+
 // settleDoubt ends the doubt about released tasks once every worker that a former
-// owner used has told what it runs, or its leases have ended.
+// owner used has told what it runs and what has ended there, or none can any more.
 func (c *Cell) settleDoubt(now time.Time) {
 	if !c.inDoubt {
 		return
 	}
-	if now.Before(c.cfg.FormerLeases) {
-		for _, w := range c.order {
-			if w.former && !w.synced {
-				return
-			}
-		}
+	if now.Before(c.cfg.FormerLeases.Add(UnseenEnds)) && slices.ContainsFunc(c.order, (*worker).owesReport) {
+		return
 	}
 	c.inDoubt = false
 	c.unsettled = true
 	c.note(Note{Event: "recovery complete", Detail: "every worker has answered or its leases have ended"})
 }
 
+// owesReport reports whether a worker may run, or list as done, what a former
+// owner has started there.
+func (w *worker) owesReport() bool { return w.former && !w.told }
+
+// doubted reports whether a task of a step may run at a worker that has not
+// answered this owner, or may have ended there as done.
+func (c *Cell) doubted(now time.Time, s *step) bool {
+	return c.inDoubt && s.released && (s.onlyOnce() || now.Before(c.cfg.FormerLeases))
+}
+
+// toldUntil returns the time from which a worker can tell nothing of what was
+// started there.
+func (w *worker) toldUntil() time.Time {
+	if w.owesReport() {
+		return w.leasesEnd.Add(UnseenEnds)
+	}
+	return w.leasesEnd
+}
+
 // addWorker adds a worker to the map and to the ordered list.
 func (c *Cell) addWorker(w *worker) {
 	c.workers[w.info.ID] = w
