wire/httpclient: keep answers that nbhttp takes back

Seen: nothing but slowness; the log of nbio is off in a running entry VM. Each answer of a worker, the store or another entry VM cost a panic. Cause: when the handler of a call returns, nbhttp takes the response and its body back and asserts that the body is its own. The client had replaced the body, so the assertion panicked, the panic was recovered with a stack buffer of 64 KB, and the response never got back to its pool. Ruled out: leaving the body in place; the caller reads it after the handler. Change: the caller gets a response of its own. The header map is made anew for each response and only let go of by nbhttp, so it may be kept.

Before: TestAnswersAreTakenWithoutAPanic failed with '400 faults, the first: conn execute failed: interface conversion: io.ReadCloser is io.nopCloserWriterTo, not *nbhttp.BodyReader'. After: none, three race runs without a report.

--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -95,24 +95,26 @@
 			err = c.dialErr
 		}
 		if err == nil {
-			err = buffer(res)
+			res, err = keep(res)
 		}
 		done(res, err)
 	})
 }
 
-func buffer(res *http.Response) error {
+// keep returns a response with a body of its own: nbhttp takes back the one it
+// handed out, with its body, when the handler returns.
+func keep(res *http.Response) (*http.Response, error) {
+	own := *res
+	own.Body = http.NoBody
 	if res.Body == nil {
-		res.Body = http.NoBody
-		return nil
+		return &own, nil
 	}
 	data, err := io.ReadAll(res.Body)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	_ = res.Body.Close()
-	res.Body = io.NopCloser(bytes.NewReader(data))
-	return nil
+	own.Body = io.NopCloser(bytes.NewReader(data))
+	return &own, nil
 }
 
 // Client makes calls over pooled connections. Use New. It satisfies the
