state/lease: let the strongest VMs claim first

Callers of fleets whose entry VMs differ saw almost nothing served: of 42 VMs, 34 with 0.192 of a processor and 10 Mbit/s, whoever was first owned the cell and decided for 490 workers.

Settings now say what a VM has ([limits]); its capacity is the processor share, or the part of a processor that its link can feed. Owners write their own capacity and that of the strongest other VM they know of into their record. A VM compares itself with that: weaker ones wait longer in proportion, up to 1.2 s when an owner is silent or leaves, up to 3 s before the first claim of all. Equal VMs, and VMs whose capacity is not known, claim exactly as before. An owner that has been slow for 4 s releases the cell to a VM at least twice as strong, at most once a minute. Which VMs are up is not known yet (strongestPeer is a stub), so nothing yields and followers compare themselves with the last owner.

The tests are in virtual time.

Ruled out: refusing to claim below a capacity, as a fleet of weak VMs would have no owner; an election, as it needs calls between VMs while a data centre is cut off.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
@@ -85,13 +86,15 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(process))
 	rank := float64(h.Sum32()%1024) / 1024
+	view := lease.New(now(), lease.DefaultTiming(), process, set.Peers, rank)
+	view.SetCapacity(capacityOf(set.Machine))
 	f := &Front{
 		set: set, log: log, process: process, settings: path,
 		store:   platform.NewStore(client, set.Store),
 		workers: platform.NewWorkers(client),
 		peers:   newPeers(client),
 		metrics: newMetrics(string(set.DataCentre)),
-		lease:   lease.New(now(), lease.DefaultTiming(), process, set.Peers, rank),
+		lease:   view,
 		leaving: make(chan struct{}), releasing: make(chan struct{}),
 	}
 	return f
@@ -107,7 +110,9 @@
 		return err
 	}
 	defer stop()
-	f.log.Event("start", logrus.Fields{"process": f.process, "callers": f.set.Callers, "peers": f.set.Peers, "store": f.set.Store})
+	fields := f.machine()
+	maps.Copy(fields, logrus.Fields{"process": f.process, "callers": f.set.Callers, "peers": f.set.Peers, "store": f.set.Store})
+	f.log.Event("start", fields)
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, inner := errgroup.WithContext(inner)
