--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -220,6 +220,7 @@
 		c.counters.StartsRejected++
 		c.noteRun(a, "start rejected", rare, string(rejected.Cause))
 		c.doubt(now, a)
+		w.health.avoid(now)
 	case errors.As(err, &rejected):
 		c.counters.StartsRejected++
 		c.noteRun(a, "start rejected", rare, string(rejected.Cause))
@@ -231,7 +232,9 @@
 	case errors.As(err, &notDone):
 		c.noteRun(a, "start not done", rare, err.Error())
 		c.release(a)
-		w.health.avoid(now)
+		if !failedOnTheWay(err) {
+			w.health.avoid(now)
+		}
 		c.unheard(now, w, err)
 		w.wake(now)
 		c.enqueue(a.task)
@@ -240,6 +243,9 @@
 		c.noteLoss(now, err)
 		c.noteRun(a, "start unanswered", rare, err.Error())
 		c.doubt(now, a)
+		if !failedOnTheWay(err) {
+			w.health.avoid(now)
+		}
 	}
 }
 
@@ -247,7 +253,6 @@
 func (c *Cell) doubt(now time.Time, a *attempt) {
 	a.state = attemptUnsure
 	a.doubtedAt = now
-	a.worker.health.avoid(now)
 	a.worker.wake(now)
 	c.ask(now, a.worker)
 }
