jobs/cell: make decisions independent of the order of maps

Steps of one job that are as urgent, the jobs' occurrences, unexpected runs and the sums of expected tails were gone through in the random order of maps, so that equal histories could lead to different decisions (the last bit of a sum of tails suffices to prefer another worker). They have an order now: occurrence and step, the order of the report, the order of the images. pressure.Shares and what images have of a worker are small sorted slices.

--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -229,8 +230,8 @@
 	j.endedAt = now
 	c.ended = append(c.ended, j)
 	delete(c.timed, j)
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
+	for _, number := range slices.Sorted(maps.Keys(j.occurrences)) {
+		for _, s := range j.occurrences[number].steps {
 			c.dequeue(s)
 			for i := range s.tasks {
 				for _, a := range s.tasks[i].attempts {
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -80,7 +81,7 @@
 		if s.occ.job.queue == nil || len(s.waiting) == 0 {
 			continue
 		}
-		if k := c.urgencyOf(now, s); first == nil || k.Compare(key) < 0 {
+		if k := c.urgencyOf(now, s); first == nil || cmp.Or(k.Compare(key), s.compare(first)) < 0 {
 			first, key = s, k
 		}
 	}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -34,7 +35,7 @@
 	for s := range c.ready {
 		steps = append(steps, waitingStep{c.urgencyOf(now, s), s})
 	}
-	slices.SortFunc(steps, func(a, b waitingStep) int { return a.Compare(b.Key) })
+	slices.SortFunc(steps, func(a, b waitingStep) int { return cmp.Or(a.Compare(b.Key), a.compare(b.step)) })
 	full := make(map[fitKey]bool)
 	for _, waiting := range steps {
 		s := waiting.step
@@ -82,6 +83,11 @@
 // plain reports whether only the size and the label of a task bind where it goes.
 func (s *step) plain() bool { return s.MaxPerWorker == 0 && s.gang == nil }
 
+// compare orders the steps of a job.
+func (s *step) compare(o *step) int {
+	return cmp.Or(cmp.Compare(s.occ.number, o.occ.number), cmp.Compare(s.index, o.index))
+}
+
 // urgencyOf returns the place of a step in the order of waiting.
 func (c *Cell) urgencyOf(now time.Time, s *step) urgency.Key {
 	j := s.occ.job
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -87,7 +87,13 @@
 	if len(w.serving) > 0 {
 		c.observe(now, w)
 	}
-	for _, p := range listed {
+	for i := range running {
+		k := key{running[i].Task, running[i].Run}
+		p := listed[k]
+		if p == nil {
+			continue
+		}
+		delete(listed, k)
 		if t := c.find(p.Task); t != nil && slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.worker == w && a.run == p.Run }) {
 			continue
 		}
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -153,7 +153,7 @@
 		}
 	}
 	slices.SortFunc(starved, func(a, b *step) int {
-		return cmp.Or(a.readyAt.Compare(b.readyAt), cmp.Compare(a.occ.job.ID, b.occ.job.ID))
+		return cmp.Or(a.readyAt.Compare(b.readyAt), cmp.Compare(a.occ.job.ID, b.occ.job.ID), a.compare(b))
 	})
 	for _, s := range starved {
 		t := s.firstWaiting()
--- a/internal/jobs/cell/tails.go
+++ b/internal/jobs/cell/tails.go
@@ -1,15 +1,49 @@
 package cell
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
 )
 
+// imageCPU is what the tasks of an image have of a worker, in thousandths of a
+// processor.
+type imageCPU struct {
+	image string
+	cpu   int64
+}
+
+// imageCPUs are the images at a worker, in their order. There are few of them.
+type imageCPUs []imageCPU
+
+// of returns what the tasks of an image have.
+func (u imageCPUs) of(image string) int64 {
+	for _, x := range u {
+		if x.image == image {
+			return x.cpu
+		}
+	}
+	return 0
+}
+
+// add adds to what the tasks of an image have. An image that has nothing is left out.
+func (u *imageCPUs) add(image string, cpu int64) {
+	at, found := slices.BinarySearchFunc(*u, image, func(x imageCPU, image string) int { return strings.Compare(x.image, image) })
+	if !found {
+		*u = slices.Insert(*u, at, imageCPU{image: image})
+	}
+	(*u)[at].cpu += cpu
+	if (*u)[at].cpu == 0 {
+		*u = slices.Delete(*u, at, at+1)
+	}
+}
+
 // servesImage reports whether tasks of an image serve at a worker, and tasks of
 // other images.
 func (w *worker) servesImage(image string) (same, other bool) {
-	same = w.serving[image] > 0
+	same = w.serving.of(image) > 0
 	return same, len(w.serving) > 1 || len(w.serving) == 1 && !same
 }
 
@@ -67,8 +101,8 @@
 	w.tailsAt = now
 	w.tails = w.tails[:0]
 	shares := w.shares()
-	for image := range w.serving {
-		w.tails = append(w.tails, expectedTail{image, c.expect(image, shares)})
+	for _, s := range w.serving {
+		w.tails = append(w.tails, expectedTail{s.image, c.expect(s.image, shares)})
 	}
 	return w.tails
 }
@@ -76,8 +110,8 @@
 // expect returns the tail of an image beside what uses a worker.
 func (c *Cell) expect(image string, shares pressure.Shares) float64 {
 	tail := c.pressure.Alone(image)
-	for n, share := range shares {
-		tail += share * c.pressure.Pressure(image, n)
+	for _, s := range shares {
+		tail += s.Value * c.pressure.Pressure(image, s.Neighbour)
 	}
 	return tail
 }
@@ -85,17 +119,17 @@
 // shares returns the shares of a worker's processors that are given to images.
 func (w *worker) shares() pressure.Shares {
 	shares := w.servingShares()
-	for image, cpu := range w.filling {
-		shares[pressure.Neighbour{Image: image}] = w.share(cpu)
+	for _, f := range w.filling {
+		shares.Add(pressure.Neighbour{Image: f.image}, w.share(f.cpu))
 	}
 	return shares
 }
 
 // servingShares returns the shares that are given to images that serve.
 func (w *worker) servingShares() pressure.Shares {
-	shares := make(pressure.Shares, len(w.filling)+len(w.serving))
-	for image, cpu := range w.serving {
-		shares[pressure.Neighbour{Image: image, Serves: true}] = w.share(cpu)
+	shares := make(pressure.Shares, 0, len(w.filling)+len(w.serving))
+	for _, s := range w.serving {
+		shares.Add(pressure.Neighbour{Image: s.image, Serves: true}, w.share(s.cpu))
 	}
 	return shares
 }
@@ -110,7 +144,7 @@
 	shares := w.servingShares()
 	for _, a := range w.attempts {
 		if a.task.step.Fills && a.gauge > 0 {
-			shares[pressure.Neighbour{Image: a.task.step.Image}] += w.share(a.gauge)
+			shares.Add(pressure.Neighbour{Image: a.task.step.Image}, w.share(a.gauge))
 		}
 	}
 	return shares
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -46,7 +46,7 @@
 	fillCPU, standingCPU int64
 	// serving and filling are the processors by image of tasks with a tail
 	// latency to keep and of tasks that fill.
-	serving, filling map[string]int64
+	serving, filling imageCPUs
 	// tails are the expected tails at tailsAt. They are dropped when tasks come
 	// or go.
 	tails   []expectedTail
@@ -84,7 +84,7 @@
 }
 
 func newWorker(info bamboofall.Worker) *worker {
-	return &worker{info: info, born: info.Born, serving: make(map[string]int64), filling: make(map[string]int64)}
+	return &worker{info: info, born: info.Born}
 }
 
 // account adds an attempt to the sums of its worker, or takes it off.
@@ -101,16 +101,10 @@
 	}
 	if s.Fills {
 		w.fillCPU += sign * s.Size.MilliProcessors
-		w.filling[s.Image] += sign * s.Size.MilliProcessors
-		if w.filling[s.Image] == 0 {
-			delete(w.filling, s.Image)
-		}
+		w.filling.add(s.Image, sign*s.Size.MilliProcessors)
 	}
 	if s.TailTarget > 0 {
-		w.serving[s.Image] += sign * s.Size.MilliProcessors
-		if w.serving[s.Image] == 0 {
-			delete(w.serving, s.Image)
-		}
+		w.serving.add(s.Image, sign*s.Size.MilliProcessors)
 	}
 }
 
--- a/internal/jobs/pressure/pressure.go
+++ b/internal/jobs/pressure/pressure.go
@@ -60,8 +60,25 @@
 	return fillPrior
 }
 
-// Shares are the shares of a worker's processors that neighbours use.
-type Shares map[Neighbour]float64
+// Share is the share of a worker's processors that a neighbour uses.
+type Share struct {
+	Neighbour
+	Value float64
+}
+
+// Shares are the shares of the neighbours at a worker, in the order of the
+// neighbours. Use Add.
+type Shares []Share
+
+// Add adds to the share of a neighbour.
+func (s *Shares) Add(n Neighbour, value float64) {
+	at, found := slices.BinarySearchFunc(*s, n, func(x Share, n Neighbour) int { return compareNeighbours(x.Neighbour, n) })
+	if found {
+		(*s)[at].Value += value
+		return
+	}
+	*s = slices.Insert(*s, at, Share{n, value})
+}
 
 // Model holds what was learned. Use New.
 type Model struct {
@@ -113,15 +130,14 @@
 		f = newFit()
 		m.fits[serving] = f
 	}
-	order := slices.SortedFunc(maps.Keys(beside), compareNeighbours)
-	columns := make([]int, len(order))
-	for i, n := range order {
-		columns[i] = f.place(n)
+	columns := make([]int, len(beside))
+	for i, s := range beside {
+		columns[i] = f.place(s.Neighbour)
 	}
 	x := make([]float64, len(f.neighbours))
 	x[0] = 1
-	for i, n := range order {
-		x[columns[i]] = beside[n]
+	for i, s := range beside {
+		x[columns[i]] = s.Value
 	}
 	expected := 0.0
 	for i, v := range x {
--- a/internal/jobs/pressure/pressure_test.go
+++ b/internal/jobs/pressure/pressure_test.go
@@ -19,12 +19,12 @@
 		shares := Shares{}
 		for _, n := range names {
 			if random.IntN(2) == 0 {
-				shares[fills(n)] = 0.05 + 0.15*random.Float64()
+				shares.Add(fills(n), 0.05+0.15*random.Float64())
 			}
 		}
 		tail := 0.45 + 0.15*math.Sin(float64(i)/9) + 0.05*random.NormFloat64()
-		for n, share := range shares {
-			tail += share * press[n.Image]
+		for _, s := range shares {
+			tail += s.Value * press[s.Image]
 		}
 		m.Observe("s", tail, shares)
 	}
@@ -42,7 +42,7 @@
 	m := New()
 	for range 6 {
 		m.Observe("s", 0.45, Shares{})
-		m.Observe("s", 0.45+0.1*12, Shares{fills("heavy"): 0.1})
+		m.Observe("s", 0.45+0.1*12, Shares{{fills("heavy"), 0.1}})
 	}
 	assert.Assert(t, m.Pressure("s", fills("heavy")) > 5, "%v", m.Pressure("s", fills("heavy")))
 }
@@ -95,7 +95,7 @@
 	random := rand.New(rand.NewPCG(2, 1))
 	for i := range 120 { // one look in six, for some 20 s
 		observe(m, uint64(10+i), 5, press)
-		m.Observe("s", 20+400*random.Float64(), Shares{fills("light"): 0.1})
+		m.Observe("s", 20+400*random.Float64(), Shares{{fills("light"), 0.1}})
 	}
 	assert.Assert(t, m.Alone("s") < 0.8, "alone %v", m.Alone("s"))
 	assert.Equal(t, len(m.Above(0.8)), 0)
