jobs/cell: measure what an owner does most

BenchmarkOwner: a submission accepted and refused, a run that ends and the next that starts, an answer without news, a step with nothing to do, each 1 ms apart, with and without a backlog of 10,000 tasks of 1,000 jobs.

--- a/internal/jobs/cell/cell_bench_test.go
+++ b/internal/jobs/cell/cell_bench_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,3 +94,215 @@
 		}
 	}
 }
+
+// benchOwner is an owner whose workers are given answers by hand.
+type benchOwner struct {
+	*cell.Cell
+	now time.Time
+	// holds are the calls that wait, by worker.
+	holds map[string]cell.Order
+	// running are the runs by worker, ended the numbers of their ends.
+	running map[string][]bamboofall.Placed
+	ended   map[string]uint64
+	// ending are runs that can end, the oldest first.
+	ending []cell.Order
+	jobs   int
+	// standing is the last job of standing tasks.
+	standing bamboofall.JobID
+}
+
+const (
+	benchOpenJobs = 1000
+	benchTasks    = 10
+)
+
+// newBenchOwner returns an owner of workers with standing tasks that were watched
+// for a while. With a backlog the rest of them is full, and 1,000 jobs with 10,000
+// tasks of many sizes wait, half of them tasks that fill.
+func newBenchOwner(b *testing.B, workers int, backlog bool) *benchOwner {
+	b.Helper()
+	o := &benchOwner{
+		Cell: cell.New(cell.Config{Token: 1, Lease: time.Hour, KeepEnded: time.Second, RemoteFactor: 2, HarmAfter: 4 * time.Second}),
+		now:  benchStart, holds: make(map[string]cell.Order), running: make(map[string][]bamboofall.Placed), ended: make(map[string]uint64),
+	}
+	o.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{
+		{Name: "urgent", Service: "s", MaxAttempts: 3, Stretch: 1.5, Slack: time.Hour},
+		{Name: "batch", Service: "s", Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Hour},
+		{Name: "hasty", Service: "s", Priority: 3, MaxAttempts: 3, Stretch: 1, Slack: time.Millisecond},
+	}})
+	for i := range workers {
+		o.SetWorker(o.now, bamboofall.Worker{
+			WorkerRef: bamboofall.WorkerRef{ID: fmt.Sprintf("i-%05d", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), 1}), 80)},
+			Born:      benchStart, Service: "s", Labels: []string{"a", fmt.Sprintf("r%d", i/8)},
+			Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
+		})
+	}
+	o.step(b)
+	o.holdAll(b)
+	for i := range workers {
+		o.standing, _ = o.submit("urgent", bamboofall.Step{
+			Count: 3, Size: bamboofall.Resources{MilliProcessors: 6400, MemoryBytes: 8 << 30}, Standing: true,
+			TailTarget: 50 * time.Millisecond, Image: fmt.Sprint("image", i%5),
+		})
+	}
+	o.step(b)
+	for range 8 {
+		o.now = o.now.Add(500 * time.Millisecond)
+		o.holdAll(b)
+	}
+	if !backlog {
+		return o
+	}
+	for range workers/2 + 8 {
+		o.submit("urgent", bamboofall.Step{Count: 8, Size: bamboofall.Resources{MilliProcessors: 3200, MemoryBytes: 4 << 30}, Estimate: 2 * time.Second})
+	}
+	o.step(b)
+	for i := range benchOpenJobs {
+		o.submit("batch", bamboofall.Step{
+			Count: benchTasks, Size: bamboofall.Resources{MilliProcessors: 3000 + int64(i*7%1500), MemoryBytes: 1 << 30}, Estimate: 2 * time.Second,
+			Fills: i%2 == 0, Image: fmt.Sprint("work", i%7),
+		})
+	}
+	o.step(b)
+	return o
+}
+
+func (o *benchOwner) submit(queue string, s bamboofall.Step) (bamboofall.JobID, *cell.Refusal) {
+	o.jobs++
+	id := bamboofall.JobID(fmt.Sprintf("%016x", o.jobs))
+	_, refusal := o.Submit(o.now, &bamboofall.Job{ID: id, Queue: queue, Steps: []bamboofall.Step{s}}, queue != "hasty")
+	return id, refusal
+}
+
+// step lets the owner decide until it has no orders but those that wait.
+func (o *benchOwner) step(b *testing.B) {
+	b.Helper()
+	for {
+		out := o.Step(o.now)
+		records, number, err := o.Flush()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if len(out.Orders) == 0 && len(records) == 0 {
+			return
+		}
+		for _, order := range out.Orders {
+			id := order.Worker.ID
+			switch order.Kind {
+			case cell.OrderStart:
+				o.running[id] = append(o.running[id], bamboofall.Placed{Task: order.Start.Task, Run: order.Start.Run, Percent: 100, Gauge: 20})
+				if order.Start.Task.Job > o.standing {
+					o.ending = append(o.ending, order)
+				}
+				o.Started(o.now, order, o.seen(), nil)
+			case cell.OrderHold:
+				o.holds[id] = order
+			case cell.OrderPace:
+				o.Paced(o.now, order, o.seen(), nil)
+			case cell.OrderStop:
+				o.Stopped(o.now, order, o.seen(), nil)
+			}
+		}
+		if len(records) > 0 {
+			o.Stored(o.now, number)
+		}
+	}
+}
+
+func (o *benchOwner) seen() bamboofall.Sighting {
+	return bamboofall.Sighting{Clock: o.now.Sub(benchStart) + time.Second, Born: benchStart}
+}
+
+// held answers the call that waits at a worker.
+func (o *benchOwner) held(id string, ends ...bamboofall.End) {
+	order, waits := o.holds[id]
+	if !waits {
+		return
+	}
+	delete(o.holds, id)
+	o.Held(o.now, order, bamboofall.HoldReport{Sighting: o.seen(), Running: o.running[id], Ends: ends}, nil)
+}
+
+func (o *benchOwner) holdAll(b *testing.B) {
+	b.Helper()
+	for _, id := range slices.Sorted(maps.Keys(o.holds)) {
+		o.held(id)
+	}
+	o.step(b)
+}
+
+// end ends the oldest run that is not standing.
+func (o *benchOwner) end() {
+	order := o.ending[0]
+	o.ending = o.ending[1:]
+	id := order.Worker.ID
+	o.running[id] = slices.DeleteFunc(o.running[id], func(p bamboofall.Placed) bool { return p.Task == order.Start.Task })
+	o.ended[id]++
+	o.held(id, bamboofall.End{Number: o.ended[id], Task: order.Start.Task, Run: order.Start.Run, Cause: bamboofall.EndDone})
+}
+
+// BenchmarkOwner measures the processor time of what an owner does most. Compare
+// the numbers of workers with each other (the ratio to 66 workers is given), and
+// those with a backlog with those without.
+func BenchmarkOwner(b *testing.B) {
+	task := bamboofall.Step{Count: 8, Size: bamboofall.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}, Estimate: time.Second, Fills: true, Image: "work1"}
+	events := []struct {
+		name string
+		do   func(*testing.B, *benchOwner)
+	}{
+		// A job is handed in, and cancelled before it takes the place of others.
+		{"accepted", func(_ *testing.B, o *benchOwner) {
+			id, refusal := o.submit("batch", task)
+			if refusal != nil {
+				b.Fatal(refusal.Reason)
+			}
+			o.Cancel(o.now, id)
+		}},
+		{"refused", func(_ *testing.B, o *benchOwner) {
+			s := task
+			s.Count = 1000 * len(o.running)
+			if _, refusal := o.submit("hasty", s); refusal == nil {
+				b.Fatal("accepted")
+			}
+		}},
+		// A run ends, and another takes its place.
+		{"run", func(b *testing.B, o *benchOwner) {
+			if len(o.ending) < 8 {
+				for range 8 {
+					o.submit("urgent", bamboofall.Step{Count: 8, Size: bamboofall.Resources{MilliProcessors: 3200, MemoryBytes: 4 << 30}, Estimate: 2 * time.Second})
+				}
+				o.step(b)
+			}
+			o.end()
+			o.step(b)
+		}},
+		// A worker answers and tells nothing new.
+		{"hold", func(b *testing.B, o *benchOwner) {
+			o.held(fmt.Sprintf("i-%05d", o.jobs%len(o.running)))
+			o.jobs++
+			o.step(b)
+		}},
+		{"idle", func(_ *testing.B, o *benchOwner) { o.Step(o.now) }},
+	}
+	perOp := make(map[string]float64)
+	for _, backlog := range []bool{false, true} {
+		for _, workers := range []int{66, 490, 3600} {
+			o := newBenchOwner(b, workers, backlog)
+			for _, event := range events {
+				name := fmt.Sprintf("backlog=%v/event=%s", backlog, event.name)
+				b.Run(fmt.Sprintf("%s/workers=%d", name, workers), func(b *testing.B) {
+					for b.Loop() {
+						o.now = o.now.Add(time.Millisecond)
+						event.do(b, o)
+					}
+					us := float64(b.Elapsed().Nanoseconds()) / float64(b.N) / 1000
+					if workers == 66 {
+						perOp[name] = us
+					}
+					b.ReportMetric(us, "us/event")
+					b.ReportMetric(us/perOp[name], "x66")
+				})
+			}
+		}
+	}
+}
