jobs/cell: use run numbers up for runs only

A gang that found too little room took a run number at every try, thousands while it waited: the tasks for which room was found kept the number of the trial. Owners have 1,000 numbers each, so an owner with a backlog came into those of its successor, whose first run could then carry a number that a worker has seen. The number is now noted when a run is placed or adopted.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -98,7 +98,6 @@
 	a.held = true
 	w.account(a, 1)
 	t.attempts = append(t.attempts, a)
-	t.lastRun = max(t.lastRun, run)
 	return a
 }
 
@@ -125,6 +124,7 @@
 // what a successor must know.
 func (c *Cell) start(now time.Time, w *worker, t *task, run uint32) {
 	a := c.reserve(w, t, run)
+	t.lastRun = max(t.lastRun, run)
 	w.health.Given(now)
 	s := t.step
 	if !s.released {
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -526,3 +526,40 @@
 	}
 	assert.DeepEqual(t, used, []string{"i-1", "i-3"})
 }
+
+// A gang that finds no room is tried again at every step. Run numbers are for runs:
+// an owner that used them up would come into those of its successor.
+func TestGangsThatWaitUseNoRunNumbers(t *testing.T) {
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Hour}}})
+	announce := func(id string) {
+		c.SetWorker(benchStart, bamboofall.Worker{
+			WorkerRef: bamboofall.WorkerRef{ID: id, Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: benchStart, Service: "s",
+			Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
+		})
+	}
+	announce("i-1")
+	submit(c, "0000000000000001", "q", bamboofall.Step{Count: 2, Size: bamboofall.Resources{MilliProcessors: 20_000}, Estimate: time.Second, Gang: true})
+	var runs []uint32
+	step := func() {
+		out := c.Step(benchStart)
+		for _, o := range out.Orders {
+			if o.Kind == cell.OrderStart {
+				runs = append(runs, o.Start.Run)
+			}
+		}
+		answer(c, out, benchStart)
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(benchStart, number)
+	}
+	for range 2000 {
+		step()
+	}
+	assert.Equal(t, len(runs), 0)
+	announce("i-2")
+	for range 4 {
+		step()
+	}
+	assert.DeepEqual(t, runs, []uint32{1, 1})
+}
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -30,6 +30,7 @@
 			continue
 		}
 		a := c.reserve(w, t, p.Run)
+		t.lastRun = max(t.lastRun, p.Run)
 		a.state = attemptRunning
 		a.confirmedAt, a.startedAt, a.movedAt = now, now, now
 		if t.step.Fills {
