jobs/cell: try gangs again only once enough room was gained

A gang that found too little room was tried at every step, with all workers looked at for each of its tasks, and its trials made the next step try again. The tasks that found room are kept as a number now, what fits at workers that gained since is added to it, and the gang is tried when that suffices. Gangs that fill are tried as before.

Gangs are placed as before, but their trials had a side effect: each dropped the expected tails of the workers it tried, so that tails were worked out again sooner than after 300 ms.

--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -74,6 +74,10 @@
 	failedRuns []uint32
 	checkpoint string
 	run        uint32
+	// blocked is the gain up to which the workers have no more than slots for
+	// tasks of the gang, or zero.
+	blocked uint64
+	slots   int
 }
 
 // task is one task of a step.
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -159,6 +159,9 @@
 	if s.hasRuns() || len(s.waiting) < s.left {
 		return // the former run has not ended everywhere
 	}
+	if c.gangBlocked(now, s) {
+		return
+	}
 	run := s.gang.run
 	chosen := make([]*worker, 0, len(s.tasks))
 	var trial []*attempt
@@ -180,9 +183,9 @@
 	for _, a := range trial {
 		c.takeOff(a)
 	}
-	c.unsettled = c.unsettled || len(trial) > 0
 	if len(chosen) < len(s.tasks) {
 		s.rack = ""
+		s.gang.blocked, s.gang.slots = c.room.last, len(chosen)
 		return
 	}
 	c.dequeue(s)
@@ -290,3 +293,34 @@
 func (w *worker) unusedCPU() int64 {
 	return w.free().MilliProcessors + int64((1-servingUse)*float64(w.standingCPU))
 }
+
+// gangBlocked reports whether the workers are known to have too little room for a
+// gang. Each one that gained is taken to add all that fits there now.
+func (c *Cell) gangBlocked(now time.Time, s *step) bool {
+	g := s.gang
+	if g.blocked == 0 || s.Fills {
+		return false
+	}
+	c.gainedSince(g.blocked, func(w *worker) { g.slots += c.slotsAt(now, s, w, len(s.tasks)) })
+	g.blocked = c.room.last
+	return g.slots < len(s.tasks)
+}
+
+// slotsAt returns how many tasks of a step fit at a worker, up to a number.
+func (c *Cell) slotsAt(now time.Time, s *step, w *worker, most int) int {
+	switch c.obstacleAt(now, &s.tasks[0], w) {
+	case noObstacle:
+	case obstacleHealth:
+		c.pauses(w)
+		return 0
+	default:
+		return 0
+	}
+	free := w.free()
+	n := 0
+	for n < most && s.Size.Fits(free) {
+		free = free.Sub(s.Size)
+		n++
+	}
+	return n
+}
