jobs/cell: keep the order of waiting between events

Each event worked out anew which job is shed, which starves, and how urgent each step is, and sorted all of them. That is done every 50 ms now (rankEvery); a step that becomes ready is put in its place at once.

With rankEvery at zero TestDecisionsStayTheSame passes with the former golden file.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -57,7 +57,12 @@
 	restoredAt time.Time
 	// unsettled is set when placement may find something to do.
 	unsettled bool
-	gated     []*attempt
+	// ranked are the steps that were ready at rankedAt, and those that came since,
+	// the most urgent first. Fresh are steps to be added.
+	ranked   []rankedStep
+	rankedAt time.Time
+	fresh    []*step
+	gated    []*attempt
 	// unstored are the workers with ends that are not in the store yet.
 	unstored []*worker
 	pending  changes
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -65,8 +65,10 @@
 	rack string
 	gang *gangState
 	// runs is the number of attempts of its tasks at workers.
-	runs  int
-	shape *shape
+	runs int
+	// ranked is set while the step is in the order of waiting.
+	ranked bool
+	shape  *shape
 }
 
 // gangState is what the tasks of a gang share.
@@ -180,6 +182,10 @@
 	t.queued = true
 	t.step.waiting = append(t.step.waiting, t)
 	c.ready[t.step] = true
+	if !t.step.ranked {
+		t.step.ranked = true
+		c.fresh = append(c.fresh, t.step)
+	}
 	c.unsettled = true
 }
 
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -20,26 +20,15 @@
 	}
 	c.unsettled = false
 	c.placedAt = now
-	type waitingStep struct {
-		urgency.Key
-		*step
-	}
-	steps := make([]waitingStep, 0, len(c.ready))
-	fillsWait := false
-	for s := range c.ready {
-		fillsWait = fillsWait || s.Fills
-	}
-	c.noteFills(now, fillsWait)
-	c.feedStarved(now)
-	c.shed(now)
-	for s := range c.ready {
-		steps = append(steps, waitingStep{c.urgencyOf(now, s), s})
-	}
-	slices.SortFunc(steps, func(a, b waitingStep) int { return cmp.Or(a.Compare(b.Key), a.compare(b.step)) })
+	c.rank(now)
 	c.dropShapes()
 	c.room.pass++
-	for _, waiting := range steps {
-		s := waiting.step
+	for i := range c.ranked {
+		s := c.ranked[i].step
+		if len(s.waiting) == 0 {
+			delete(c.ready, s)
+			continue
+		}
 		if c.inDoubt && s.released {
 			continue // a worker that has not answered may run its tasks
 		}
@@ -64,6 +53,57 @@
 	}
 }
 
+// rankedStep is a step in the order of waiting.
+type rankedStep struct {
+	urgency.Key
+	*step
+}
+
+func (r rankedStep) compare(o rankedStep) int {
+	return cmp.Or(r.Compare(o.Key), r.step.compare(o.step))
+}
+
+// rankEvery is the time after which the order of waiting is worked out again. It
+// is little against objectives, which are seconds; steps that become ready are put
+// in their place at once.
+const rankEvery = 50 * time.Millisecond
+
+// rank puts the steps that wait in order.
+func (c *Cell) rank(now time.Time) {
+	if now.Sub(c.rankedAt) < rankEvery {
+		for _, s := range c.fresh {
+			r := rankedStep{c.urgencyOf(now, s), s}
+			at, _ := slices.BinarySearchFunc(c.ranked, r, rankedStep.compare)
+			c.ranked = slices.Insert(c.ranked, at, r)
+		}
+		clear(c.fresh)
+		c.fresh = c.fresh[:0]
+		return
+	}
+	c.rankedAt = now
+	fillsWait := false
+	for s := range c.ready {
+		fillsWait = fillsWait || s.Fills
+	}
+	c.noteFills(now, fillsWait)
+	c.feedStarved(now)
+	c.shed(now)
+	for i := range c.ranked {
+		c.ranked[i].ranked = false
+	}
+	for _, s := range c.fresh {
+		s.ranked = false
+	}
+	clear(c.ranked)
+	clear(c.fresh)
+	c.ranked, c.fresh = c.ranked[:0], c.fresh[:0]
+	for s := range c.ready {
+		s.ranked = true
+		c.ranked = append(c.ranked, rankedStep{c.urgencyOf(now, s), s})
+	}
+	slices.SortFunc(c.ranked, rankedStep.compare)
+}
+
 // fillsInDoubt is how long tasks that fill wait for tasks that serve to have their
 // places again after a hand-over. Workers answer within some tenths of a second.
 const fillsInDoubt = 1500 * time.Millisecond
