--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -57,7 +57,12 @@
 	restoredAt time.Time
 	// unsettled is set when placement may find something to do.
 	unsettled bool
-	gated     []*attempt
+	// ranked are the steps that were ready at rankedAt, and those that came since,
+	// the most urgent first. Fresh are steps to be added.
+	ranked   []rankedStep
+	rankedAt time.Time
+	fresh    []*step
+	gated    []*attempt
 	// unstored are the workers with ends that are not in the store yet.
 	unstored []*worker
 	pending  changes
@@ -83,6 +88,7 @@
 	fillsGot float64
 	fillsAt  time.Time
 	pressure *pressure.Model
+	room     room
 }
 
 // Counters counts what an owner did.
@@ -153,7 +159,7 @@
 		timed:    make(map[*job]bool),
 		pending:  newChanges(),
 		meanWork: make(map[string]time.Duration),
-		learned:  newLearned(), pressure: pressure.New(),
+		learned:  newLearned(), pressure: pressure.New(), room: newRoom(),
 	}
 }
 
@@ -175,6 +181,7 @@
 
 // Step decides what is due.
 func (c *Cell) Step(now time.Time) Output {
+	c.endPauses(now)
 	c.scan(now)
 	c.place(now)
 	c.hold(now)
@@ -196,6 +203,12 @@
 	c.expireEnded(now)
 	for _, w := range slices.Clone(c.order) {
 		c.watchWorker(now, w)
+		if usable := w.usable(); usable != w.wasUsable {
+			w.wasUsable = usable
+			if usable {
+				c.gained(w)
+			}
+		}
 	}
 	if now.Sub(c.placedAt) >= placeEvery {
 		c.unsettled = true
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -63,6 +64,11 @@
 	// rack is where the tasks of a step of one rack go.
 	rack string
 	gang *gangState
+	// runs is the number of attempts of its tasks at workers.
+	runs int
+	// ranked is set while the step is in the order of waiting.
+	ranked bool
+	shape  *shape
 }
 
 // gangState is what the tasks of a gang share.
@@ -70,6 +76,10 @@
 	failedRuns []uint32
 	checkpoint string
 	run        uint32
+	// blocked is the gain up to which the workers have no more than slots for
+	// tasks of the gang, or zero.
+	blocked uint64
+	slots   int
 }
 
 // task is one task of a step.
@@ -172,6 +182,10 @@
 	t.queued = true
 	t.step.waiting = append(t.step.waiting, t)
 	c.ready[t.step] = true
+	if !t.step.ranked {
+		t.step.ranked = true
+		c.fresh = append(c.fresh, t.step)
+	}
 	c.unsettled = true
 }
 
@@ -192,6 +206,10 @@
 	t.done = true
 	t.checkpoint = ""
 	s := t.step
+	if t.queued {
+		t.queued = false
+		s.waiting = slices.DeleteFunc(s.waiting, func(x *task) bool { return x == t })
+	}
 	s.left--
 	if s.left > 0 {
 		return
@@ -229,8 +247,8 @@
 	j.endedAt = now
 	c.ended = append(c.ended, j)
 	delete(c.timed, j)
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
+	for _, number := range slices.Sorted(maps.Keys(j.occurrences)) {
+		for _, s := range j.occurrences[number].steps {
 			c.dequeue(s)
 			for i := range s.tasks {
 				for _, a := range s.tasks[i].attempts {
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -1,10 +1,11 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
-	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/placement"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
@@ -19,25 +20,15 @@
 	}
 	c.unsettled = false
 	c.placedAt = now
-	type waitingStep struct {
-		urgency.Key
-		*step
-	}
-	steps := make([]waitingStep, 0, len(c.ready))
-	fillsWait := false
-	for s := range c.ready {
-		fillsWait = fillsWait || s.Fills
-	}
-	c.noteFills(now, fillsWait)
-	c.feedStarved(now)
-	c.shed(now)
-	for s := range c.ready {
-		steps = append(steps, waitingStep{c.urgencyOf(now, s), s})
-	}
-	slices.SortFunc(steps, func(a, b waitingStep) int { return a.Compare(b.Key) })
-	full := make(map[fitKey]bool)
-	for _, waiting := range steps {
-		s := waiting.step
+	c.rank(now)
+	c.dropShapes()
+	c.room.pass++
+	for i := range c.ranked {
+		s := c.ranked[i].step
+		if len(s.waiting) == 0 {
+			delete(c.ready, s)
+			continue
+		}
 		if c.doubted(now, s) {
 			continue // a worker that has not answered may run its tasks
 		}
@@ -48,40 +39,80 @@
 		if q == nil {
 			continue
 		}
-		key := fitKey{q.Service, s.Size, s.Fills, s.Label, ""}
-		if s.Fills {
-			key.image = s.Image
-		}
-		if s.plain() && full[key] {
-			continue
-		}
 		if s.gang != nil {
 			c.placeGang(now, s)
 			continue
 		}
-		if !c.placeStep(now, s) && s.plain() {
-			full[key] = true
+		kind := c.shapeOf(s)
+		if kind.fullIn == c.room.pass {
+			continue
+		}
+		if c.stillBlocked(kind, tierOf(now, s)) || !c.placeStep(now, s) {
+			kind.fullIn = c.room.pass
 		}
 	}
 }
 
+// rankedStep is a step in the order of waiting.
+type rankedStep struct {
+	urgency.Key
+	*step
+}
+
+func (r rankedStep) compare(o rankedStep) int {
+	return cmp.Or(r.Compare(o.Key), r.step.compare(o.step))
+}
+
+// rankEvery is the time after which the order of waiting is worked out again. It
+// is little against objectives, which are seconds; steps that become ready are put
+// in their place at once.
+const rankEvery = 50 * time.Millisecond
+
+// rank puts the steps that wait in order.
+func (c *Cell) rank(now time.Time) {
+	if now.Sub(c.rankedAt) < rankEvery {
+		for _, s := range c.fresh {
+			r := rankedStep{c.urgencyOf(now, s), s}
+			at, _ := slices.BinarySearchFunc(c.ranked, r, rankedStep.compare)
+			c.ranked = slices.Insert(c.ranked, at, r)
+		}
+		clear(c.fresh)
+		c.fresh = c.fresh[:0]
+		return
+	}
+	c.rankedAt = now
+	fillsWait := false
+	for s := range c.ready {
+		fillsWait = fillsWait || s.Fills
+	}
+	c.noteFills(now, fillsWait)
+	c.feedStarved(now)
+	c.shed(now)
+	for i := range c.ranked {
+		c.ranked[i].ranked = false
+	}
+	for _, s := range c.fresh {
+		s.ranked = false
+	}
+	clear(c.ranked)
+	clear(c.fresh)
+	c.ranked, c.fresh = c.ranked[:0], c.fresh[:0]
+	for s := range c.ready {
+		s.ranked = true
+		c.ranked = append(c.ranked, rankedStep{c.urgencyOf(now, s), s})
+	}
+	slices.SortFunc(c.ranked, rankedStep.compare)
+}
+
 // fillsInDoubt is how long tasks that fill wait for tasks that serve to have their
 // places again after a hand-over. Workers answer within some tenths of a second.
 const fillsInDoubt = 1500 * time.Millisecond
 
-// fitKey names what decides whether a plain task finds room.
-type fitKey struct {
-	service string
-	size    bamboofall.Resources
-	fills   bool
-	label   string
-	// image is set for tasks that fill: where they may go depends on it.
-	image string
+// compare orders the steps of a job.
+func (s *step) compare(o *step) int {
+	return cmp.Or(cmp.Compare(s.occ.number, o.occ.number), cmp.Compare(s.index, o.index))
 }
 
-// plain reports whether only the size and the label of a task bind where it goes.
-func (s *step) plain() bool { return s.MaxPerWorker == 0 && s.gang == nil }
-
 // urgencyOf returns the place of a step in the order of waiting.
 func (c *Cell) urgencyOf(now time.Time, s *step) urgency.Key {
 	j := s.occ.job
@@ -168,6 +199,9 @@
 	if s.hasRuns() || len(s.waiting) < s.left {
 		return // the former run has not ended everywhere
 	}
+	if c.gangBlocked(now, s) {
+		return
+	}
 	run := s.gang.run
 	chosen := make([]*worker, 0, len(s.tasks))
 	var trial []*attempt
@@ -176,7 +210,7 @@
 	}
 	run++
 	for i := range s.tasks {
-		w := c.choose(now, &s.tasks[i])
+		w := c.best(now, &s.tasks[i], tierOf(now, s), 0)
 		if w == nil {
 			break
 		}
@@ -187,10 +221,11 @@
 		trial = append(trial, c.reserve(w, &s.tasks[i], run))
 	}
 	for _, a := range trial {
-		c.release(a)
+		c.takeOff(a)
 	}
 	if len(chosen) < len(s.tasks) {
 		s.rack = ""
+		s.gang.blocked, s.gang.slots = c.room.last, len(chosen)
 		return
 	}
 	c.dequeue(s)
@@ -202,12 +237,29 @@
 
 // choose returns the best worker for a task, or nil.
 func (c *Cell) choose(now time.Time, t *task) *worker {
-	return c.chooseBelow(now, t, tailLimit(now, t.step))
+	return c.chooseBelow(now, t, tierOf(now, t.step))
 }
 
 // chooseBelow is choose with another limit of the expected tail for a task that
 // fills.
-func (c *Cell) chooseBelow(now time.Time, t *task, limit float64) *worker {
+func (c *Cell) chooseBelow(now time.Time, t *task, tier tailTier) *worker {
+	if t.step.occ.job.queue == nil {
+		return nil
+	}
+	kind := c.shapeOf(t.step)
+	if c.stillBlocked(kind, tier) {
+		return nil
+	}
+	w := c.best(now, t, tier, kind.blocked[tier])
+	if w == nil && len(t.attempts) == 0 && !t.step.Fills {
+		c.block(kind, tier)
+	}
+	return w
+}
+
+// best returns the best worker for a task among those that have gained since some
+// gain, or nil.
+func (c *Cell) best(now time.Time, t *task, tier tailTier, since uint64) *worker {
 	var best *worker
 	bestScore := 0.0
 	s := t.step
@@ -222,35 +274,57 @@
 	case s.TailTarget > 0:
 		kind = placement.Serving
 	}
-	for i, w := range c.order {
-		if c.obstacleAt(now, t, w) != noObstacle {
-			continue
+	look := func(w *worker) {
+		switch c.obstacleAt(now, t, w) {
+		case noObstacle:
+		case obstacleHealth:
+			c.pauses(w)
+			return
+		default:
+			return
 		}
 		view := placement.Worker{
 			Room: w.info.Room, Free: w.free(), OnRack: rack != "" && w.rack() == rack,
-			Rank:  float64(i) / float64(len(c.order)),
 			Doubt: w.health.Failures(), Slow: w.health.slow,
 		}
 		if kind == placement.Serving {
+			view.Rank = c.rankOf(w)
 			view.SameImage, view.OtherImage = w.servesImage(s.Image)
 		}
 		if kind != placement.Normal {
 			view.Tail = c.expectedTail(now, w, s)
-			if kind == placement.Filling && view.Tail > limit {
-				continue
+			if kind == placement.Filling && view.Tail > tier.limit() {
+				return
 			}
 		}
 		score := placement.Score(kind, s.Size, view)
 		if t.lastWorker == w.info.ID {
-			score -= 10
+			score -= lastPenalty
 		}
-		if best == nil || score > bestScore {
+		if best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID {
 			best, bestScore = w, score
 		}
 	}
+	if since > 0 {
+		c.gainedSince(since, look)
+		return best
+	}
+	for _, w := range c.order {
+		look(w)
+	}
 	return best
 }
 
+// lastPenalty keeps a task from the worker where it failed last while there is
+// another.
+const lastPenalty = 10
+
+// rankOf returns the place of a worker among all, from 0 to 1.
+func (c *Cell) rankOf(w *worker) float64 {
+	at, _ := slices.BinarySearchFunc(c.order, w, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+	return float64(at) / float64(len(c.order))
+}
+
 // servingUse is the share of its processors that a standing task is taken to use.
 // The mean on the sheets is 0.45; loads swing by a half, not all at the same time.
 const servingUse = 0.5
@@ -259,3 +333,34 @@
 func (w *worker) unusedCPU() int64 {
 	return w.free().MilliProcessors + int64((1-servingUse)*float64(w.standingCPU))
 }
+
+// gangBlocked reports whether the workers are known to have too little room for a
+// gang. Each one that gained is taken to add all that fits there now.
+func (c *Cell) gangBlocked(now time.Time, s *step) bool {
+	g := s.gang
+	if g.blocked == 0 || s.Fills {
+		return false
+	}
+	c.gainedSince(g.blocked, func(w *worker) { g.slots += c.slotsAt(now, s, w, len(s.tasks)) })
+	g.blocked = c.room.last
+	return g.slots < len(s.tasks)
+}
+
+// slotsAt returns how many tasks of a step fit at a worker, up to a number.
+func (c *Cell) slotsAt(now time.Time, s *step, w *worker, most int) int {
+	switch c.obstacleAt(now, &s.tasks[0], w) {
+	case noObstacle:
+	case obstacleHealth:
+		c.pauses(w)
+		return 0
+	default:
+		return 0
+	}
+	free := w.free()
+	n := 0
+	for n < most && s.Size.Fits(free) {
+		free = free.Sub(s.Size)
+		n++
+	}
+	return n
+}
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -33,6 +33,7 @@
 			continue
 		}
 		a := c.reserve(w, t, p.Run)
+		t.lastRun = max(t.lastRun, p.Run)
 		a.state = attemptRunning
 		a.confirmedAt, a.startedAt, a.movedAt = now, now, now
 		if t.step.Fills {
@@ -94,7 +95,13 @@
 	if len(w.serving) > 0 {
 		c.observe(now, w)
 	}
-	for _, p := range listed {
+	for i := range running {
+		k := key{running[i].Task, running[i].Run}
+		p := listed[k]
+		if p == nil {
+			continue
+		}
+		delete(listed, k)
 		if t := c.find(p.Task); t != nil && slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.worker == w && a.run == p.Run }) {
 			continue
 		}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -46,7 +46,7 @@
 	fillCPU, standingCPU int64
 	// serving and filling are the processors by image of tasks with a tail
 	// latency to keep and of tasks that fill.
-	serving, filling map[string]int64
+	serving, filling imageCPUs
 	// tails are the expected tails at tailsAt. They are dropped when tasks come
 	// or go.
 	tails   []expectedTail
@@ -80,6 +80,10 @@
 	// acknowledged is the last end that a hold order has named as stored.
 	acknowledged uint64
 	health       health
+	// gained is when tasks last came to fit here that did not before, pausing is
+	// set while that waits for the end of a pause, wasUsable as last seen.
+	gained             uint64
+	pausing, wasUsable bool
 	// drainingSince is when the worker was first seen to leave.
 	drainingSince time.Time
 	// observedAt is when tails were last taken into account, overSince since
@@ -88,7 +92,7 @@
 }
 
 func newWorker(info bamboofall.Worker) *worker {
-	return &worker{info: info, born: info.Born, serving: make(map[string]int64), filling: make(map[string]int64)}
+	return &worker{info: info, born: info.Born}
 }
 
 // account adds an attempt to the sums of its worker, or takes it off.
@@ -105,16 +109,10 @@
 	}
 	if s.Fills {
 		w.fillCPU += sign * s.Size.MilliProcessors
-		w.filling[s.Image] += sign * s.Size.MilliProcessors
-		if w.filling[s.Image] == 0 {
-			delete(w.filling, s.Image)
-		}
+		w.filling.add(s.Image, sign*s.Size.MilliProcessors)
 	}
 	if s.TailTarget > 0 {
-		w.serving[s.Image] += sign * s.Size.MilliProcessors
-		if w.serving[s.Image] == 0 {
-			delete(w.serving, s.Image)
-		}
+		w.serving.add(s.Image, sign*s.Size.MilliProcessors)
 	}
 }
 
@@ -166,6 +164,7 @@
 		c.note(Note{Event: "worker draining", Worker: info.ID, Detail: "remaining " + info.Remaining.String()})
 	}
 	w.listed = true
+	c.gained(w)
 	if info.Born.After(w.born) {
 		c.reborn(now, w, info.Born)
 	} else if info.Born.Before(w.born) {
@@ -175,7 +174,7 @@
 	if !info.Draining && !w.recorded {
 		c.record(w)
 	}
-	c.unsettled = true
+	c.gained(w)
 }
 
 // record makes the life of a worker durable before anything is started there.
