jobs/cell: look for room for filling tasks only where tails are new

Tasks that fill were looked for at all workers at each event, as what is expected of tails may change with each answer. They are now looked for like others at workers that have gained, and a worker gains as well once its expected tails are 300 ms old (tailsFor, the time for which they were used before); they are worked out anew then.

Pressures learned meanwhile count at the next look instead of at once, so decisions differ.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -207,6 +207,7 @@
 				c.gained(w)
 			}
 		}
+		c.renewTails(now, w)
 	}
 	if now.Sub(c.placedAt) >= placeEvery {
 		c.unsettled = true
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -251,7 +251,7 @@
 		return nil
 	}
 	w := c.best(now, t, tier, kind.blocked[tier])
-	if w == nil && len(t.attempts) == 0 && !t.step.Fills {
+	if w == nil && len(t.attempts) == 0 {
 		c.block(kind, tier)
 	}
 	return w
@@ -274,7 +274,7 @@
 	case s.TailTarget > 0:
 		kind = placement.Serving
 	}
-	look := func(w *worker) {
+	look := func(at int, w *worker) {
 		switch c.obstacleAt(now, t, w) {
 		case noObstacle:
 		case obstacleHealth:
@@ -288,7 +288,10 @@
 			Doubt: w.health.Failures(), Slow: w.health.slow,
 		}
 		if kind == placement.Serving {
-			view.Rank = c.rankOf(w)
+			if at < 0 {
+				at = c.placeOf(w)
+			}
+			view.Rank = float64(at) / float64(len(c.order))
 			view.SameImage, view.OtherImage = w.servesImage(s.Image)
 		}
 		if kind != placement.Normal {
@@ -306,11 +309,11 @@
 		}
 	}
 	if since > 0 {
-		c.gainedSince(since, look)
+		c.gainedSince(since, func(w *worker) { look(-1, w) })
 		return best
 	}
-	for _, w := range c.order {
-		look(w)
+	for i, w := range c.order {
+		look(i, w)
 	}
 	return best
 }
@@ -319,10 +322,10 @@
 // another.
 const lastPenalty = 10
 
-// rankOf returns the place of a worker among all, from 0 to 1.
-func (c *Cell) rankOf(w *worker) float64 {
+// placeOf returns the place of a worker among all.
+func (c *Cell) placeOf(w *worker) int {
 	at, _ := slices.BinarySearchFunc(c.order, w, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
-	return float64(at) / float64(len(c.order))
+	return at
 }
 
 // servingUse is the share of its processors that a standing task is taken to use.
--- a/internal/jobs/cell/room.go
+++ b/internal/jobs/cell/room.go
@@ -9,7 +9,8 @@
 // A full fleet gives room back at a few workers at a time, while thousands of
 // tasks wait. What found no room anywhere is therefore looked at again only at
 // the workers that have gained since: where a task did not fit, it fits only
-// after room was given back, the worker came back, or its pause is over.
+// after room was given back, the worker came back, its pause is over, or, for a
+// task that fills, tails are expected anew.
 
 // tailTier tells up to which expected tail a task that fills is placed.
 type tailTier uint8
@@ -134,6 +135,18 @@
 	r.pausing = kept
 }
 
+// renewTails notes that tasks that fill may fit at a worker by what was learned of
+// tails since.
+func (c *Cell) renewTails(now time.Time, w *worker) {
+	if len(w.serving) == 0 || now.Sub(w.tailsGained) < tailsFor {
+		return
+	}
+	w.tailsGained, w.tails = now, nil
+	unsettled := c.unsettled
+	c.gained(w)
+	c.unsettled = unsettled
+}
+
 // shapeOf returns the shape of the tasks of a step. Steps of plain tasks share it.
 func (c *Cell) shapeOf(s *step) *shape {
 	if s.shape != nil {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -51,6 +51,8 @@
 	// or go.
 	tails   []expectedTail
 	tailsAt time.Time
+	// tailsGained is when tails were last taken to leave more to tasks that fill.
+	tailsGained time.Time
 
 	// synced is set once this life has answered this owner, former while this
 	// life may run what a former owner has started.
