jobs/cell: look for the tasks of a step at once

Each task of a step looked at all workers, though a task that is placed changes one. The workers that have room are now kept while the tasks of a step are placed; only the one that was taken is looked at again. Tasks that ran before, and steps of one rack, are placed as before.

Decisions are the same: TestDecisionsStayTheSame passes with the golden file unchanged.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -87,6 +87,7 @@
 	fillsAt  time.Time
 	pressure *pressure.Model
 	room     room
+	field    field
 }
 
 // Counters counts what an owner did.
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -160,6 +160,8 @@
 // no room.
 func (c *Cell) placeStep(now time.Time, s *step) bool {
 	fits := true
+	f := &c.field
+	f.last = -1
 	waiting := s.waiting[:0]
 	for _, t := range s.waiting {
 		if t.done || len(t.attempts) >= copies {
@@ -168,7 +170,7 @@
 		}
 		var w *worker
 		if fits {
-			w = c.choose(now, t)
+			w = c.choosePlain(now, t, f)
 		}
 		if w == nil {
 			fits = false
@@ -260,62 +262,133 @@
 // best returns the best worker for a task among those that have gained since some
 // gain, or nil.
 func (c *Cell) best(now time.Time, t *task, tier tailTier, since uint64) *worker {
-	var best *worker
-	bestScore := 0.0
+	best := candidate{}
+	c.eachFit(now, t, tier, since, func(x candidate) {
+		if x.before(best) {
+			best = x
+		}
+	})
+	return best.worker
+}
+
+// candidate is a worker that has room for a task, and how well it suits.
+type candidate struct {
+	worker *worker
+	at     int
+	score  float64
+}
+
+// before reports whether a candidate suits better than another one.
+func (x candidate) before(o candidate) bool {
+	return o.worker == nil || x.score > o.score || x.score == o.score && x.worker.info.ID < o.worker.info.ID
+}
+
+// eachFit calls a function with the workers that have room for a task, among those
+// that have gained since some gain.
+func (c *Cell) eachFit(now time.Time, t *task, tier tailTier, since uint64, do func(candidate)) {
+	if since > 0 {
+		c.gainedSince(since, func(w *worker) {
+			at := 0
+			if t.step.TailTarget > 0 {
+				at = c.placeOf(w)
+			}
+			if score, fits := c.scoreAt(now, t, tier, w, at); fits {
+				do(candidate{w, at, score})
+			}
+		})
+		return
+	}
+	for at, w := range c.order {
+		if score, fits := c.scoreAt(now, t, tier, w, at); fits {
+			do(candidate{w, at, score})
+		}
+	}
+}
+
+// scoreAt returns how well a worker that has a place among all suits a task. It
+// reports false if the task cannot start there.
+func (c *Cell) scoreAt(now time.Time, t *task, tier tailTier, w *worker, at int) (float64, bool) {
+	switch c.obstacleAt(now, t, w) {
+	case noObstacle:
+	case obstacleHealth:
+		c.pauses(w)
+		return 0, false
+	default:
+		return 0, false
+	}
 	s := t.step
+	view := placement.Worker{
+		Room: w.info.Room, Free: w.free(), Doubt: w.health.Failures(), Slow: w.health.slow,
+	}
 	rack := s.Rack
 	if s.rack != "" {
 		rack = s.rack
 	}
+	view.OnRack = rack != "" && w.rack() == rack
 	kind := placement.Normal
 	switch {
 	case s.Fills:
 		kind = placement.Filling
 	case s.TailTarget > 0:
 		kind = placement.Serving
+		view.Rank = float64(at) / float64(len(c.order))
+		view.SameImage, view.OtherImage = w.servesImage(s.Image)
 	}
-	look := func(at int, w *worker) {
-		switch c.obstacleAt(now, t, w) {
-		case noObstacle:
-		case obstacleHealth:
-			c.pauses(w)
-			return
-		default:
-			return
-		}
-		view := placement.Worker{
-			Room: w.info.Room, Free: w.free(), OnRack: rack != "" && w.rack() == rack,
-			Doubt: w.health.Failures(), Slow: w.health.slow,
-		}
-		if kind == placement.Serving {
-			if at < 0 {
-				at = c.placeOf(w)
-			}
-			view.Rank = float64(at) / float64(len(c.order))
-			view.SameImage, view.OtherImage = w.servesImage(s.Image)
+	if kind != placement.Normal {
+		view.Tail = c.expectedTail(now, w, s)
+		if kind == placement.Filling && view.Tail > tier.limit() {
+			return 0, false
 		}
-		if kind != placement.Normal {
-			view.Tail = c.expectedTail(now, w, s)
-			if kind == placement.Filling && view.Tail > tier.limit() {
-				return
-			}
-		}
-		score := placement.Score(kind, s.Size, view)
-		if t.lastWorker == w.info.ID {
-			score -= lastPenalty
+	}
+	score := placement.Score(kind, s.Size, view)
+	if t.lastWorker == w.info.ID {
+		score -= lastPenalty
+	}
+	return score, true
+}
+
+// field is where the tasks of a step may go while they are placed: a task that is
+// placed changes one worker only.
+type field struct {
+	candidates []candidate
+	// last is the candidate that was taken, or negative if none was looked for.
+	last int
+}
+
+// choosePlain returns the best worker for a task of a step whose tasks are placed
+// one after the other, or nil.
+func (c *Cell) choosePlain(now time.Time, t *task, f *field) *worker {
+	if len(t.attempts) > 0 || t.lastWorker != "" || t.step.SameRack {
+		f.last = -1
+		return c.choose(now, t)
+	}
+	tier := tierOf(now, t.step)
+	kind := c.shapeOf(t.step)
+	if f.last < 0 {
+		if c.stillBlocked(kind, tier) {
+			return nil
 		}
-		if best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID {
-			best, bestScore = w, score
+		f.candidates = f.candidates[:0]
+		c.eachFit(now, t, tier, kind.blocked[tier], func(x candidate) { f.candidates = append(f.candidates, x) })
+	} else {
+		x := &f.candidates[f.last]
+		score, fits := c.scoreAt(now, t, tier, x.worker, x.at)
+		x.score = score
+		if !fits {
+			f.candidates = slices.Delete(f.candidates, f.last, f.last+1)
 		}
 	}
-	if since > 0 {
-		c.gainedSince(since, func(w *worker) { look(-1, w) })
-		return best
+	best := candidate{}
+	for i, x := range f.candidates {
+		if x.before(best) {
+			best, f.last = x, i
+		}
 	}
-	for i, w := range c.order {
-		look(i, w)
+	if best.worker == nil {
+		f.last = -1
+		c.block(kind, tier)
 	}
-	return best
+	return best.worker
 }
 
 // lastPenalty keeps a task from the worker where it failed last while there is
