jobs/cell: weigh a submission against open jobs only

Each submission went through all jobs that are known, most of which have ended within the last minute, and made an iterator over the map of occurrences of each. Open jobs are in a list of their own now, the open occurrences of a job in a slice in their order, and jobs without work of their own, those of standing tasks, are left out at once.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -48,6 +48,8 @@
 	ready map[*step]bool
 	// timed holds the jobs with occurrences that are not due yet.
 	timed map[*job]bool
+	// open holds the jobs that have not ended, in no order.
+	open []*job
 	// ended holds the ended jobs in the order of their ends.
 	ended []*job
 	// inDoubt is set while released tasks may run at workers that have not
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -1,7 +1,7 @@
 package cell
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,10 +15,12 @@
 	accepted time.Time
 	state    bamboofall.JobState
 	endedAt  time.Time
-	// occurrences are those that have begun and are not done.
-	occurrences map[int]*occurrence
-	nextDue     int
-	doneCount   int
+	// occurrences are those that have begun and are not done, in their order.
+	occurrences []*occurrence
+	// openAt is the place of the job among the open ones.
+	openAt    int
+	nextDue   int
+	doneCount int
 	// started is set once a task was started.
 	started bool
 	// storedAt is the flush that makes the newest state durable.
@@ -106,7 +108,6 @@
 func newJob(spec *bamboofall.Job, q *bamboofall.Queue, accepted time.Time) *job {
 	j := &job{
 		Job: spec, queue: q, accepted: accepted, state: bamboofall.JobQueued, shown: bamboofall.JobQueued,
-		occurrences: make(map[int]*occurrence),
 	}
 	j.work = workOfJob(spec)
 	j.fills = slices.ContainsFunc(spec.Steps, func(s bamboofall.Step) bool { return s.Fills })
@@ -133,10 +134,38 @@
 	return out
 }
 
+// compareNumber compares the number of an occurrence.
+func (o *occurrence) compareNumber(number int) int { return cmp.Compare(o.number, number) }
+
+// occurrence returns an open occurrence, or nil.
+func (j *job) occurrence(number int) *occurrence {
+	at, found := slices.BinarySearchFunc(j.occurrences, number, (*occurrence).compareNumber)
+	if !found {
+		return nil
+	}
+	return j.occurrences[at]
+}
+
+// addOpen notes that a job is open.
+func (c *Cell) addOpen(j *job) {
+	j.openAt = len(c.open)
+	c.open = append(c.open, j)
+}
+
+// removeOpen notes that a job is not open any more.
+func (c *Cell) removeOpen(j *job) {
+	last := len(c.open) - 1
+	c.open[last].openAt = j.openAt
+	c.open[j.openAt] = c.open[last]
+	c.open[last] = nil
+	c.open = c.open[:last]
+}
+
 // begin opens an occurrence.
 func (j *job) begin(number int) *occurrence {
 	o := &occurrence{job: j, number: number, left: len(j.Steps)}
-	j.occurrences[number] = o
+	at, _ := slices.BinarySearchFunc(j.occurrences, number, (*occurrence).compareNumber)
+	j.occurrences = slices.Insert(j.occurrences, at, o)
 	for i := range j.Steps {
 		s := &step{occ: o, index: i, Step: &j.Steps[i], left: j.Steps[i].Count}
 		s.tasks = make([]task, s.Count)
@@ -152,8 +181,8 @@
 	return o
 }
 
-// open makes the tasks of all steps ready that wait for nothing.
-func (c *Cell) open(now time.Time, o *occurrence) {
+// openOccurrence makes the tasks of all steps ready that wait for nothing.
+func (c *Cell) openOccurrence(now time.Time, o *occurrence) {
 	for _, s := range o.steps {
 		if s.waitsFor == 0 && s.left > 0 {
 			c.openStep(now, s)
@@ -231,7 +260,7 @@
 	if o.left > 0 {
 		return
 	}
-	delete(o.job.occurrences, o.number)
+	o.job.occurrences = slices.DeleteFunc(o.job.occurrences, func(x *occurrence) bool { return x == o })
 	o.job.doneCount++
 	if o.job.doneCount >= o.job.Occurrences() {
 		c.finish(now, o.job, bamboofall.JobCompleted, "")
@@ -246,9 +275,10 @@
 	j.state = state
 	j.endedAt = now
 	c.ended = append(c.ended, j)
+	c.removeOpen(j)
 	delete(c.timed, j)
-	for _, number := range slices.Sorted(maps.Keys(j.occurrences)) {
-		for _, s := range j.occurrences[number].steps {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
 			c.dequeue(s)
 			for i := range s.tasks {
 				for _, a := range s.tasks[i].attempts {
@@ -275,7 +305,7 @@
 		for j.nextDue < j.Occurrences() && !now.Before(j.FirstRun.Add(time.Duration(j.nextDue)*j.Interval)) {
 			o := j.begin(j.nextDue)
 			j.nextDue++
-			c.open(now, o)
+			c.openOccurrence(now, o)
 			c.pending.touch(j)
 		}
 		if j.nextDue >= j.Occurrences() {
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -247,14 +247,13 @@
 	if j.state.Ended() {
 		return m
 	}
-	for number, o := range j.occurrences {
-		out := &jobpb.Occurrence{Number: uint32(number)}
+	for _, o := range j.occurrences {
+		out := &jobpb.Occurrence{Number: uint32(o.number)}
 		for _, s := range o.steps {
 			out.Steps = append(out.Steps, encodeStep(s))
 		}
 		m.Open = append(m.Open, out)
 	}
-	slices.SortFunc(m.Open, func(a, b *jobpb.Occurrence) int { return int(a.Number) - int(b.Number) })
 	return m
 }
 
@@ -354,6 +353,7 @@
 		c.ended = append(c.ended, j)
 		return nil
 	}
+	c.addOpen(j)
 	for _, m := range p.GetOpen() {
 		o := j.begin(int(m.GetNumber()))
 		j.nextDue = max(j.nextDue, o.number+1)
@@ -407,7 +407,7 @@
 			}
 		}
 	}
-	c.open(now, o)
+	c.openOccurrence(now, o)
 }
 
 func (c *Cell) encodeLearned() *jobpb.Learned {
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -14,7 +14,7 @@
 	if j == nil {
 		return nil
 	}
-	o := j.occurrences[name.Occurrence]
+	o := j.occurrence(name.Occurrence)
 	if o == nil || name.Step >= len(o.steps) || name.Index >= len(o.steps[name.Step].tasks) {
 		return nil
 	}
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -49,6 +49,7 @@
 	}
 	c.counters.Accepted++
 	c.jobs[j.ID] = j
+	c.addOpen(j)
 	c.noteWork(j)
 	c.pending.add(j)
 	if spec.Repetitions > 0 {
@@ -56,7 +57,7 @@
 		c.dueOccurrences(now)
 	} else {
 		j.nextDue = 1
-		c.open(now, j.begin(0))
+		c.openOccurrence(now, j.begin(0))
 	}
 	c.note(Note{Event: "accepted", Job: j.ID, Detail: fmt.Sprintf(
 		"queue %s, steps %s, %v of work, %v ahead on %d milliprocessors, due in %v", spec.Queue, describe(spec), v.work.Round(time.Millisecond),
@@ -106,8 +107,8 @@
 		l.MilliProcessors = min(l.MilliProcessors, int64(c.fillsGot))
 		l.FreeMilliProcessors = 0
 	}
-	for _, other := range c.jobs {
-		if !other.state.Ended() && other.queue != nil && other.queue.Service == j.queue.Service && c.goesBefore(now, other, j) {
+	for _, other := range c.open {
+		if other.work > 0 && other.queue != nil && other.queue.Service == j.queue.Service && c.goesBefore(now, other, j) {
 			l.Ahead += c.remaining(now, other)
 		}
 	}
@@ -216,7 +217,9 @@
 // it never runs. It returns the flush that makes it durable.
 func (c *Cell) CancelAhead(now time.Time, id bamboofall.JobID) uint64 {
 	if c.jobs[id] == nil {
-		c.jobs[id] = newJob(&bamboofall.Job{ID: id}, nil, now)
+		j := newJob(&bamboofall.Job{ID: id}, nil, now)
+		c.jobs[id] = j
+		c.addOpen(j)
 	}
 	flush, _ := c.Cancel(now, id)
 	return flush
@@ -237,8 +240,8 @@
 // Pending returns the number of jobs of a queue of which no task was started.
 func (c *Cell) Pending(queue string) int {
 	n := 0
-	for _, j := range c.jobs {
-		if j.Job.Queue == queue && !j.started && !j.state.Ended() {
+	for _, j := range c.open {
+		if j.Job.Queue == queue && !j.started {
 			n++
 		}
 	}
