--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -48,6 +48,8 @@
 	ready map[*step]bool
 	// timed holds the jobs with occurrences that are not due yet.
 	timed map[*job]bool
+	// open holds the jobs that have not ended, in no order.
+	open []*job
 	// ended holds the ended jobs in the order of their ends.
 	ended []*job
 	// inDoubt is set while released tasks may run at workers that have not
@@ -89,6 +91,7 @@
 	fillsAt  time.Time
 	pressure *pressure.Model
 	room     room
+	field    field
 }
 
 // Counters counts what an owner did.
@@ -209,6 +212,7 @@
 				c.gained(w)
 			}
 		}
+		c.renewTails(now, w)
 	}
 	if now.Sub(c.placedAt) >= placeEvery {
 		c.unsettled = true
