--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -56,6 +56,7 @@
 	// renewal is the sequence number of the next renewal.
 	renewal uint64
 	delays  *delays
+	sender  *sender
 	// yielding is closed when the owner gives the cell to a stronger VM.
 	yielding chan struct{}
 	// underWay is the number of orders that are not answered.
@@ -84,7 +85,7 @@
 // newOwner returns an owner that has not started. It ends with the context.
 func newOwner(ctx context.Context, f *Front, r lease.Record, former time.Time, sequence uint64) *owner {
 	group, ctx := errgroup.WithContext(ctx)
-	return &owner{
+	o := &owner{
 		front: f, record: r, events: ring.New[func(time.Time)](ownerRing),
 		group: group, ctx: ctx, renewal: sequence, sequence: sequence, delays: newDelays(f.metrics),
 		yielding: make(chan struct{}),
@@ -94,6 +95,8 @@
 			RemoteFactor: f.set.Bounds.RemoteFactor, HarmAfter: f.set.Bounds.HarmAfter,
 		}),
 	}
+	o.sender = newSender(o.carryOut)
+	return o
 }
 
 // run restores the cell and owns it until it is deposed, released or stopped.
@@ -270,7 +273,7 @@
 	}
 	for _, order := range out.Orders {
 		o.underWay.Add(1)
-		go o.carryOut(order, at, began)
+		o.sender.add(&queuedOrder{Order: order, decided: at, handed: began})
 	}
 	if at.Sub(o.counted) >= countEvery {
 		o.counted = at
