jobs/cell: let the calls to workers follow the owner's delay

Callers saw little served by an owner that was behind, as it made itself slower: one answer that came too late shortened the waits at all workers from 2 s to 0.4 s for 5 s, each time-out led to another call after 0.2 s, and one time-out made a worker silent.

- An answer that got lost shortens the waits at its worker only, or in its data centre if 5 % of the workers there, two at least, lost one lately.
Answers that are late while the owner is slow count as late, not as lost.
- While the owner is slow a worker is silent after three time-outs in a row, not one; it gets no new work for 0.3 s and no new lease meanwhile, so the end of its leases is known.
Refused connections count at once, as before.
- Times between calls grow with the owner's delay, up to four times, and a slow owner lets ends gather for as long as its delay, up to 0.3 s, before it asks again.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -238,7 +238,7 @@
 		c.enqueue(a.task)
 	default:
 		c.counters.StartsUnknown++
-		c.noteLoss(now, err)
+		c.noteLoss(now, w, err)
 		c.noteRun(a, "start unanswered", rare, err.Error())
 		a.state = attemptUnsure
 		a.doubtedAt = now
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -64,8 +64,8 @@
 	counters Counters
 	out      Output
 	nextScan time.Time
-	// lossyAt is when a call to a worker last got no answer.
-	lossyAt time.Time
+	// lossyAt is when answers of a data centre last got lost.
+	lossyAt map[bamboofall.DataCentre]time.Time
 	// owner is the owner's own delay.
 	owner ownerDelay
 	// withheldAt is when the owner last held back an order for a cause of its own.
@@ -155,6 +155,7 @@
 		queues:   make(map[string]*bamboofall.Queue),
 		jobs:     make(map[bamboofall.JobID]*job),
 		workers:  make(map[string]*worker),
+		lossyAt:  make(map[bamboofall.DataCentre]time.Time),
 		ready:    make(map[*step]bool),
 		timed:    make(map[*job]bool),
 		pending:  newChanges(),
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"context"
 	"errors"
+	"os"
 	"slices"
 	"time"
 
@@ -20,6 +22,19 @@
 	holdWaitLossy = 400 * time.Millisecond
 	// lossyFor is how long after a call without an answer others are expected.
 	lossyFor = 5 * time.Second
+	// lossyLeast and lossyShare are the number and the share of the workers of a data
+	// centre that must have left a call unanswered for answers to count as lost on
+	// the way there: single workers crash.
+	lossyLeast = 2
+	lossyShare = 0.05
+	// missedWhileSlow is how many calls in a row a worker may leave unanswered while
+	// the owner is slow before it counts as silent: with three of 0.4 s and the
+	// retries between them a lease of 5 s is not half over.
+	missedWhileSlow = 2
+	// restMost bounds how long a slow owner lets ends gather at a worker, slowMost
+	// by how much it lengthens the times between calls.
+	restMost = 300 * time.Millisecond
+	slowMost = 4
 	// askEvery is the least time between questions beside a call that waits.
 	askEvery = 80 * time.Millisecond
 	// holdRetry is the time to the next try after a call that failed.
@@ -36,10 +51,21 @@
 	clockFresh = 20 * time.Second
 )
 
+// calls is what the calls to a worker came to.
+type calls struct {
+	// lossyAt is when a call last got no answer.
+	lossyAt time.Time
+	// missed is the number of calls in a row without an answer while the owner was
+	// slow.
+	missed int
+	// restUntil is until when a slow owner lets ends gather at the worker.
+	restUntil time.Time
+}
+
 // hold renews leases and asks workers what they run.
 func (c *Cell) hold(now time.Time) {
 	for _, w := range c.order {
-		if w.holding || now.Before(w.nextHold) {
+		if w.holding || now.Before(w.nextHold) || now.Before(w.restUntil) {
 			continue
 		}
 		unstored := c.endsUnstored(w)
@@ -55,7 +81,7 @@
 		o := bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.seen}
 		// A worker that does not answer gets no new lease: the call may be carried
 		// out late, and the end of the leases could never be told.
-		if w.synced && !w.silent() {
+		if w.synced && !w.silent() && w.missed == 0 {
 			o.LeaseUntil = c.grant(now, w)
 			if !unstored && len(w.attempts) > 0 && !w.unsure() {
 				o.Wait = c.holdWaitAt(now, w)
@@ -71,7 +97,7 @@
 
 // ask asks a worker for what it runs beside a call that waits for an end.
 func (c *Cell) ask(now time.Time, w *worker) {
-	if !w.holding || !w.synced || w.asking || now.Sub(w.askedAt) < askEvery {
+	if !w.holding || !w.synced || w.asking || now.Sub(w.askedAt) < c.slowed(now, askEvery) {
 		return
 	}
 	w.asking, w.askedAt = true, now
@@ -85,14 +111,27 @@
 func (c *Cell) holdWaitAt(now time.Time, w *worker) time.Duration {
 	wait := holdWait
 	if w.mixed() {
-		wait = holdWaitBeside
+		wait = min(wait, c.slowed(now, holdWaitBeside))
 	}
-	if !c.lossyAt.IsZero() && now.Sub(c.lossyAt) < lossyFor {
-		wait = min(wait, holdWaitLossy)
+	if c.lossy(now, w) {
+		wait = min(wait, c.slowed(now, holdWaitLossy))
 	}
 	return wait
 }
 
+// slowed makes a time between calls longer by the owner's own delay: twice as long
+// for an owner that just counts as slow. A call more would make all others later.
+func (c *Cell) slowed(now time.Time, d time.Duration) time.Duration {
+	factor := 1 + float64(c.ownerDelayAt(now))/float64(slowOwner)
+	return time.Duration(min(factor, slowMost) * float64(d))
+}
+
+// lossy reports whether answers of a worker may get lost.
+func (c *Cell) lossy(now time.Time, w *worker) bool {
+	recent := func(at time.Time) bool { return !at.IsZero() && now.Sub(at) < lossyFor }
+	return recent(w.lossyAt) || recent(c.lossyAt[w.info.Zone])
+}
+
 // Workers returns the number of workers that are known, and of those that do not
 // answer.
 func (c *Cell) Workers() (known, silent int) {
@@ -157,8 +196,11 @@
 		return
 	}
 	w.nextHold = now
+	if c.ownerSlow(now) {
+		w.restUntil = now.Add(min(c.ownerDelayAt(now), restMost))
+	}
 	if c.endsUnstored(w) {
-		w.nextHold = now.Add(holdUnstored)
+		w.nextHold = now.Add(c.slowed(now, holdUnstored))
 		if !w.awaitsStore {
 			w.awaitsStore = true
 			c.unstored = append(c.unstored, w)
@@ -191,7 +233,7 @@
 }
 
 func (c *Cell) holdFailed(now time.Time, w *worker, err error) {
-	w.nextHold = now.Add(holdRetry)
+	w.nextHold = now.Add(c.slowed(now, holdRetry))
 	if failedOnTheWay(err) {
 		c.noteWithheld(now, err)
 		return
@@ -227,18 +269,46 @@
 		c.noteWithheld(now, err)
 		return
 	}
+	if c.ownerSlow(now) && isTimeout(err) && w.missed < missedWhileSlow {
+		// The answer may have waited in this process.
+		w.missed++
+		w.health.avoid(now)
+		return
+	}
 	w.failures++
-	c.noteLoss(now, err)
+	c.noteLoss(now, w, err)
 	if w.failures == silentAfter {
 		c.note(Note{Event: "worker silent", Worker: w.info.ID, Detail: err.Error()})
 	}
 }
 
-// noteLoss notes that a call got no answer though it may have been done.
-func (c *Cell) noteLoss(now time.Time, err error) {
+// isTimeout reports whether an error may mean no more than that the owner was slow:
+// the worker did not refuse, and no connection to it.
+func isTimeout(err error) bool {
 	var unknown *bamboofall.UnknownOutcomeError
-	if errors.As(err, &unknown) && !failedOnTheWay(err) {
-		c.lossyAt = now
+	return errors.As(err, &unknown) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// noteLoss notes that a call got no answer though it may have been done. Answers to
+// a slow owner are late, not lost.
+func (c *Cell) noteLoss(now time.Time, w *worker, err error) {
+	var unknown *bamboofall.UnknownOutcomeError
+	if !errors.As(err, &unknown) || failedOnTheWay(err) || c.ownerSlow(now) {
+		return
+	}
+	w.lossyAt = now
+	zone, all, lossy := w.info.Zone, 0, 0
+	for _, x := range c.order {
+		if x.info.Zone != zone || !x.listed {
+			continue
+		}
+		all++
+		if !x.lossyAt.IsZero() && now.Sub(x.lossyAt) < lossyFor {
+			lossy++
+		}
+	}
+	if lossy >= lossyLeast && float64(lossy) >= lossyShare*float64(all) {
+		c.lossyAt[zone] = now
 	}
 }
 
@@ -269,7 +339,7 @@
 		c.unsettled = true
 		c.note(Note{Event: "worker answers again", Worker: w.info.ID})
 	}
-	w.failures = 0
+	w.failures, w.missed = 0, 0
 	if s.Clock > 0 {
 		w.clock, w.clockAt = s.Clock, now
 	}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -76,6 +76,7 @@
 	// acknowledged is the last end that a hold order has named as stored.
 	acknowledged uint64
 	health       health
+	calls
 	// drainingSince is when the worker was first seen to leave.
 	drainingSince time.Time
 	// observedAt is when tails were last taken into account, overSince since
