entry/front: count what the fastest answers have in common as the owner's delay

An owner whose link is full is late without any sign of it in the process: orders are written at once, into buffers of the kernel, and answers are handled as soon as they are read.

The owner now also takes a quarter of the answers of a window as part of its delay: if even the faster answers of eight workers or more are late, it is not the workers. Calls without an answer count with the time that they waited. A worker that is silent or two data centres of three that are cut off change nothing.

--- a/internal/entry/front/delay.go
+++ b/internal/entry/front/delay.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 	// delayWeight is the weight of the newest window in the owner's delay: one
 	// late window does not make an owner slow, three do.
 	delayWeight = 0.5
+	// answersLeast is the number of workers that must have been called in a window
+	// for the time of the faster calls to tell of the owner and not of them.
+	answersLeast = 8
 	// slowOwner is the delay above which the owner is reported as slow, as in the
 	// cell.
 	slowOwner = 100 * time.Millisecond
@@ -33,10 +37,13 @@
 	waitEvent
 	// waitTick is how late a timer of the loop is seen.
 	waitTick
+	// waitAnswer is what even the faster answers of many workers take: what they
+	// have in common is the owner's link, and how late it reads.
+	waitAnswer
 	delayKinds
 )
 
-var delayNames = [delayKinds]string{waitOrder: "ownerOrderWait", waitEvent: "ownerEventWait", waitTick: "ownerTickLate"}
+var delayNames = [delayKinds]string{waitOrder: "ownerOrderWait", waitEvent: "ownerEventWait", waitTick: "ownerTickLate", waitAnswer: "ownerAnswerTime"}
 
 // delays measures how late an owner itself is. Its clock stands still while the
 // VM is suspended, so a sleep is no slowness. Use newDelays.
@@ -50,13 +57,17 @@
 		n   int
 	}
 	mean [delayKinds]time.Duration
+	// answers are the times of calls that are answered at once, and called the workers
+	// that they went to, in the window.
+	answers []time.Duration
+	called  map[string]struct{}
 	// Since the owner began:
 	longest [delayKinds]time.Duration
 	step    time.Duration
 }
 
 func newDelays(m *metrics) *delays {
-	d := &delays{steps: m.Scope.Histogram("ownerStep", latencyBuckets)}
+	d := &delays{steps: m.Scope.Histogram("ownerStep", latencyBuckets), called: make(map[string]struct{})}
 	for kind, name := range delayNames {
 		d.waits[kind] = m.Scope.Histogram(name, latencyBuckets)
 	}
@@ -73,6 +84,27 @@
 	d.longest[kind] = max(d.longest[kind], wait)
 }
 
+// answered notes how long a worker took to answer at once, or to leave a call
+// unanswered.
+func (d *delays) answered(worker string, took time.Duration) {
+	d.waits[waitAnswer].RecordDuration(took)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answers = append(d.answers, took)
+	d.called[worker] = struct{}{}
+	d.longest[waitAnswer] = max(d.longest[waitAnswer], took)
+}
+
+// commonAnswer returns the lower quartile of the times of answers, or zero if few
+// workers were called.
+func (d *delays) commonAnswer() time.Duration {
+	if len(d.called) < answersLeast {
+		return 0
+	}
+	slices.Sort(d.answers)
+	return d.answers[len(d.answers)/4]
+}
+
 // stepped notes how long a step of the cell took.
 func (d *delays) stepped(took time.Duration) {
 	d.steps.RecordDuration(took)
@@ -82,7 +114,7 @@
 }
 
 // close ends a window and returns the owner's delay: the longest of the smoothed
-// mean waits.
+// waits.
 func (d *delays) close() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -90,23 +122,31 @@
 	for kind := range d.window {
 		w := &d.window[kind]
 		mean := time.Duration(0)
-		if w.n > 0 {
+		switch {
+		case delayKind(kind) == waitAnswer:
+			mean = d.commonAnswer()
+		case w.n > 0:
 			mean = w.sum / time.Duration(w.n)
 		}
 		d.mean[kind] += time.Duration(delayWeight * float64(mean-d.mean[kind]))
 		delay = max(delay, d.mean[kind])
 		w.sum, w.n = 0, 0
 	}
+	d.answers = d.answers[:0]
+	clear(d.called)
 	return delay
 }
 
-// fields returns the longest waits and steps since the owner began.
+// fields returns the waits now, and the longest waits and steps since the owner
+// began.
 func (d *delays) fields() logrus.Fields {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return logrus.Fields{
 		"longestOrderWaitMs": d.longest[waitOrder].Milliseconds(), "longestEventWaitMs": d.longest[waitEvent].Milliseconds(),
 		"longestTickLateMs": d.longest[waitTick].Milliseconds(), "longestStepMs": d.step.Milliseconds(),
+		"orderWaitMs": d.mean[waitOrder].Milliseconds(), "eventWaitMs": d.mean[waitEvent].Milliseconds(),
+		"tickLateMs": d.mean[waitTick].Milliseconds(), "answerMs": d.mean[waitAnswer].Milliseconds(),
 	}
 }
 
--- a/internal/entry/front/delay_test.go
+++ b/internal/entry/front/delay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -29,6 +30,31 @@
 	assert.Assert(t, d.close() < slowOwner, "it is over as soon as nothing waits")
 }
 
+// Neither a worker that is silent nor a data centre that is cut off makes an owner
+// slow, but a link that is full delays even the fastest answers.
+func TestOnlyWhatAnswersHaveInCommonIsTheOwners(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	delay := func(fast, slow int) time.Duration {
+		d := newDelays(newMetrics("a"))
+		longest := time.Duration(0)
+		for range 5 {
+			for i := range fast {
+				d.answered(fmt.Sprintf("fast-%d", i), 10*time.Millisecond)
+			}
+			for i := range slow {
+				d.answered(fmt.Sprintf("slow-%d", i), timeout)
+			}
+			longest = max(longest, d.close())
+		}
+		return longest
+	}
+	assert.Assert(t, delay(20, 5) < slowOwner)
+	assert.Assert(t, delay(20, 40) < slowOwner, "two of three data centres are cut off")
+	assert.Equal(t, delay(0, answersLeast-1), time.Duration(0), "few workers were called")
+	assert.Assert(t, delay(0, 40) >= slowOwner)
+	assert.Assert(t, delay(2, 40) >= slowOwner)
+}
+
 // An operator must see whether the owner is slow, or the workers are.
 func TestASlowOwnerIsReportedAgainAndAgainButNotOften(t *testing.T) {
 	f := newFleet(t, 1, 0, time.Millisecond)
@@ -48,7 +74,7 @@
 	})
 	var page bytes.Buffer
 	assert.NilError(t, fr.metrics.Write(&page, bucketLines))
-	for _, name := range []string{"ownerDelaySeconds", "ownerRing", "ownerOrdersUnderWay", "ownerOrderWait_bucket", "ownerEventWait_bucket", "ownerTickLate_bucket", "ownerStep_bucket"} {
+	for _, name := range []string{"ownerDelaySeconds", "ownerRing", "ownerOrdersUnderWay", "ownerOrderWait_bucket", "ownerEventWait_bucket", "ownerTickLate_bucket", "ownerAnswerTime_bucket", "ownerStep_bucket"} {
 		assert.Assert(t, strings.Contains(page.String(), name), name)
 	}
 }
--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -30,6 +30,9 @@
 		waits()
 	} else {
 		report, err = o.front.perform(o.watch(q, waits), &q.Order)
+		if at := q.leftAt.Load(); at != nil && q.Hold.Wait == 0 {
+			o.delays.answered(q.Worker.ID, time.Since(*at))
+		}
 	}
 	var withheld *bamboofall.WithheldError
 	if errors.As(err, &withheld) {
@@ -45,7 +48,12 @@
 		Connecting: waits,
 		Leave: func() error {
 			waits()
-			return o.withhold(q)
+			if err := o.withhold(q); err != nil {
+				return err
+			}
+			at := time.Now()
+			q.leftAt.Store(&at)
+			return nil
 		},
 	})
 }
--- a/internal/entry/front/sender.go
+++ b/internal/entry/front/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bamboofall.example/bamboofall/internal/jobs/cell"
@@ -40,6 +41,8 @@
 	cell.Order
 	// decided is when the cell decided on it, handed the same on the clock of delays.
 	decided, handed time.Time
+	// leftAt is when the bytes of the order left, once they have.
+	leftAt atomic.Pointer[time.Time]
 }
 
 // sender sends orders, the most urgent first. Use newSender.
