entry/front: take in all that has arrived before a step

Callers saw starts that waited for the owner. It now takes in all that has arrived before it steps.

Before: TestALoopThatIsBehindTakesAllEventsBeforeAStep: assertion failed: 64 (taken int) != 8192 (ownerRing untyped int)

--- a/internal/entry/front/delay_test.go
+++ b/internal/entry/front/delay_test.go
@@ -78,3 +78,16 @@
 		assert.Assert(t, strings.Contains(page.String(), name), name)
 	}
 }
+
+// A loop that was busy once took the events that had gathered a few at a time, and
+// made a step after each few: the longer a step took, the more events waited.
+func TestALoopThatIsBehindTakesAllEventsBeforeAStep(t *testing.T) {
+	f := newFleet(t, 1, 0, time.Millisecond)
+	o := newOwner(context.Background(), f.fronts[0].Front, lease.Record{Epoch: 7}, time.Time{}, 1)
+	taken := 0
+	for range ownerRing {
+		o.push(o.ctx, func(time.Time) { taken++ })
+	}
+	o.drainEvents()
+	assert.Equal(t, taken, ownerRing)
+}
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -24,7 +24,8 @@
 	ownerRing = 8192
 	// ownerTick is the time between steps without events.
 	ownerTick = 20 * time.Millisecond
-	// stepEvents is the number of events that share a step.
+	// stepEvents is the number of events that share a step at least, if they come as
+	// fast.
 	stepEvents = 64
 	// countEvery is the time between updates of the counters.
 	countEvery = time.Second
@@ -249,8 +250,10 @@
 	}
 }
 
+// drainEvents takes in what has arrived before a step: a slow step is not made
+// again for each few of the events that came meanwhile.
 func (o *owner) drainEvents() {
-	for range stepEvents {
+	for range max(stepEvents, len(o.events.Items())) {
 		select {
 		case f := <-o.events.Items():
 			f(now())
