jobs/cell: leave it to one place when a slow owner takes a worker for silent

It also goes on renewing leases meanwhile, which is right: a lease that is not renewed as the owner is slow lapses for nothing, and each renewal says when it ends, so a late one moves nothing. What stays: where a lost answer counts, and how often a slow owner calls.

--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -1,9 +1,7 @@
 package cell
 
 import (
-	"context"
 	"errors"
-	"os"
 	"slices"
 	"time"
 
@@ -27,10 +25,6 @@
 	// the way there: single workers crash.
 	lossyLeast = 2
 	lossyShare = 0.05
-	// missedWhileSlow is how many calls in a row a worker may leave unanswered while
-	// the owner is slow before it counts as silent: with three of 0.4 s and the
-	// retries between them a lease of 5 s is not half over.
-	missedWhileSlow = 2
 	// restMost bounds how long a slow owner lets ends gather at a worker, slowMost
 	// by how much it lengthens the times between calls.
 	restMost = 300 * time.Millisecond
@@ -55,9 +49,6 @@
 type calls struct {
 	// lossyAt is when a call last got no answer.
 	lossyAt time.Time
-	// missed is the number of calls in a row without an answer while the owner was
-	// slow.
-	missed int
 	// restUntil is until when a slow owner lets ends gather at the worker.
 	restUntil time.Time
 }
@@ -81,7 +72,7 @@
 		o := bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.seen}
 		// A worker that does not answer gets no new lease: the call may be carried
 		// out late, and the end of the leases could never be told.
-		if w.synced && !w.silent() && w.missed == 0 {
+		if w.synced && !w.silent() {
 			o.LeaseUntil = c.grant(now, w)
 			if !unstored && len(w.attempts) > 0 && !w.unsure() {
 				o.Wait = c.holdWaitAt(now, w)
@@ -269,12 +260,6 @@
 		c.noteWithheld(now, err)
 		return
 	}
-	if c.ownerSlow(now) && isTimeout(err) && w.missed < missedWhileSlow {
-		// The answer may have waited in this process.
-		w.missed++
-		w.health.avoid(now)
-		return
-	}
 	w.failures++
 	c.noteLoss(now, w, err)
 	if w.failures == silentAfter {
@@ -282,13 +267,6 @@
 	}
 }
 
-// isTimeout reports whether an error may mean no more than that the owner was slow:
-// the worker did not refuse, and no connection to it.
-func isTimeout(err error) bool {
-	var unknown *bamboofall.UnknownOutcomeError
-	return errors.As(err, &unknown) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // noteLoss notes that a call got no answer though it may have been done. Answers to
 // a slow owner are late, not lost.
 func (c *Cell) noteLoss(now time.Time, w *worker, err error) {
@@ -339,7 +317,7 @@
 		c.unsettled = true
 		c.note(Note{Event: "worker answers again", Worker: w.info.ID})
 	}
-	w.failures, w.missed = 0, 0
+	w.failures = 0
 	if s.Clock > 0 {
 		w.clock, w.clockAt = s.Clock, now
 	}
--- a/internal/jobs/cell/slow_test.go
+++ b/internal/jobs/cell/slow_test.go
@@ -116,36 +116,16 @@
 	assert.Equal(t, s.again("i-3").Hold.Wait, long, "it is over")
 }
 
-// While the owner is slow, answers are late on its account.
-func TestASlowOwnerTakesNoWorkerForSilentAtOnce(t *testing.T) {
+// While the owner is slow, answers are late on its account, and not lost.
+func TestALateAnswerToASlowOwnerShortensNoCalls(t *testing.T) {
 	s := newSite(t, "a", "a", "a", "b")
 	s.slow = 200 * time.Millisecond
 	s.step()
-	for range 2 {
-		o, _ := s.nextAt("i-1")
-		s.Held(s.now, o, bamboofall.HoldReport{}, unanswered)
-	}
-	o, _ := s.nextAt("i-1")
-	assert.Equal(t, o.Hold.LeaseUntil, time.Duration(0), "the end of a lease must be known of a worker that may be silent")
-	s.answer(o)
-	o, _ = s.nextAt("i-1")
-	assert.Assert(t, o.Hold.LeaseUntil > 0)
-	assert.Equal(t, o.Hold.Wait, 2*time.Second, "nothing was lost")
-	_, silent := s.Workers()
-	assert.Equal(t, silent, 0)
-	s.Held(s.now, o, bamboofall.HoldReport{}, unanswered)
-	for range 2 {
-		o, _ = s.nextAt("i-1")
-		s.noSilence = false
-		s.Held(s.now, o, bamboofall.HoldReport{}, unanswered)
+	s.lose("i-1")
+	s.lose("i-2")
+	for _, worker := range []string{"i-1", "i-2", "i-3"} {
+		assert.Equal(t, s.again(worker).Hold.Wait, 2*time.Second)
 	}
-	_, silent = s.Workers()
-	assert.Equal(t, silent, 1, "it has left three calls in a row unanswered")
-	// A refused connection is no matter of time.
-	o, _ = s.nextAt("i-2")
-	s.Held(s.now, o, bamboofall.HoldReport{}, &bamboofall.NotDoneError{Call: "hold", Reason: "refused"})
-	_, silent = s.Workers()
-	assert.Equal(t, silent, 2)
 }
 
 // A slow owner that asks as often as ever only gets slower.
