--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -24,7 +24,8 @@
 	ownerRing = 8192
 	// ownerTick is the time between steps without events.
 	ownerTick = 20 * time.Millisecond
-	// stepEvents is the number of events that share a step.
+	// stepEvents is the number of events that share a step at least, if they come as
+	// fast.
 	stepEvents = 64
 	// countEvery is the time between updates of the counters.
 	countEvery = time.Second
@@ -56,6 +57,7 @@
 	// renewal is the sequence number of the next renewal.
 	renewal uint64
 	delays  *delays
+	sender  *sender
 	// yielding is closed when the owner gives the cell to a stronger VM.
 	yielding chan struct{}
 	// underWay is the number of orders that are not answered.
@@ -84,7 +86,7 @@
 // newOwner returns an owner that has not started. It ends with the context.
 func newOwner(ctx context.Context, f *Front, r lease.Record, former time.Time, sequence uint64) *owner {
 	group, ctx := errgroup.WithContext(ctx)
-	return &owner{
+	o := &owner{
 		front: f, record: r, events: ring.New[func(time.Time)](ownerRing),
 		group: group, ctx: ctx, renewal: sequence, sequence: sequence, delays: newDelays(f.metrics),
 		yielding: make(chan struct{}),
@@ -94,6 +96,8 @@
 			RemoteFactor: f.set.Bounds.RemoteFactor, HarmAfter: f.set.Bounds.HarmAfter,
 		}),
 	}
+	o.sender = newSender(o.carryOut)
+	return o
 }
 
 // run restores the cell and owns it until it is deposed, released or stopped.
@@ -246,8 +250,10 @@
 	}
 }
 
+// drainEvents takes in what has arrived before a step: a slow step is not made
+// again for each few of the events that came meanwhile.
 func (o *owner) drainEvents() {
-	for range stepEvents {
+	for range max(stepEvents, len(o.events.Items())) {
 		select {
 		case f := <-o.events.Items():
 			f(now())
@@ -270,7 +276,7 @@
 	}
 	for _, order := range out.Orders {
 		o.underWay.Add(1)
-		go o.carryOut(order, at, began)
+		o.sender.add(&queuedOrder{Order: order, decided: at, handed: began})
 	}
 	if at.Sub(o.counted) >= countEvery {
 		o.counted = at
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -71,10 +71,12 @@
 	counters Counters
 	out      Output
 	nextScan time.Time
-	// lossyAt is when a call to a worker last got no answer.
-	lossyAt time.Time
+	// lossyAt is when answers of a data centre last got lost.
+	lossyAt map[bamboofall.DataCentre]time.Time
 	// owner is the owner's own delay.
 	owner ownerDelay
+	// withheldAt is when the owner last held back an order for a cause of its own.
+	withheldAt time.Time
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
@@ -143,6 +145,10 @@
 	beside bool
 }
 
+// Withdrawn reports whether an order must not be sent any more, as its run is to
+// end or has been given up. It may be called while the cell decides.
+func (o *Order) Withdrawn() bool { return o.Kind == OrderStart && o.attempt.withdrawn.Load() }
+
 // Output is what a step decided.
 type Output struct {
 	Orders []Order
@@ -158,6 +164,7 @@
 		queues:   make(map[string]*bamboofall.Queue),
 		jobs:     make(map[bamboofall.JobID]*job),
 		workers:  make(map[string]*worker),
+		lossyAt:  make(map[bamboofall.DataCentre]time.Time),
 		ready:    make(map[*step]bool),
 		timed:    make(map[*job]bool),
 		pending:  newChanges(),
@@ -186,7 +193,9 @@
 func (c *Cell) Step(now time.Time) Output {
 	c.endPauses(now)
 	c.scan(now)
-	c.place(now)
+	if now.Sub(c.withheldAt) >= withheldPause {
+		c.place(now)
+	}
 	c.hold(now)
 	out := c.out
 	c.out = Output{}
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -20,6 +20,15 @@
 	holdWaitLossy = 400 * time.Millisecond
 	// lossyFor is how long after a call without an answer others are expected.
 	lossyFor = 5 * time.Second
+	// lossyLeast and lossyShare are the number and the share of the workers of a data
+	// centre that must have left a call unanswered for answers to count as lost on
+	// the way there: single workers crash.
+	lossyLeast = 2
+	lossyShare = 0.05
+	// restMost bounds how long a slow owner lets ends gather at a worker, slowMost
+	// by how much it lengthens the times between calls.
+	restMost = 300 * time.Millisecond
+	slowMost = 4
 	// askEvery is the least time between questions beside a call that waits.
 	askEvery = 80 * time.Millisecond
 	// holdRetry is the time to the next try after a call that failed.
@@ -27,15 +36,27 @@
 	// holdUnstored is the time between calls while ends wait for the store, for
 	// the worker repeats them at once.
 	holdUnstored = 400 * time.Millisecond
+	// withheldPause is how long nothing is placed after the owner has held back an
+	// order: a renewal that confirms the owner takes a few milliseconds, and is tried
+	// again after 100.
+	withheldPause = 100 * time.Millisecond
 	// clockFresh is the age at which the clock of an idle worker is looked at
 	// again: after it a lease would be shorter by up to 0.4 s.
 	clockFresh = 20 * time.Second
 )
 
+// calls is what the calls to a worker came to.
+type calls struct {
+	// lossyAt is when a call last got no answer.
+	lossyAt time.Time
+	// restUntil is until when a slow owner lets ends gather at the worker.
+	restUntil time.Time
+}
+
 // hold renews leases and asks workers what they run.
 func (c *Cell) hold(now time.Time) {
 	for _, w := range c.order {
-		if w.holding || now.Before(w.nextHold) {
+		if w.holding || now.Before(w.nextHold) || now.Before(w.restUntil) {
 			continue
 		}
 		unstored := c.endsUnstored(w)
@@ -67,7 +88,7 @@
 
 // ask asks a worker for what it runs beside a call that waits for an end.
 func (c *Cell) ask(now time.Time, w *worker) {
-	if !w.holding || !w.synced || w.asking || now.Sub(w.askedAt) < askEvery {
+	if !w.holding || !w.synced || w.asking || now.Sub(w.askedAt) < c.slowed(now, askEvery) {
 		return
 	}
 	w.asking, w.askedAt = true, now
@@ -81,14 +102,27 @@
 func (c *Cell) holdWaitAt(now time.Time, w *worker) time.Duration {
 	wait := holdWait
 	if w.mixed() {
-		wait = holdWaitBeside
+		wait = min(wait, c.slowed(now, holdWaitBeside))
 	}
-	if !c.lossyAt.IsZero() && now.Sub(c.lossyAt) < lossyFor {
-		wait = min(wait, holdWaitLossy)
+	if c.lossy(now, w) {
+		wait = min(wait, c.slowed(now, holdWaitLossy))
 	}
 	return wait
 }
 
+// slowed makes a time between calls longer by the owner's own delay: twice as long
+// for an owner that just counts as slow. A call more would make all others later.
+func (c *Cell) slowed(now time.Time, d time.Duration) time.Duration {
+	factor := 1 + float64(c.ownerDelayAt(now))/float64(slowOwner)
+	return time.Duration(min(factor, slowMost) * float64(d))
+}
+
+// lossy reports whether answers of a worker may get lost.
+func (c *Cell) lossy(now time.Time, w *worker) bool {
+	recent := func(at time.Time) bool { return !at.IsZero() && now.Sub(at) < lossyFor }
+	return recent(w.lossyAt) || recent(c.lossyAt[w.info.Zone])
+}
+
 // Workers returns the number of workers that are known, and of those that do not
 // answer.
 func (c *Cell) Workers() (known, silent int) {
@@ -153,8 +187,11 @@
 		return
 	}
 	w.nextHold = now
+	if c.ownerSlow(now) {
+		w.restUntil = now.Add(min(c.ownerDelayAt(now), restMost))
+	}
 	if c.endsUnstored(w) {
-		w.nextHold = now.Add(holdUnstored)
+		w.nextHold = now.Add(c.slowed(now, holdUnstored))
 		if !w.awaitsStore {
 			w.awaitsStore = true
 			c.unstored = append(c.unstored, w)
@@ -188,8 +225,12 @@
 }
 
 func (c *Cell) holdFailed(now time.Time, w *worker, err error) {
+	w.nextHold = now.Add(c.slowed(now, holdRetry))
+	if failedOnTheWay(err) {
+		c.noteWithheld(now, err)
+		return
+	}
 	c.counters.HoldFailures++
-	w.nextHold = now.Add(holdRetry)
 	var rejected *bamboofall.RejectedError
 	if errors.As(err, &rejected) {
 		c.rejected(now, w, rejected)
@@ -201,29 +242,55 @@
 // failedOnTheWay reports whether an order failed before it was the worker's.
 func failedOnTheWay(err error) bool {
 	var carrier *bamboofall.CarrierError
-	return errors.As(err, &carrier)
+	var withheld *bamboofall.WithheldError
+	return errors.As(err, &carrier) || errors.As(err, &withheld)
+}
+
+// noteWithheld notes that the owner held back an order as it was late or may not
+// act. The next would be held back as well.
+func (c *Cell) noteWithheld(now time.Time, err error) {
+	var withheld *bamboofall.WithheldError
+	if errors.As(err, &withheld) && withheld.Cause != bamboofall.WithheldWithdrawn {
+		c.withheldAt = now
+	}
 }
 
 // unheard notes that a worker did not answer.
 func (c *Cell) unheard(now time.Time, w *worker, err error) {
 	if failedOnTheWay(err) {
+		c.noteWithheld(now, err)
 		return
 	}
 	if w.failures == 0 {
 		w.silentSince = now
 	}
 	w.failures++
-	c.noteLoss(now, err)
+	c.noteLoss(now, w, err)
 	if w.failures == silentAfter {
 		c.note(Note{Event: "worker silent", Worker: w.info.ID, Detail: err.Error()})
 	}
 }
 
-// noteLoss notes that a call got no answer though it may have been done.
-func (c *Cell) noteLoss(now time.Time, err error) {
+// noteLoss notes that a call got no answer though it may have been done. Answers to
+// a slow owner are late, not lost.
+func (c *Cell) noteLoss(now time.Time, w *worker, err error) {
 	var unknown *bamboofall.UnknownOutcomeError
-	if errors.As(err, &unknown) && !failedOnTheWay(err) {
-		c.lossyAt = now
+	if !errors.As(err, &unknown) || failedOnTheWay(err) || c.ownerSlow(now) {
+		return
+	}
+	w.lossyAt = now
+	zone, all, lossy := w.info.Zone, 0, 0
+	for _, x := range c.order {
+		if x.info.Zone != zone || !x.listed {
+			continue
+		}
+		all++
+		if !x.lossyAt.IsZero() && now.Sub(x.lossyAt) < lossyFor {
+			lossy++
+		}
+	}
+	if lossy >= lossyLeast && float64(lossy) >= lossyShare*float64(all) {
+		c.lossyAt[zone] = now
 	}
 }
 
--- /dev/null
+++ b/internal/jobs/cell/withdrawn_test.go
@@ -0,0 +1,49 @@
+package cell_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+)
+
+// A start that waits in the owner must not leave it once the job is cancelled.
+func TestAStartIsWithdrawnWithItsJob(t *testing.T) {
+	d := newDriven(t)
+	start := d.next(cell.OrderStart)
+	assert.Assert(t, !start.Withdrawn())
+	d.Cancel(d.now, "0000000000000001")
+	assert.Assert(t, start.Withdrawn())
+	stop := d.next(cell.OrderStop)
+	assert.Assert(t, !stop.Withdrawn())
+	d.Started(d.now, start, bamboofall.Sighting{}, withheld(bamboofall.WithheldWithdrawn))
+	d.Stopped(d.now, stop, d.seen(), nil)
+	d.submit("0000000000000002")
+	next := d.next(cell.OrderStart)
+	assert.Equal(t, next.Start.Task.Job, bamboofall.JobID("0000000000000002"))
+	assert.Assert(t, !next.Withdrawn())
+}
+
+// A start that waits in the owner must not leave it once its task has been begun
+// again.
+func TestAStartIsWithdrawnBeforeItsTaskIsBegunAgain(t *testing.T) {
+	d := newDriven(t)
+	start := d.next(cell.OrderStart)
+	born := d.now
+	room := bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30}
+	d.SetWorker(d.now, bamboofall.Worker{WorkerRef: start.Worker, Born: born, Service: "s", Room: room})
+	for range 100 {
+		d.step()
+		open := d.open
+		d.open = nil
+		for _, o := range open {
+			if o.Kind == cell.OrderHold {
+				d.Held(d.now, o, bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: d.now.Sub(born) + 1, Born: born}}, nil)
+				continue
+			}
+			assert.Assert(t, o.Kind != cell.OrderStart || start.Withdrawn())
+		}
+	}
+}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -86,6 +86,7 @@
 	// set while that waits for the end of a pause, wasUsable as last seen.
 	gained             uint64
 	pausing, wasUsable bool
+	calls
 	// drainingSince is when the worker was first seen to leave.
 	drainingSince time.Time
 	// observedAt is when tails were last taken into account, overSince since
