jobs/cell: keep a start that a new life of its worker may carry out

Workers keep their names when they start again, so an order to a former life can be carried out by the next: while a worker is down connections to it are tried for until it listens. The cell took all runs off with the former life and began them again at once; the same task then ran twice, once it was done. A start without an answer now stays in doubt until the new life has told, or been told to stop it; only what was known to run is taken off.

In the model an order to a worker that is down reaches its next life if that begins within the time limit of a call. Ends can only be acknowledged that there are, as a call may be meant for a former life.

attempt.go is touched for the answers of another life.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -197,10 +197,17 @@
 // Started takes over the answer to a start order.
 func (c *Cell) Started(now time.Time, o Order, s bamboofall.Sighting, err error) {
 	a, w := o.attempt, o.worker
-	if err == nil && !c.sighted(now, o, s) {
+	sighted := err != nil || c.sighted(now, o, s)
+	if !a.held || a.state != attemptStarting {
 		return
 	}
-	if !a.held || a.state != attemptStarting {
+	if !sighted {
+		// It started in a former life, if that is known.
+		if s.Born.IsZero() {
+			c.doubt(now, a)
+			return
+		}
+		c.lost(now, a, "the worker started again")
 		return
 	}
 	if err == nil {
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -705,6 +705,49 @@
 	assert.Equal(t, starts, 1)
 }
 
+// Workers keep their names when they start again. An order that was sent to the
+// former life can start a run in the new one, which must not be begun elsewhere.
+func TestAStartThatANewLifeCarriesOutIsKept(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		t.Run(fmt.Sprintf("answered %v", answered), func(t *testing.T) {
+			c, start, step := oneTask(t)
+			c.SetWorker(benchStart, testWorker(2))
+			now := benchStart.Add(100 * time.Millisecond)
+			for _, o := range step(now) {
+				c.Held(now, o, bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: time.Second, Born: benchStart}}, nil)
+			}
+			reborn := testWorker(1)
+			reborn.Born = now
+			seen := bamboofall.Sighting{Clock: time.Millisecond, Born: now}
+			if answered {
+				c.Started(now, start, seen, nil)
+			} else {
+				c.SetWorker(now, reborn)
+			}
+			starts, stops := 0, 0
+			for range 20 {
+				now = now.Add(50 * time.Millisecond)
+				for _, o := range step(now) {
+					here := bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: now.Sub(reborn.Born), Born: reborn.Born}}
+					switch {
+					case o.Kind == cell.OrderStart:
+						starts++
+					case o.Kind == cell.OrderStop:
+						stops++
+					case o.Worker.ID == "i-2":
+						c.Held(now, o, bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: time.Second, Born: benchStart}}, nil)
+					default:
+						here.Running = []bamboofall.Placed{{Task: start.Start.Task, Run: start.Start.Run, Percent: 50}}
+						c.Held(now, o, here, nil)
+					}
+				}
+			}
+			assert.Equal(t, starts, 0)
+			assert.Equal(t, stops, 0)
+		})
+	}
+}
+
 // A copy may run beside a run that may have ended.
 func TestATaskThatAllowsCopiesIsBegunAgainAfterTheLease(t *testing.T) {
 	step := finiteStep
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -32,6 +32,9 @@
 			c.orphan(now, w, p)
 			continue
 		}
+		if t.runsAt(w, p.Run) {
+			continue // a start that was under way to a former life
+		}
 		a := c.reserve(w, t, p.Run)
 		a.state = attemptRunning
 		a.confirmedAt, a.startedAt, a.movedAt = now, now, now
@@ -95,13 +98,18 @@
 		c.observe(now, w)
 	}
 	for _, p := range listed {
-		if t := c.find(p.Task); t != nil && slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.worker == w && a.run == p.Run }) {
+		if t := c.find(p.Task); t != nil && t.runsAt(w, p.Run) {
 			continue
 		}
 		c.unexpected(now, w, *p)
 	}
 }
 
+// runsAt reports whether a run of a task is known at a worker.
+func (t *task) runsAt(w *worker, run uint32) bool {
+	return slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.worker == w && a.run == run })
+}
+
 // allEnds reports whether an answer lists all the ends that there are.
 func allEnds(report bamboofall.HoldReport) bool { return len(report.Ends) < EndsListed }
 
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -227,19 +227,26 @@
 	return nil
 }
 
-// reborn notes that a new life of a worker has begun: what ran is gone.
+// reborn notes that a new life of a worker has begun: what ran is gone, but not
+// what is still to start.
 func (c *Cell) reborn(now time.Time, w *worker, born time.Time) {
 	if !w.born.IsZero() {
 		c.note(Note{Event: "worker reborn", Worker: w.info.ID, Detail: "born " + born.UTC().Format(time.RFC3339Nano)})
 	}
+	w.leasesEnd = time.Time{}
 	for _, a := range slices.Clone(w.attempts) {
+		if a.state == attemptStarting || a.state == attemptUnsure {
+			// Its start may be under way, and the new life may carry it out.
+			a.doubtedAt, a.stopped = now, time.Time{}
+			w.leasesEnd = now.Add(LeaseBound(c.cfg.Lease))
+			continue
+		}
 		c.lost(now, a, "the worker started again")
 	}
 	w.born = born
 	w.info.Born = born
 	w.synced, w.former, w.told = false, false, false
 	w.seen, w.got, w.gotAt, w.acknowledged = 0, 0, 0, 0
-	w.leasesEnd = time.Time{}
 	w.nextHold = now
 	w.health = health{}
 	w.drainingSince = time.Time{}
--- a/internal/jobs/sim/worker.go
+++ b/internal/jobs/sim/worker.go
@@ -23,6 +23,8 @@
 	up    bool
 	// life counts the lives that have ended.
 	life int
+	// upAt is when the next life begins of a worker that is down.
+	upAt time.Time
 	// Cut is set while owners do not reach the worker.
 	Cut bool
 	// CutFromOwner is set while the owner does not reach the worker but a former
@@ -96,6 +98,7 @@
 	x.running, x.ends, x.waiting = nil, nil, nil
 	x.up = false
 	x.life++
+	x.upAt = x.w.now.Add(down)
 	x.w.after(down, func() {
 		x.born = x.w.now
 		x.up = true
@@ -240,7 +243,11 @@
 		})
 		return
 	}
-	w.after(way(), func() {
+	arrive := way()
+	if left := x.upAt.Sub(w.now); !x.up && left > 0 && left < callTimeout {
+		arrive += left // the connection is tried for until there is a new life
+	}
+	w.after(arrive, func() {
 		if !x.up || x.Cut || x.CutFromOwner && owner == w.cell || x.CutFromFormer && owner != w.cell {
 			return
 		}
@@ -428,7 +435,7 @@
 
 func (x *Worker) hold(o bamboofall.HoldOrder, answer reply) {
 	x.grant(o.LeaseUntil)
-	x.acked = max(x.acked, o.Seen)
+	x.acked = max(x.acked, min(o.Seen, x.number)) // a call may be meant for a former life
 	for _, e := range x.ends {
 		if e.Number <= x.acked && e.Cause == bamboofall.EndDone {
 			x.w.audit(e.Task).acknowledged = true
