jobs/sim: model an owner with a processor and a link

No test could show an owner that is slow. An owner may now have a VM: each event, order, answer, submission and step takes processor time in one line, bytes wait for the link, orders time out after 400 ms on the owner's clock and are not sent if they have waited for 500 ms, as in the real one.

--- a/internal/jobs/sim/doc.go
+++ b/internal/jobs/sim/doc.go
@@ -8,6 +8,9 @@
 // owner of the cell can be replaced at any moment by one that has only what was
 // stored.
 //
+// An owner may have a VM with so much of a processor and of a link. All that it
+// does then waits in one line, and calls time out on its own clock.
+//
 // The model audits what workers see: no task runs twice at once or after its end
 // was acknowledged, none starts before the steps it waits for, none after its
 // cancellation was confirmed, and no worker is given more than it holds. Equal
--- /dev/null
+++ b/internal/jobs/sim/owner.go
@@ -0,0 +1,134 @@
+package sim
+
+import (
+	"time"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+)
+
+// OwnerVM is what the VM of an owner can carry. Without it an owner takes no time.
+type OwnerVM struct {
+	// Processors is how much of one processor the owner has.
+	Processors float64
+	// LinkBytes is what its link carries in a second, in each direction. Zero means
+	// any amount.
+	LinkBytes float64
+}
+
+// The processor time and the bytes of what an owner does. All owners that are
+// compared pay them, so no bound depends on their size.
+const (
+	orderCost  = 90 * time.Microsecond
+	answerCost = 90 * time.Microsecond
+	eventCost  = 10 * time.Microsecond
+	submitCost = 100 * time.Microsecond
+	stepCost   = 20 * time.Microsecond
+	// openCost is what an open job adds to a step.
+	openCost = 300 * time.Nanosecond
+
+	orderBytes  = 500
+	answerBytes = 300
+	// entryBytes is the size of a run or an end in an answer.
+	entryBytes = 50
+
+	// ownerCallTimeout is how long an owner with a VM waits for the answer to an
+	// order.
+	ownerCallTimeout = 400 * time.Millisecond
+	// staleOrder is the age at which an order is not sent any more.
+	staleOrder = 500 * time.Millisecond
+)
+
+// machine is the VM of the present owner. All that it does waits in one line for
+// the processor; what it sends and receives waits for the link.
+type machine struct {
+	w    *World
+	vm   OwnerVM
+	free time.Time
+	// out and in are when the link is free.
+	out, in time.Time
+	// stepping is set while a step waits for the processor.
+	stepping bool
+}
+
+// run does something once the processor has had time for what came before and
+// for this.
+func (m *machine) run(cost time.Duration, do func()) {
+	m.take(cost)
+	m.w.after(m.free.Sub(m.w.now), do)
+}
+
+// take uses processor time.
+func (m *machine) take(cost time.Duration) {
+	m.w.Stats.OwnerBusy += cost
+	m.free = later(m.free, m.w.now).Add(time.Duration(float64(cost) / m.vm.Processors))
+}
+
+// send returns how long it takes until bytes are through a link that is free at a
+// time, and moves that time.
+func (m *machine) send(free *time.Time, bytes int) time.Duration {
+	if m.vm.LinkBytes == 0 {
+		return 0
+	}
+	*free = later(*free, m.w.now).Add(time.Duration(float64(bytes) / m.vm.LinkBytes * float64(time.Second)))
+	return free.Sub(m.w.now)
+}
+
+// delay returns how long an order that is decided now waits in the VM.
+func (m *machine) delay() time.Duration {
+	return max(0, m.free.Sub(m.w.now)) + max(0, m.out.Sub(m.w.now), m.in.Sub(m.w.now))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// machineOf returns the VM of an owner, or nil if it takes no time. A former owner
+// is not modelled.
+func (w *World) machineOf(owner *cell.Cell) *machine {
+	if owner != w.cell {
+		return nil
+	}
+	return w.machine
+}
+
+// event lets the owner take something in, and decide.
+func (w *World) event(owner *cell.Cell, cost time.Duration, take func()) {
+	m := w.machineOf(owner)
+	if m == nil {
+		take()
+		w.step()
+		return
+	}
+	m.run(cost, func() {
+		if w.cell != owner {
+			return
+		}
+		take()
+		w.stepSoon(m)
+	})
+}
+
+// stepSoon lets an owner with a VM decide once the events before are taken in.
+func (w *World) stepSoon(m *machine) {
+	if m.stepping {
+		return
+	}
+	m.stepping = true
+	_, open := w.cell.Jobs()
+	m.run(stepCost+time.Duration(open)*openCost, func() {
+		m.stepping = false
+		if w.machine == m && w.cell != nil {
+			w.cell.SetOwnerDelay(w.now, m.delay())
+			w.step()
+		}
+	})
+}
+
+// sizeOf returns the bytes of an answer.
+func sizeOf(report bamboofall.HoldReport) int {
+	return answerBytes + entryBytes*(len(report.Running)+len(report.Ends))
+}
--- a/internal/jobs/sim/worker.go
+++ b/internal/jobs/sim/worker.go
@@ -202,19 +202,32 @@
 	x.waiting = nil
 }
 
-// send carries an order out: a way there, the work, and a way back.
+// send carries an order out, once the owner has time for it.
 func (w *World) send(owner *cell.Cell, o cell.Order) {
-	x := w.workerOf(o.Worker.ID)
-	way := func() time.Duration { return time.Millisecond + time.Duration(w.random.IntN(4000))*time.Microsecond }
-	answered := false
-	answer := func(s bamboofall.Sighting, report bamboofall.HoldReport, err error) {
-		if answered {
+	m := w.machineOf(owner)
+	if m == nil {
+		w.carry(owner, o, callTimeout, 0, func(_ bamboofall.HoldReport, take func()) { take() })
+		return
+	}
+	decided := w.now
+	m.run(orderCost, func() {
+		if w.machine != m || w.cell != owner {
 			return
 		}
-		answered = true
-		if w.cell != owner && w.ghost != owner {
+		if w.now.Sub(decided) > staleOrder {
+			w.Stats.OwnerStale++
+			w.taken(owner, o, bamboofall.Sighting{}, bamboofall.HoldReport{}, &bamboofall.NotDoneError{Call: "order", Reason: "it waited too long"})
 			return
 		}
+		w.carry(owner, o, ownerCallTimeout, m.send(&m.out, orderBytes), func(report bamboofall.HoldReport, take func()) {
+			w.after(m.send(&m.in, sizeOf(report)), func() { m.run(answerCost, take) })
+		})
+	})
+}
+
+// taken gives the result of an order to its owner.
+func (w *World) taken(owner *cell.Cell, o cell.Order, s bamboofall.Sighting, report bamboofall.HoldReport, err error) {
+	w.event(owner, eventCost, func() {
 		switch o.Kind {
 		case cell.OrderStart:
 			owner.Started(w.now, o, s, err)
@@ -225,11 +238,32 @@
 		case cell.OrderHold:
 			owner.Held(w.now, o, report, err)
 		}
-		w.step()
+	})
+}
+
+// carry carries an order out: a way there, the work, and a way back. It leaves the
+// owner after some time; what comes back is read by the owner before it is taken.
+func (w *World) carry(owner *cell.Cell, o cell.Order, timeout, leaves time.Duration, read func(report bamboofall.HoldReport, take func())) {
+	x := w.workerOf(o.Worker.ID)
+	way := func() time.Duration { return time.Millisecond + time.Duration(w.random.IntN(4000))*time.Microsecond }
+	answered := false
+	answer := func(s bamboofall.Sighting, report bamboofall.HoldReport, err error) {
+		if answered {
+			return
+		}
+		answered = true
+		if w.cell != owner && w.ghost != owner {
+			return
+		}
+		w.taken(owner, o, s, report, err)
 	}
 	unknown := &bamboofall.UnknownOutcomeError{Call: "order", Err: errSilent}
-	timeout := callTimeout + o.Hold.Wait
-	w.after(timeout, func() { answer(bamboofall.Sighting{}, bamboofall.HoldReport{}, unknown) })
+	w.after(timeout+o.Hold.Wait, func() {
+		if !answered {
+			w.Stats.Timeouts++
+		}
+		answer(bamboofall.Sighting{}, bamboofall.HoldReport{}, unknown)
+	})
 	if x == nil {
 		return
 	}
@@ -243,8 +277,8 @@
 		})
 		return
 	}
-	arrive := way()
-	if left := x.upAt.Sub(w.now); !x.up && left > 0 && left < callTimeout {
+	arrive := leaves + way()
+	if left := x.upAt.Sub(w.now); !x.up && left > 0 && left < timeout {
 		arrive += left // the connection is tried for until there is a new life
 	}
 	w.after(arrive, func() {
@@ -253,10 +287,11 @@
 		}
 		x.do(o, func(s bamboofall.Sighting, r bamboofall.HoldReport, err error) {
 			w.after(way(), func() {
-				if !x.Cut {
-					w.hear(owner, x, r)
-					answer(s, r, err)
+				if x.Cut {
+					return
 				}
+				w.hear(owner, x, r)
+				read(r, func() { answer(s, r, err) })
 			})
 		})
 	})
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -35,6 +35,8 @@
 	// Pressure is what images that fill press on images that serve, in
 	// targets for a whole worker.
 	Pressure map[string]map[string]float64
+	// Owner is what the VM of each owner can carry, if it takes any time.
+	Owner *OwnerVM
 }
 
 // Service is the pool to which all workers of a world belong.
@@ -51,6 +53,8 @@
 	workers []*Worker
 	byID    map[string]*Worker
 	cell    *cell.Cell
+	// machine is the VM of the present owner, or nil.
+	machine *machine
 	// ghost is a former owner that goes on without the store.
 	ghost   *cell.Cell
 	token   bamboofall.Token
@@ -74,6 +78,11 @@
 	Accepted, Refused, Completed, Failed int
 	InAim, Late                          int
 	Starts, Done                         int
+	// Timeouts counts the orders that got no answer in time, OwnerStale those that
+	// waited too long in the owner to be sent.
+	Timeouts, OwnerStale int
+	// OwnerBusy is the processor time that owners with a VM used.
+	OwnerBusy time.Duration
 	// OverTarget counts the looks at standing tasks over their target.
 	Looks, OverTarget int
 	// FirstStart holds the times from submission to the first start.
@@ -162,6 +171,10 @@
 		Token: w.token, Lease: w.cfg.Lease, FormerLeases: formerLeases, KeepEnded: 2 * time.Minute, RemoteFactor: 2,
 		HarmAfter: 4 * time.Second,
 	})
+	w.machine = nil
+	if w.cfg.Owner != nil {
+		w.machine = &machine{w: w, vm: *w.cfg.Owner}
+	}
 	w.version++
 	w.cell.SetConfiguration(&bamboofall.Configuration{
 		Version: w.version, Queues: slices.Clone(w.cfg.Queues),
@@ -253,7 +266,11 @@
 	for _, x := range w.workers {
 		x.tick()
 	}
-	w.step()
+	if w.machine != nil && w.cell != nil {
+		w.stepSoon(w.machine)
+	} else {
+		w.step()
+	}
 	if w.ghost != nil {
 		w.sendAll(w.ghost)
 	}
@@ -308,19 +325,33 @@
 			}
 			w.store[r.Key] = r.Value
 		}
-		w.storing = false
-		owner.Stored(w.now, number)
-		w.step()
+		w.event(owner, eventCost, func() {
+			w.storing = false
+			owner.Stored(w.now, number)
+		})
 	})
 }
 
 // Submit hands a job in. It reports whether it was accepted, and when to come
-// back if not.
+// back if not. An owner with a VM decides later.
 func (w *World) Submit(spec *bamboofall.Job) (bool, time.Duration) {
 	if w.cell == nil {
 		return false, 0
 	}
-	a := &account{spec: spec, submitted: w.now}
+	if m := w.machine; m != nil {
+		called := w.now
+		m.run(submitCost, func() {
+			if w.machine == m && w.cell != nil {
+				w.submit(spec, called)
+			}
+		})
+		return true, 0
+	}
+	return w.submit(spec, w.now)
+}
+
+func (w *World) submit(spec *bamboofall.Job, called time.Time) (bool, time.Duration) {
+	a := &account{spec: spec, submitted: called}
 	for _, q := range w.cfg.Queues {
 		if q.Name == spec.Queue {
 			a.queue = q
@@ -334,7 +365,11 @@
 	w.Stats.Accepted++
 	a.accepted = true
 	w.jobs[spec.ID] = a
-	w.step()
+	if w.machine != nil {
+		w.stepSoon(w.machine)
+	} else {
+		w.step()
+	}
 	w.watch(a)
 	return true, 0
 }
