jobs/cell: take in answers of calls that were given up

A worker lists its ends in an answer that the owner, being slow, reads after it has given the call up. It was dropped, and with it what the platform may count as taken note of. HeldLate takes it in; it frees no call and grants nothing.

The model reads late answers as well, and its owners measure their delay as the real one does: the longer of the smoothed means, of 250 ms each, of how long orders and events wait, the link left out.

--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -748,6 +748,37 @@
 	}
 }
 
+// An answer may come after its call was given up. The ends that it lists are told
+// only once if the worker starts again.
+func TestEndsInALateAnswerAreTakenIn(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, seen, nil)
+	var hold cell.Order
+	for hold.Kind == 0 {
+		now = now.Add(50 * time.Millisecond)
+		for _, o := range step(now) {
+			hold = o
+		}
+	}
+	c.Held(now, hold, bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: "hold"})
+	c.HeldLate(now, hold, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+		{Number: 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone},
+	}})
+	reborn := testWorker(1)
+	reborn.Born = now
+	c.SetWorker(now, reborn)
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		for _, o := range step(now) {
+			assert.Assert(t, o.Kind != cell.OrderStart)
+		}
+	}
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
 // A copy may run beside a run that may have ended.
 func TestATaskThatAllowsCopiesIsBegunAgainAfterTheLease(t *testing.T) {
 	step := finiteStep
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -138,18 +138,7 @@
 		c.holdFailed(now, w, err)
 		return
 	}
-	if !c.sighted(now, o, report.Sighting) {
-		return
-	}
-	if !w.synced {
-		w.synced = true
-		c.unsettled = true
-		c.adopt(now, w, report)
-	}
-	w.told = w.told || allEnds(report)
-	c.takeEnds(now, w, report.Ends)
-	c.compare(now, o, w, report)
-	if o.beside {
+	if !c.heard(now, o, report) || o.beside {
 		return
 	}
 	w.nextHold = now
@@ -162,6 +151,31 @@
 	}
 }
 
+// HeldLate takes over the answer to a hold order that was given up before.
+func (c *Cell) HeldLate(now time.Time, o Order, report bamboofall.HoldReport) {
+	if c.workers[o.worker.info.ID] == o.worker {
+		c.heard(now, o, report)
+	}
+}
+
+// heard takes over what a worker reports. It returns false if the report is of
+// another life than the order.
+func (c *Cell) heard(now time.Time, o Order, report bamboofall.HoldReport) bool {
+	w := o.worker
+	if !c.sighted(now, o, report.Sighting) {
+		return false
+	}
+	if !w.synced {
+		w.synced = true
+		c.unsettled = true
+		c.adopt(now, w, report)
+	}
+	w.told = w.told || allEnds(report)
+	c.takeEnds(now, w, report.Ends)
+	c.compare(now, o, w, report)
+	return true
+}
+
 func (c *Cell) holdFailed(now time.Time, w *worker, err error) {
 	c.counters.HoldFailures++
 	w.nextHold = now.Add(holdRetry)
--- a/internal/jobs/sim/owner.go
+++ b/internal/jobs/sim/owner.go
@@ -37,6 +37,8 @@
 	ownerCallTimeout = 400 * time.Millisecond
 	// staleOrder is the age at which an order is not sent any more.
 	staleOrder = 500 * time.Millisecond
+	// delayEvery is the time between looks at its own delay.
+	delayEvery = 250 * time.Millisecond
 )
 
 // machine is the VM of the present owner. All that it does waits in one line for
@@ -47,6 +49,11 @@
 	free time.Time
 	// out and in are when the link is free.
 	out, in time.Time
+	// waits are how long orders and events waited since delayAt, and delay is what
+	// the owner was told of it.
+	waits   [2]struct{ sum, n time.Duration }
+	means   [2]time.Duration
+	delayAt time.Time
 	// stepping is set while a step waits for the processor.
 	stepping bool
 }
@@ -74,9 +81,29 @@
 	return free.Sub(m.w.now)
 }
 
-// delay returns how long an order that is decided now waits in the VM.
+// What waits in an owner.
+const (
+	waitOrder = iota
+	waitEvent
+)
+
+// waited notes how long something waited for the processor.
+func (m *machine) waited(kind int, wait time.Duration) {
+	m.waits[kind].sum += wait
+	m.waits[kind].n++
+}
+
+// delay returns the longer of the smoothed mean waits, as an owner measures them.
+// It does not see what waits for the link.
 func (m *machine) delay() time.Duration {
-	return max(0, m.free.Sub(m.w.now)) + max(0, m.out.Sub(m.w.now), m.in.Sub(m.w.now))
+	longest := time.Duration(0)
+	for kind := range m.waits {
+		mean := m.waits[kind].sum / max(1, m.waits[kind].n)
+		m.means[kind] = (m.means[kind] + mean) / 2
+		longest = max(longest, m.means[kind])
+	}
+	clear(m.waits[:])
+	return longest
 }
 
 func later(a, b time.Time) time.Time {
@@ -103,10 +130,12 @@
 		w.step()
 		return
 	}
+	arrived := w.now
 	m.run(cost, func() {
 		if w.cell != owner {
 			return
 		}
+		m.waited(waitEvent, w.now.Sub(arrived))
 		take()
 		w.stepSoon(m)
 	})
@@ -122,7 +151,10 @@
 	m.run(stepCost+time.Duration(open)*openCost, func() {
 		m.stepping = false
 		if w.machine == m && w.cell != nil {
-			w.cell.SetOwnerDelay(w.now, m.delay())
+			if w.now.Sub(m.delayAt) >= delayEvery {
+				m.delayAt = w.now
+				w.cell.SetOwnerDelay(w.now, m.delay())
+			}
 			w.step()
 		}
 	})
--- a/internal/jobs/sim/worker.go
+++ b/internal/jobs/sim/worker.go
@@ -214,6 +214,7 @@
 		if w.machine != m || w.cell != owner {
 			return
 		}
+		m.waited(waitOrder, w.now.Sub(decided))
 		if w.now.Sub(decided) > staleOrder {
 			w.Stats.OwnerStale++
 			w.taken(owner, o, bamboofall.Sighting{}, bamboofall.HoldReport{}, &bamboofall.NotDoneError{Call: "order", Reason: "it waited too long"})
@@ -249,6 +250,9 @@
 	answered := false
 	answer := func(s bamboofall.Sighting, report bamboofall.HoldReport, err error) {
 		if answered {
+			if o.Kind == cell.OrderHold && err == nil && w.machineOf(owner) != nil {
+				w.event(owner, eventCost, func() { owner.HeldLate(w.now, o, report) })
+			}
 			return
 		}
 		answered = true
