--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -191,6 +191,7 @@
 
 // Step decides what is due.
 func (c *Cell) Step(now time.Time) Output {
+	c.owner.close(now)
 	c.endPauses(now)
 	c.scan(now)
 	if now.Sub(c.withheldAt) >= withheldPause {
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -88,7 +88,7 @@
 
 // ask asks a worker for what it runs beside a call that waits for an end.
 func (c *Cell) ask(now time.Time, w *worker) {
-	if !w.holding || !w.synced || w.asking || now.Sub(w.askedAt) < c.slowed(now, askEvery) {
+	if !w.holding || !w.synced || w.asking || c.ownerSlow(now) || now.Sub(w.askedAt) < askEvery {
 		return
 	}
 	w.asking, w.askedAt = true, now
@@ -261,9 +261,17 @@
 		c.noteWithheld(now, err)
 		return
 	}
-	if w.failures == 0 {
+	slow := c.ownerSlow(now)
+	if w.failures == 0 || slow && w.listed {
+		// What an owner that is slow does not hear shows nothing.
 		w.silentSince = now
 	}
+	if slow {
+		w.missed++
+		if w.missed < slowFailures {
+			return
+		}
+	}
 	w.failures++
 	c.noteLoss(now, w, err)
 	if w.failures == silentAfter {
@@ -323,6 +331,8 @@
 		c.gained(w)
 		c.note(Note{Event: "worker answers again", Worker: w.info.ID})
 	}
+	w.missed = 0
+	c.noteAnswer(now, o)
 	if s.Clock > 0 {
 		w.clock, w.clockAt = s.Clock, now
 	}
