wire/httpclient: read answers on the goroutine of the call

Seen by callers: an owner short of processor time; answers that had arrived counted as silence; calls on connections that the other end had closed ended as unknown. Causes: - nbio's poller waits in a system call of its own, outside Go's scheduler, so each answer took a poller's thread, a goroutine of nbio's task pool and the caller's goroutine, and each call two goroutines and a channel besides. - After a freeze or while starved of processor time, the answer and the deadline were ready at the same time, and select took either. Go runs timers before it looks at connections, so the deadline mostly won. Change: the goroutine of the call writes the request in one system call, waits, and feeds what it reads to nbhttp's parser. A look at an idle connection before the write tells one that was closed from one that is silent; it is opened anew, as nothing was sent. At the deadline the connection is looked at once more. If this process came late to the deadline by more than 20 ms, it waits as long again, and a time-out after it was late again does not put the other connections of the host in doubt. A call whose deadline has passed before the write sends nothing and says so. A call that its context cancels puts no other connection in doubt. Ruled out: nbio's blocking mode for clients; ClientConn has none. A wait for the edge without a read before the write: it saves a system call, but an idle connection that was closed would look silent until the deadline.

--- /dev/null
+++ b/internal/wire/httpclient/conn.go
@@ -0,0 +1,393 @@
+package httpclient
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+const (
+	// readSize is the size of a read, in bytes: most answers are shorter.
+	readSize = 16 << 10
+	// maxKept bounds a buffer that is kept for later requests, in bytes.
+	maxKept = 64 << 10
+	// ownDelay is how late this process may look at a deadline for the silence to
+	// be the other end's. A timer of an idle process is a few milliseconds late.
+	ownDelay = 20 * time.Millisecond
+)
+
+var (
+	errClosed = errors.New("the connection is closed")
+	// errStale says that the other end closed a connection between two calls.
+	errStale = errors.New("the connection was closed while it was idle")
+
+	readBuffers  = sync.Pool{New: func() any { return new([readSize]byte) }}
+	writeBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+)
+
+// Conn is a connection. A Conn carries one call at a time.
+type Conn struct {
+	engine *Engine
+	limit  time.Duration
+	answer answer
+
+	mu     sync.Mutex
+	conn   *net.TCPConn
+	closed bool
+}
+
+// Close closes the connection. A call under way fails.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	conn := c.conn
+	c.conn, c.closed = nil, true
+	c.mu.Unlock()
+	if conn != nil {
+		c.engine.leave(c)
+		// There is nothing to do about a connection that does not close.
+		_ = conn.Close()
+	}
+}
+
+// Do makes a call and hands its end to done, once. The body of the answer is
+// whole and in memory. It blocks until then.
+func (c *Conn) Do(req *http.Request, done func(*http.Response, error)) {
+	now := time.Now()
+	done(c.exchange(req, now, now.Add(c.limit)))
+}
+
+// keepsOpen reports whether the connection can carry another call.
+func (c *Conn) keepsOpen() bool {
+	return !c.answer.extra && c.answer.header.Get("Connection") != "close"
+}
+
+// exchange makes a call. A process that comes late to the deadline waits longer,
+// see call.expired.
+func (c *Conn) exchange(req *http.Request, began, deadline time.Time) (*http.Response, error) {
+	out := writeBuffers.Get().(*bytes.Buffer)
+	out.Reset()
+	defer func() {
+		if out.Cap() <= maxKept {
+			writeBuffers.Put(out)
+		}
+	}()
+	if err := req.Write(out); err != nil {
+		return nil, &DialError{req.URL.Host, err}
+	}
+	x := call{conn: c, ctx: req.Context(), host: req.URL.Host, out: out.Bytes(), began: began, deadline: deadline}
+	err := x.run()
+	if errors.Is(err, errStale) {
+		// Nothing was sent.
+		c.drop()
+		err = x.run()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return c.answer.response(req), nil
+}
+
+// drop closes what was opened, for the next call to open it anew.
+func (c *Conn) drop() {
+	c.mu.Lock()
+	conn := c.conn
+	c.conn = nil
+	c.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// connect returns the open connection and whether it has carried a call.
+func (c *Conn) connect(ctx context.Context, host string, deadline time.Time) (*net.TCPConn, bool, error) {
+	c.mu.Lock()
+	conn, closed := c.conn, c.closed
+	c.mu.Unlock()
+	switch {
+	case closed:
+		return nil, false, &DialError{host, errClosed}
+	case conn != nil:
+		return conn, true, nil
+	}
+	// Connections are not idle for long enough to be probed.
+	d := net.Dialer{Timeout: dialTimeout, Deadline: deadline, KeepAlive: -1}
+	opened, err := d.DialContext(ctx, "tcp", host)
+	if err != nil {
+		return nil, false, &DialError{host, err}
+	}
+	conn = opened.(*net.TCPConn)
+	c.mu.Lock()
+	closed = c.closed
+	if !closed {
+		c.conn = conn
+	}
+	c.mu.Unlock()
+	if closed || !c.engine.enter(c) {
+		_ = conn.Close()
+		return nil, false, &DialError{host, errClosed}
+	}
+	return conn, false, nil
+}
+
+// call is an exchange on a connection.
+type call struct {
+	conn            *Conn
+	ctx             context.Context
+	host            string
+	out             []byte
+	began, deadline time.Time
+
+	reused bool
+	sent   bool
+	err    error
+
+	mu sync.Mutex
+	// interruptible is set while the end of the context ends the call.
+	interruptible bool
+}
+
+func (x *call) run() error {
+	conn, reused, err := x.conn.connect(x.ctx, x.host, x.deadline)
+	if err != nil {
+		return err
+	}
+	x.reused, x.sent, x.err = reused, false, nil
+	x.setInterruptible(true)
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return &DialError{x.host, err}
+	}
+	if err := conn.SetDeadline(x.deadline); err != nil {
+		return &DialError{x.host, err}
+	}
+	if x.ctx.Done() != nil {
+		stop := context.AfterFunc(x.ctx, func() { x.interrupt(conn) })
+		defer stop()
+	}
+	x.conn.answer.reset(x.conn.engine.limits)
+	err = raw.Read(x.progress)
+	if err == nil && x.err == nil && len(x.out) > 0 {
+		err = x.finishWrite(conn, raw)
+	}
+	x.setInterruptible(false)
+	switch {
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+	case !x.sent:
+		return &DialError{x.host, err}
+	default:
+		err = x.expired(conn, raw)
+	}
+	return cmp.Or(err, x.err)
+}
+
+func (x *call) setInterruptible(v bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.interruptible = v
+}
+
+// interrupt ends the wait of a call.
+func (x *call) interrupt(conn *net.TCPConn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.interruptible {
+		// A connection that has no deadlines any more is closed.
+		_ = conn.SetDeadline(x.began)
+	}
+}
+
+// progress goes on with a call whenever the connection may have news. It reports
+// whether the call is over, or needs the slow way of finishWrite.
+//
+// It is called once before the first wait, and what comes in after that call
+// began ends the wait. So an idle connection that has news is told from an
+// answer before the request is written.
+func (x *call) progress(fd uintptr) bool {
+	if !x.sent {
+		if x.reused && !x.isQuiet(int(fd)) {
+			x.err = errStale
+			return true
+		}
+		x.sent = true
+		n, err := ignoreInterrupts(syscall.Write, int(fd), x.out)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			return true
+		case err != nil:
+			x.err = err
+			return true
+		}
+		x.out = x.out[n:]
+		return len(x.out) > 0
+	}
+	in := readBuffers.Get().(*[readSize]byte)
+	defer readBuffers.Put(in)
+	for {
+		n, err := ignoreInterrupts(syscall.Read, int(fd), in[:])
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			return false
+		case err != nil:
+			x.err = err
+			return true
+		case n == 0:
+			x.err = io.ErrUnexpectedEOF
+			return true
+		}
+		if err := x.conn.answer.parser.Parse(in[:n]); err != nil {
+			x.err = err
+			return true
+		}
+		if x.conn.answer.whole {
+			return true
+		}
+	}
+}
+
+// isQuiet reports whether an idle connection has neither bytes nor an end.
+func (x *call) isQuiet(fd int) bool {
+	var b [1]byte
+	_, err := ignoreInterrupts(syscall.Read, fd, b[:])
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+func ignoreInterrupts(f func(int, []byte) (int, error), fd int, b []byte) (int, error) {
+	for {
+		n, err := f(fd, b)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
+
+// finishWrite writes what the connection did not take at once and reads the answer.
+func (x *call) finishWrite(conn *net.TCPConn, raw syscall.RawConn) error {
+	if _, err := conn.Write(x.out); err != nil {
+		return err
+	}
+	return raw.Read(x.progress)
+}
+
+// expired takes what has arrived by a deadline. The process may be slow, and look
+// at the deadline before it looks at the connection. If it came to the deadline
+// late, it has come late to the answer as well, and waits for as long again.
+func (x *call) expired(conn *net.TCPConn, raw syscall.RawConn) error {
+	if err := context.Cause(x.ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	now := time.Now()
+	late := now.Sub(x.deadline)
+	wait := time.Duration(0)
+	if late > ownDelay {
+		wait = min(late, x.deadline.Sub(x.began))
+	}
+	until := now.Add(wait)
+	// Without a wait, one look is taken.
+	if err := conn.SetReadDeadline(until.Add(time.Millisecond)); err != nil {
+		return err
+	}
+	silent := false
+	err := raw.Read(func(fd uintptr) bool {
+		silent = !x.progress(fd)
+		return !silent || wait == 0
+	})
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &TimeoutError{x.host, time.Since(until)}
+	case err == nil && silent:
+		return &TimeoutError{x.host, late}
+	}
+	return err
+}
+
+// answer gathers an answer for nbhttp's parser.
+type answer struct {
+	nbhttp.EmptyProcessor
+	parser *nbhttp.Parser
+
+	proto, status   string
+	code            int
+	major, minor    int
+	header, trailer http.Header
+	body            []byte
+	whole           bool
+	// extra is set if more than one answer came.
+	extra bool
+}
+
+// reset makes an answer ready for the next call. It has a parser of its own, so
+// nothing that came after an answer is taken for the next one.
+func (a *answer) reset(limits *nbhttp.Engine) {
+	*a = answer{header: make(http.Header)}
+	a.parser = nbhttp.NewParser(nil, limits, a, true, nil)
+}
+
+// OnProto implements nbhttp.Processor.
+func (a *answer) OnProto(_ *nbhttp.Parser, proto string) error {
+	if a.whole {
+		a.extra = true
+		return nil
+	}
+	var ok bool
+	if a.major, a.minor, ok = http.ParseHTTPVersion(proto); !ok {
+		return fmt.Errorf("malformed HTTP version %q", proto)
+	}
+	a.proto = proto
+	return nil
+}
+
+// OnStatus implements nbhttp.Processor.
+func (a *answer) OnStatus(_ *nbhttp.Parser, code int, status string) {
+	if !a.whole {
+		a.code, a.status = code, status
+	}
+}
+
+// OnHeader implements nbhttp.Processor.
+func (a *answer) OnHeader(_ *nbhttp.Parser, key, value string) {
+	if !a.whole {
+		a.header.Add(key, value)
+	}
+}
+
+// OnBody implements nbhttp.Processor.
+func (a *answer) OnBody(_ *nbhttp.Parser, data []byte) error {
+	if !a.whole {
+		a.body = append(a.body, data...)
+	}
+	return nil
+}
+
+// OnTrailerHeader implements nbhttp.Processor.
+func (a *answer) OnTrailerHeader(_ *nbhttp.Parser, key, value string) {
+	if a.whole {
+		return
+	}
+	if a.trailer == nil {
+		a.trailer = make(http.Header)
+	}
+	a.trailer.Add(key, value)
+}
+
+// OnComplete implements nbhttp.Processor.
+func (a *answer) OnComplete(*nbhttp.Parser) { a.whole = true }
+
+// response returns the answer as net/http tells it.
+func (a *answer) response(req *http.Request) *http.Response {
+	return &http.Response{
+		Status: a.status, StatusCode: a.code, Proto: a.proto, ProtoMajor: a.major, ProtoMinor: a.minor,
+		Header: a.header, Trailer: a.trailer, ContentLength: int64(len(a.body)),
+		Body: io.NopCloser(bytes.NewReader(a.body)), Request: req,
+	}
+}
--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -1,17 +1,18 @@
-// Package httpclient is a client of nbhttp for calls between processes.
+// Package httpclient is a client for calls between processes. nbhttp reads the
+// answers.
 //
 // It keeps a few connections to each host and carries one call at a time on
 // each, so an answer cannot meet the wrong call. A call that ended without a
 // whole answer closes its connection.
+//
+// The goroutine of a call writes, waits and reads. The pollers of nbio would
+// take two changes of thread for each answer.
 package httpclient
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -41,81 +42,71 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Err }
 
-// Conn is a connection. A Conn carries one call at a time.
-type Conn struct {
-	inner   *nbhttp.ClientConn
-	dialErr error
+// TimeoutError says that a call got no whole answer in time.
+type TimeoutError struct {
+	Address string
+	// Late is how much later than asked this process woke up. The other end may
+	// have answered in time if it is long.
+	Late time.Duration
 }
 
+func (e *TimeoutError) Error() string {
+	return fmt.Sprintf("no answer from %s in time (looked %v late)", e.Address, e.Late.Round(time.Millisecond))
+}
+
+// Timeout reports that the error is a time-out.
+func (e *TimeoutError) Timeout() bool { return true }
+
+// Unwrap returns what a context reports at its deadline.
+func (e *TimeoutError) Unwrap() error { return context.DeadlineExceeded }
+
 // Engine opens connections. Use NewEngine.
 type Engine struct {
-	inner *nbhttp.Engine
+	// limits holds what nbhttp's parser asks of its engine.
+	limits *nbhttp.Engine
+
+	mu      sync.Mutex
+	open    map[*Conn]struct{}
+	stopped bool
 }
 
 // NewEngine returns a running engine.
 func NewEngine() (*Engine, error) {
-	e := nbhttp.NewEngine(nbhttp.Config{NPoller: 1, SupportServerOnly: false})
-	if err := e.Start(); err != nil {
-		return nil, fmt.Errorf("start client engine: %w", err)
-	}
-	return &Engine{e}, nil
+	limits := &nbhttp.Engine{Config: nbhttp.Config{ReadLimit: nbhttp.DefaultHTTPReadLimit}}
+	return &Engine{limits: limits, open: make(map[*Conn]struct{})}, nil
 }
 
 // Stop closes all connections.
 func (e *Engine) Stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = e.inner.Shutdown(ctx)
-}
-
-// NewConn returns a connection that is opened by its first call. A call that
-// takes longer than the limit closes it.
-func (e *Engine) NewConn(limit time.Duration) *Conn {
-	c := &Conn{}
-	c.inner = &nbhttp.ClientConn{Engine: e.inner, Timeout: limit, Dial: c.dial}
-	return c
+	e.mu.Lock()
+	open := e.open
+	e.open, e.stopped = nil, true
+	e.mu.Unlock()
+	for c := range open {
+		c.Close()
+	}
 }
 
-func (c *Conn) dial(network, address string) (net.Conn, error) {
-	conn, err := net.DialTimeout(network, address, dialTimeout)
-	if err != nil {
-		c.dialErr = &DialError{address, err}
+// enter adds a connection that is open. It reports false after Stop.
+func (e *Engine) enter(c *Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopped {
+		return false
 	}
-	return conn, err
+	e.open[c] = struct{}{}
+	return true
 }
 
-// Close closes the connection. A call under way fails.
-func (c *Conn) Close() { go c.inner.Close() }
-
-// Do makes a call and hands its end to done, once. The body of the answer is
-// whole and in memory. It may block while it connects and writes.
-func (c *Conn) Do(req *http.Request, done func(*http.Response, error)) {
-	c.inner.Do(req, func(res *http.Response, _ net.Conn, err error) {
-		if c.dialErr != nil {
-			err = c.dialErr
-		}
-		if err == nil {
-			res, err = keep(res)
-		}
-		done(res, err)
-	})
+func (e *Engine) leave(c *Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.open, c)
 }
 
-// keep returns a response with a body of its own: nbhttp takes back the one it
-// handed out, with its body, when the handler returns.
-func keep(res *http.Response) (*http.Response, error) {
-	own := *res
-	own.Body = http.NoBody
-	if res.Body == nil {
-		return &own, nil
-	}
-	data, err := io.ReadAll(res.Body)
-	if err != nil {
-		return nil, err
-	}
-	own.Body = io.NopCloser(bytes.NewReader(data))
-	return &own, nil
-}
+// NewConn returns a connection that is opened by its first call. A call that
+// takes longer than the limit closes it.
+func (e *Engine) NewConn(limit time.Duration) *Conn { return &Conn{engine: e, limit: limit} }
 
 // Client makes calls over pooled connections. Use New. It satisfies the
 // interface that connect-go asks of an HTTP client.
@@ -123,6 +114,7 @@
 	engine *Engine
 	mu     sync.Mutex
 	pools  map[string]*connpool.Pool[*Conn]
+	swept  time.Time
 }
 
 // New returns a client without connections.
@@ -130,61 +122,71 @@
 	return &Client{engine: e, pools: make(map[string]*connpool.Pool[*Conn])}
 }
 
-type result struct {
-	res *http.Response
-	err error
+// Do makes a call within the deadline of the request's context. The body of the
+// answer is whole and in memory.
+func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	deadline, ok := req.Context().Deadline()
+	if !ok {
+		deadline = time.Now().Add(maxCall)
+	}
+	return c.DoBefore(req, deadline)
 }
 
-// Do makes a call within the deadline of the request's context.
-func (c *Client) Do(req *http.Request) (*http.Response, error) {
+// DoBefore makes a call that ends at a deadline or with the request's context.
+func (c *Client) DoBefore(req *http.Request, deadline time.Time) (*http.Response, error) {
 	host := req.URL.Host
-	conn := c.take(host)
-	sent := time.Now()
-	done := make(chan result, 1)
-	go conn.Do(req, func(res *http.Response, err error) { done <- result{res, err} })
-	select {
-	case r := <-done:
-		if r.err != nil {
-			conn.Close()
-			return nil, r.err
-		}
-		if keepsOpen(r.res) {
+	conn, began := c.take(host)
+	res, err := conn.exchange(req, began, deadline)
+	if err == nil {
+		if conn.keepsOpen() {
 			c.put(host, conn)
 		} else {
 			conn.Close()
 		}
-		return r.res, nil
-	case <-req.Context().Done():
-		conn.Close()
-		c.doubt(host, sent)
-		return nil, context.Cause(req.Context())
+		return res, nil
 	}
+	conn.Close()
+	var late *TimeoutError
+	if errors.As(err, &late) && late.Late <= ownDelay {
+		c.doubt(host, began)
+	}
+	return nil, err
 }
 
-func keepsOpen(res *http.Response) bool {
-	return !res.Close && res.Header.Get("Connection") != "close"
-}
-
-func (c *Client) take(host string) *Conn {
+func (c *Client) take(host string) (*Conn, time.Time) {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sweep(now)
 	p := c.pools[host]
 	if p == nil {
 		p = &connpool.Pool[*Conn]{}
 		c.pools[host] = p
 	}
-	conn, ok, expired := p.Take(time.Now(), patience)
+	conn, ok, expired := p.Take(now, patience)
 	closeAll(expired)
 	if !ok {
-		return c.engine.NewConn(maxCall)
+		return c.engine.NewConn(maxCall), now
+	}
+	return conn, now
+}
+
+// sweep closes what has been idle too long at hosts that are not called any more.
+func (c *Client) sweep(now time.Time) {
+	if now.Sub(c.swept) < connpool.MaxIdle {
+		return
+	}
+	c.swept = now
+	for _, p := range c.pools {
+		closeAll(p.Expire(now))
 	}
-	return conn
 }
 
 func (c *Client) put(host string, conn *Conn) {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pools[host].Put(time.Now(), conn)
+	c.pools[host].Put(now, conn)
 }
 
 func (c *Client) doubt(host string, sent time.Time) {
