--- a/internal/entry/front/capacity.go
+++ b/internal/entry/front/capacity.go
@@ -1,8 +1,6 @@
 package front
 
 import (
-	"time"
-
 	"github.com/sirupsen/logrus"
 
 	"bamboofall.example/bamboofall/platform"
@@ -26,10 +24,6 @@
 	return max(1, min(m.MilliProcessors, fed))
 }
 
-// strongestPeer returns what the strongest other entry VM can carry that was lately
-// heard.
-func (f *Front) strongestPeer(_ time.Time) (capacity uint32, known bool) { return 0, false }
-
 // machine tells what this VM has and can carry.
 func (f *Front) machine() logrus.Fields {
 	m := f.set.Machine
--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -31,11 +31,15 @@
 	} else {
 		report, err = o.front.perform(o.watch(q, waits), &q.Order)
 	}
+	o.countWithheld(err)
+	o.push(o.ctx, func(at time.Time) { o.result(at, q.Order, report, err) })
+}
+
+func (o *owner) countWithheld(err error) {
 	var withheld *bamboofall.WithheldError
 	if errors.As(err, &withheld) {
 		o.front.metrics.Count("ordersWithheld", map[string]string{"cause": string(withheld.Cause)})
 	}
-	o.push(o.ctx, func(at time.Time) { o.result(at, q.Order, report, err) })
 }
 
 // watch returns a context for the call of an order. The order is looked at once
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -63,6 +63,7 @@
 	underWay atomic.Int64
 
 	// Of the loop:
+	relays   *relays
 	sequence uint64
 	storing  bool
 	waiters  []waiter
@@ -95,6 +96,7 @@
 			RemoteFactor: f.set.Bounds.RemoteFactor, HarmAfter: f.set.Bounds.HarmAfter,
 		}),
 	}
+	o.relays = newRelays(o)
 	o.sender = newSender(o.carryOut)
 	return o
 }
@@ -273,11 +275,13 @@
 	}
 	for _, order := range out.Orders {
 		o.underWay.Add(1)
-		o.sender.add(&queuedOrder{Order: order, decided: at, handed: began})
+		o.relays.order(at, order)
 	}
+	o.relays.step(at)
 	if at.Sub(o.counted) >= countEvery {
 		o.counted = at
 		o.front.metrics.takeCell(o.cell.Counters())
+		o.relays.count(o.front.metrics)
 	}
 	if o.storing {
 		return nil
@@ -329,6 +333,7 @@
 func (o *owner) takeWorker(at time.Time, r bamboofall.StoredRecord) {
 	if len(r.Value) == 0 {
 		o.cell.RemoveWorker(at, r.Key)
+		o.relays.table.RemoveWorker(r.Key)
 		return
 	}
 	w, err := platform.DecodeWorker(r.Key, r.Value)
@@ -338,6 +343,7 @@
 		return
 	}
 	o.cell.SetWorker(at, w)
+	o.relays.table.SetWorker(w.ID, w.Zone)
 }
 
 // followInbox takes over what entry VMs stored, from an offset on, while they
