--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -34,11 +34,15 @@
 			o.delays.answered(q.Worker.ID, time.Since(*at))
 		}
 	}
+	o.countWithheld(err)
+	o.push(o.ctx, func(at time.Time) { o.result(at, q.Order, report, err) })
+}
+
+func (o *owner) countWithheld(err error) {
 	var withheld *bamboofall.WithheldError
 	if errors.As(err, &withheld) {
 		o.front.metrics.Count("ordersWithheld", map[string]string{"cause": string(withheld.Cause)})
 	}
-	o.push(o.ctx, func(at time.Time) { o.result(at, q.Order, report, err) })
 }
 
 // watch returns a context for the call of an order. The order is looked at once
