--- /dev/null
+++ b/internal/jobs/dispatch/book_test.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+	"net/netip"
+)
+
+var compareAddresses = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+
+const limit = 400 * time.Millisecond
+
+func TestOrdersThatComeMeanwhileShareABatch(t *testing.T) {
+	b := NewBook[string](limit)
+	add := func(ms int, order string) { assert.Assert(t, b.Add(at(ms), address(1), order, 0)) }
+	add(0, "a")
+	first, _ := b.Batch(at(0), address(1))
+	assert.DeepEqual(t, first, []Order[string]{{1, "a"}})
+	add(1, "b")
+	_, _ = b.Batch(at(1), address(1))
+	add(2, "c")
+	add(3, "d")
+	assert.Equal(t, len(b.Ready()), 0, "two batches are under way")
+	b.Acknowledged(address(1))
+	assert.Equal(t, len(b.Ready()), 1)
+	third, stale := b.Batch(at(4), address(1))
+	assert.DeepEqual(t, third, []Order[string]{{3, "c"}, {4, "d"}})
+	assert.Equal(t, len(stale), 0)
+}
+
+func TestAnOrderThatWaitedTooLongIsNotSent(t *testing.T) {
+	b := NewBook[string](limit)
+	b.Add(at(0), address(1), "old", 0)
+	b.Add(at(1), address(1), "young", 0)
+	batch, stale := b.Batch(at(501), address(1))
+	assert.DeepEqual(t, batch, []Order[string]{{2, "young"}})
+	assert.DeepEqual(t, stale, []string{"old"})
+	_, verdict := b.Result(at(502), address(1), 1)
+	assert.Equal(t, verdict, Unwanted)
+}
+
+func TestTheQueueOfARelayIsBounded(t *testing.T) {
+	b := NewBook[string](limit)
+	for range queueOrders {
+		assert.Assert(t, b.Add(at(0), address(1), "a", 0))
+	}
+	assert.Assert(t, !b.Add(at(0), address(1), "a", 0))
+	batch, _ := b.Batch(at(0), address(1))
+	assert.Equal(t, len(batch), batchOrders)
+	assert.Assert(t, b.Add(at(0), address(1), "a", 0))
+}
+
+func TestAResultCountsOnce(t *testing.T) {
+	b := NewBook[string](limit)
+	b.Add(at(0), address(1), "a", 0)
+	b.Batch(at(0), address(1))
+	order, verdict := b.Result(at(10), address(1), 1)
+	assert.Equal(t, order, "a")
+	assert.Equal(t, verdict, Wanted)
+	_, verdict = b.Result(at(20), address(1), 1)
+	assert.Equal(t, verdict, Unwanted)
+	_, verdict = b.Result(at(20), address(1), 77)
+	assert.Equal(t, verdict, Unwanted)
+}
+
+func TestAResultAfterTheDeadlineIsLate(t *testing.T) {
+	b := NewBook[string](limit)
+	b.Add(at(0), address(1), "waits", 2*time.Second)
+	b.Add(at(0), address(1), "answers at once", 0)
+	b.Batch(at(0), address(1))
+	assert.DeepEqual(t, b.Overdue(at(700)), []string(nil))
+	assert.DeepEqual(t, b.Overdue(at(701)), []string{"answers at once"})
+	assert.DeepEqual(t, b.Overdue(at(2700)), []string(nil))
+	assert.DeepEqual(t, b.Overdue(at(2701)), []string{"waits"})
+	order, verdict := b.Result(at(2800), address(1), 1)
+	assert.Equal(t, order, "waits")
+	assert.Equal(t, verdict, Late)
+	_, verdict = b.Result(at(2900), address(1), 1)
+	assert.Equal(t, verdict, Unwanted)
+	b.Overdue(at(5401))
+	_, verdict = b.Result(at(5402), address(1), 2)
+	assert.Equal(t, verdict, Unwanted, "nothing is kept for ever")
+}
+
+func TestARelayIsQuietOnlyIfAResultIsDue(t *testing.T) {
+	b := NewBook[string](limit)
+	b.Add(at(0), address(1), "waits", 2*time.Second)
+	b.Batch(at(0), address(1))
+	assert.Equal(t, len(b.Quiet(at(2600))), 0)
+	assert.Equal(t, len(b.Quiet(at(2601))), 1)
+	b.Add(at(2000), address(1), "start", 0)
+	b.Add(at(2000), address(1), "another", 0)
+	b.Batch(at(2000), address(1))
+	b.Result(at(2500), address(1), 2)
+	assert.Equal(t, len(b.Quiet(at(2700))), 0, "it gave a result lately")
+	assert.Equal(t, len(b.Quiet(at(3101))), 1)
+}
+
+func TestALostRelayGivesItsOrdersBack(t *testing.T) {
+	b := NewBook[string](limit)
+	b.Add(at(0), address(1), "sent", 0)
+	b.Add(at(0), address(2), "elsewhere", 0)
+	b.Batch(at(0), address(1))
+	b.Batch(at(0), address(2))
+	b.Add(at(1), address(1), "waiting", 0)
+	unsent, sent := b.Lost(address(1))
+	assert.DeepEqual(t, unsent, []string{"waiting"})
+	assert.DeepEqual(t, sent, []string{"sent"})
+	_, verdict := b.Result(at(2), address(1), 1)
+	assert.Equal(t, verdict, Late)
+	_, verdict = b.Result(at(2), address(2), 2)
+	assert.Equal(t, verdict, Wanted)
+}
+
+func TestABatchThatWasNotSentComesBackWhole(t *testing.T) {
+	b := NewBook[string](limit)
+	b.Add(at(0), address(1), "a", 0)
+	b.Add(at(0), address(1), "b", 0)
+	batch, _ := b.Batch(at(0), address(1))
+	assert.DeepEqual(t, b.NotSent(batch), []string{"a", "b"})
+	_, verdict := b.Result(at(1), address(1), 1)
+	assert.Equal(t, verdict, Unwanted)
+}
