wire/jobpb: carry orders by other entry VMs

Messages and a service by which entry VMs announce themselves to the owner, get orders for workers in batches and give results back in batches. Nothing uses them yet.

--- a/internal/wire/jobpb/job.connect.go
+++ b/internal/wire/jobpb/job.connect.go
@@ -24,6 +24,8 @@
 const (
 	// JobsName is the fully-qualified name of the Jobs service.
 	JobsName = "bamboofall.job.v1.Jobs"
+	// RelaysName is the fully-qualified name of the Relays service.
+	RelaysName = "bamboofall.job.v1.Relays"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -42,6 +44,12 @@
 	JobsLookupProcedure = "/bamboofall.job.v1.Jobs/Lookup"
 	// JobsPendingProcedure is the fully-qualified name of the Jobs's Pending RPC.
 	JobsPendingProcedure = "/bamboofall.job.v1.Jobs/Pending"
+	// RelaysAnnounceProcedure is the fully-qualified name of the Relays's Announce RPC.
+	RelaysAnnounceProcedure = "/bamboofall.job.v1.Relays/Announce"
+	// RelaysCarryProcedure is the fully-qualified name of the Relays's Carry RPC.
+	RelaysCarryProcedure = "/bamboofall.job.v1.Relays/Carry"
+	// RelaysReportProcedure is the fully-qualified name of the Relays's Report RPC.
+	RelaysReportProcedure = "/bamboofall.job.v1.Relays/Report"
 )
 
 // JobsClient is a client for the bamboofall.job.v1.Jobs service.
@@ -191,3 +199,125 @@
 func (UnimplementedJobsHandler) Pending(context.Context, *connect.Request[PendingRequest]) (*connect.Response[PendingResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bamboofall.job.v1.Jobs.Pending is not implemented"))
 }
+
+// RelaysClient is a client for the bamboofall.job.v1.Relays service.
+type RelaysClient interface {
+	Announce(context.Context, *connect.Request[AnnounceRequest]) (*connect.Response[AnnounceResponse], error)
+	Carry(context.Context, *connect.Request[CarryRequest]) (*connect.Response[CarryResponse], error)
+	Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportResponse], error)
+}
+
+// NewRelaysClient constructs a client for the bamboofall.job.v1.Relays service. By default, it uses
+// the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewRelaysClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RelaysClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	relaysMethods := File_job_proto.Services().ByName("Relays").Methods()
+	return &relaysClient{
+		announce: connect.NewClient[AnnounceRequest, AnnounceResponse](
+			httpClient,
+			baseURL+RelaysAnnounceProcedure,
+			connect.WithSchema(relaysMethods.ByName("Announce")),
+			connect.WithClientOptions(opts...),
+		),
+		carry: connect.NewClient[CarryRequest, CarryResponse](
+			httpClient,
+			baseURL+RelaysCarryProcedure,
+			connect.WithSchema(relaysMethods.ByName("Carry")),
+			connect.WithClientOptions(opts...),
+		),
+		report: connect.NewClient[ReportRequest, ReportResponse](
+			httpClient,
+			baseURL+RelaysReportProcedure,
+			connect.WithSchema(relaysMethods.ByName("Report")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// relaysClient implements RelaysClient.
+type relaysClient struct {
+	announce *connect.Client[AnnounceRequest, AnnounceResponse]
+	carry    *connect.Client[CarryRequest, CarryResponse]
+	report   *connect.Client[ReportRequest, ReportResponse]
+}
+
+// Announce calls bamboofall.job.v1.Relays.Announce.
+func (c *relaysClient) Announce(ctx context.Context, req *connect.Request[AnnounceRequest]) (*connect.Response[AnnounceResponse], error) {
+	return c.announce.CallUnary(ctx, req)
+}
+
+// Carry calls bamboofall.job.v1.Relays.Carry.
+func (c *relaysClient) Carry(ctx context.Context, req *connect.Request[CarryRequest]) (*connect.Response[CarryResponse], error) {
+	return c.carry.CallUnary(ctx, req)
+}
+
+// Report calls bamboofall.job.v1.Relays.Report.
+func (c *relaysClient) Report(ctx context.Context, req *connect.Request[ReportRequest]) (*connect.Response[ReportResponse], error) {
+	return c.report.CallUnary(ctx, req)
+}
+
+// RelaysHandler is an implementation of the bamboofall.job.v1.Relays service.
+type RelaysHandler interface {
+	Announce(context.Context, *connect.Request[AnnounceRequest]) (*connect.Response[AnnounceResponse], error)
+	Carry(context.Context, *connect.Request[CarryRequest]) (*connect.Response[CarryResponse], error)
+	Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportResponse], error)
+}
+
+// NewRelaysHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewRelaysHandler(svc RelaysHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	relaysMethods := File_job_proto.Services().ByName("Relays").Methods()
+	relaysAnnounceHandler := connect.NewUnaryHandler(
+		RelaysAnnounceProcedure,
+		svc.Announce,
+		connect.WithSchema(relaysMethods.ByName("Announce")),
+		connect.WithHandlerOptions(opts...),
+	)
+	relaysCarryHandler := connect.NewUnaryHandler(
+		RelaysCarryProcedure,
+		svc.Carry,
+		connect.WithSchema(relaysMethods.ByName("Carry")),
+		connect.WithHandlerOptions(opts...),
+	)
+	relaysReportHandler := connect.NewUnaryHandler(
+		RelaysReportProcedure,
+		svc.Report,
+		connect.WithSchema(relaysMethods.ByName("Report")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/bamboofall.job.v1.Relays/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case RelaysAnnounceProcedure:
+			relaysAnnounceHandler.ServeHTTP(w, r)
+		case RelaysCarryProcedure:
+			relaysCarryHandler.ServeHTTP(w, r)
+		case RelaysReportProcedure:
+			relaysReportHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedRelaysHandler returns CodeUnimplemented from all methods.
+type UnimplementedRelaysHandler struct{}
+
+func (UnimplementedRelaysHandler) Announce(context.Context, *connect.Request[AnnounceRequest]) (*connect.Response[AnnounceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bamboofall.job.v1.Relays.Announce is not implemented"))
+}
+
+func (UnimplementedRelaysHandler) Carry(context.Context, *connect.Request[CarryRequest]) (*connect.Response[CarryResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bamboofall.job.v1.Relays.Carry is not implemented"))
+}
+
+func (UnimplementedRelaysHandler) Report(context.Context, *connect.Request[ReportRequest]) (*connect.Response[ReportResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bamboofall.job.v1.Relays.Report is not implemented"))
+}
