jobs/cell: tell a failure on the way from a silent worker

An order that goes by way of another entry VM can fail there, or wait too long in the owner, without the worker's doing. The cell would take every worker behind a relay that failed for silent, place nothing there, shorten the waits at all workers and pause those whose start failed.

CarrierError names such a failure, as the cause of a NotDoneError or an UnknownOutcomeError. The cell then counts nothing against the worker: a hold is asked again, a start that was not done is ordered again at once, and one whose outcome is unknown stays in doubt as before. HeldLate takes in the answer to a hold that was given up, as its ends are worth knowing; it does not touch the hold that is under way since.

Ruled out: giving such results back as done nothing. A start may have been done.

Before: carrier_test.go:56: assertion failed: n.Event is "worker silent": order not done: it waited too long

--- a/errors.go
+++ b/errors.go
@@ -29,10 +29,24 @@
 	Reason string
 	// Overloaded means that the other side asked for fewer calls.
 	Overloaded bool
+	// Err is the cause, if there is one.
+	Err error
 }
 
 func (e *NotDoneError) Error() string { return fmt.Sprintf("%s not done: %s", e.Call, e.Reason) }
 
+// Unwrap returns the cause.
+func (e *NotDoneError) Unwrap() error { return e.Err }
+
+// CarrierError says that an order failed on its way to its worker, inside this
+// system. It tells nothing of the worker.
+type CarrierError struct {
+	Carrier string
+	Reason  string
+}
+
+func (e *CarrierError) Error() string { return fmt.Sprintf("by way of %s: %s", e.Carrier, e.Reason) }
+
 // UnknownOutcomeError says that a call may have had its effect, or may have it
 // later.
 type UnknownOutcomeError struct {
--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -226,7 +226,9 @@
 	case errors.As(err, &notDone):
 		c.noteRun(a, "start not done", rare, err.Error())
 		c.release(a)
-		w.health.avoid(now)
+		if !failedOnTheWay(err) {
+			w.health.avoid(now)
+		}
 		c.unheard(now, w, err)
 		w.wake(now)
 		c.enqueue(a.task)
@@ -236,7 +238,9 @@
 		c.noteRun(a, "start unanswered", rare, err.Error())
 		a.state = attemptUnsure
 		a.doubtedAt = now
-		w.health.avoid(now)
+		if !failedOnTheWay(err) {
+			w.health.avoid(now)
+		}
 		w.wake(now)
 		c.ask(now, w)
 	}
--- /dev/null
+++ b/internal/jobs/cell/carrier_test.go
@@ -0,0 +1,130 @@
+package cell_test
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+)
+
+var failedOnTheWay = &bamboofall.CarrierError{Carrier: "10.0.0.9:7000", Reason: "the relay did not answer"}
+
+// driven is a cell of one worker with a job of one task. Its orders stay open until
+// a test answers them.
+type driven struct {
+	*cell.Cell
+	t    *testing.T
+	now  time.Time
+	open []cell.Order
+}
+
+func newDriven(t *testing.T) *driven {
+	t.Helper()
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, bamboofall.Worker{
+		WorkerRef: bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: benchStart, Service: "s",
+		Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
+	})
+	d := &driven{Cell: c, t: t, now: benchStart}
+	d.Held(d.now, d.next(cell.OrderHold), bamboofall.HoldReport{Sighting: d.seen()}, nil)
+	d.submit("0000000000000001")
+	return d
+}
+
+func (d *driven) submit(id string) {
+	submit(d.Cell, id, "q", bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second})
+}
+
+func (d *driven) seen() bamboofall.Sighting {
+	return bamboofall.Sighting{Clock: d.now.Sub(benchStart) + time.Second, Born: benchStart}
+}
+
+// step goes on by a tick, and stores what is to be stored.
+func (d *driven) step() {
+	d.now = d.now.Add(20 * time.Millisecond)
+	_, number, err := d.Flush()
+	assert.NilError(d.t, err)
+	d.Stored(d.now, number)
+	out := d.Step(d.now)
+	for _, n := range out.Notes {
+		assert.Assert(d.t, n.Event != "worker silent", n.Detail)
+	}
+	d.open = append(d.open, out.Orders...)
+}
+
+// next returns the oldest open order of a kind, after some steps if there is none.
+func (d *driven) next(kind cell.OrderKind) cell.Order {
+	d.t.Helper()
+	for range 50 {
+		for i, o := range d.open {
+			if o.Kind == kind {
+				d.open = slices.Delete(d.open, i, i+1)
+				return o
+			}
+		}
+		d.step()
+	}
+	d.t.Fatal("no such order")
+	return cell.Order{}
+}
+
+// A relay that fails says nothing of the workers behind it: they would all be
+// taken for silent, and nothing placed there.
+func TestAFailureOnTheWayIsNotTheWorkers(t *testing.T) {
+	for name, err := range map[string]error{
+		"not done": &bamboofall.NotDoneError{Call: "order", Reason: "it waited too long", Err: failedOnTheWay},
+		"unknown":  &bamboofall.UnknownOutcomeError{Call: "order", Err: failedOnTheWay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriven(t)
+			d.Started(d.now, d.next(cell.OrderStart), d.seen(), nil)
+			d.Held(d.now, d.next(cell.OrderHold), bamboofall.HoldReport{}, err)
+			d.submit("0000000000000002")
+			failed := d.now
+			start := d.next(cell.OrderStart)
+			assert.Equal(t, start.Start.Task.Job, bamboofall.JobID("0000000000000002"))
+			assert.Assert(t, d.now.Sub(failed) <= 40*time.Millisecond)
+			d.Started(d.now, start, d.seen(), nil)
+			again := d.next(cell.OrderHold)
+			assert.Equal(t, again.Hold.Wait, 2*time.Second, "answers of workers are not lost")
+		})
+	}
+}
+
+func TestAStartThatFailedOnTheWayIsOrderedAgainAtOnce(t *testing.T) {
+	d := newDriven(t)
+	first := d.next(cell.OrderStart)
+	d.Started(d.now, first, bamboofall.Sighting{}, &bamboofall.NotDoneError{Call: "order", Reason: "it waited too long", Err: failedOnTheWay})
+	failed := d.now
+	again := d.next(cell.OrderStart)
+	assert.Equal(t, again.Worker.ID, "i-1")
+	assert.Assert(t, again.Start.Run > first.Start.Run)
+	assert.Assert(t, d.now.Sub(failed) <= 40*time.Millisecond)
+}
+
+// The answer to a hold that was given up may come all the same, with ends that the
+// worker has listed there.
+func TestALateAnswerIsUsed(t *testing.T) {
+	d := newDriven(t)
+	start := d.next(cell.OrderStart)
+	d.Started(d.now, start, d.seen(), nil)
+	given := d.next(cell.OrderHold)
+	d.Held(d.now, given, bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: "order", Err: failedOnTheWay})
+	again := d.next(cell.OrderHold)
+	ended := bamboofall.HoldReport{Sighting: d.seen(), Ends: []bamboofall.End{{Number: 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone}}}
+	d.HeldLate(d.now, given, ended)
+	_, open := d.Jobs()
+	assert.Equal(t, open, 0)
+	for range 20 {
+		d.step()
+	}
+	assert.Equal(t, len(d.open), 0, "an order that waits is under way")
+	d.Held(d.now, again, ended, nil)
+	assert.Equal(t, d.next(cell.OrderHold).Hold.Seen, uint64(1))
+}
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -138,17 +138,7 @@
 		c.holdFailed(now, w, err)
 		return
 	}
-	if !c.sighted(now, o, report.Sighting) {
-		return
-	}
-	if !w.synced {
-		w.synced = true
-		c.unsettled = true
-		c.adopt(now, w, report)
-	}
-	c.takeEnds(now, w, report.Ends)
-	c.compare(now, o, w, report.Running)
-	if o.beside {
+	if !c.heard(now, o, report) || o.beside {
 		return
 	}
 	w.nextHold = now
@@ -161,6 +151,30 @@
 	}
 }
 
+// HeldLate takes over the answer to a hold order that was given up before.
+func (c *Cell) HeldLate(now time.Time, o Order, report bamboofall.HoldReport) {
+	if c.workers[o.worker.info.ID] == o.worker {
+		c.heard(now, o, report)
+	}
+}
+
+// heard takes over what a worker reports. It returns false if the report is of
+// another life than the order.
+func (c *Cell) heard(now time.Time, o Order, report bamboofall.HoldReport) bool {
+	w := o.worker
+	if !c.sighted(now, o, report.Sighting) {
+		return false
+	}
+	if !w.synced {
+		w.synced = true
+		c.unsettled = true
+		c.adopt(now, w, report)
+	}
+	c.takeEnds(now, w, report.Ends)
+	c.compare(now, o, w, report.Running)
+	return true
+}
+
 func (c *Cell) holdFailed(now time.Time, w *worker, err error) {
 	c.counters.HoldFailures++
 	w.nextHold = now.Add(holdRetry)
@@ -172,8 +186,17 @@
 	c.unheard(now, w, err)
 }
 
+// failedOnTheWay reports whether an order failed before it was the worker's.
+func failedOnTheWay(err error) bool {
+	var carrier *bamboofall.CarrierError
+	return errors.As(err, &carrier)
+}
+
 // unheard notes that a worker did not answer.
 func (c *Cell) unheard(now time.Time, w *worker, err error) {
+	if failedOnTheWay(err) {
+		return
+	}
 	w.failures++
 	c.noteLoss(now, err)
 	if w.failures == silentAfter {
@@ -184,7 +207,7 @@
 // noteLoss notes that a call got no answer though it may have been done.
 func (c *Cell) noteLoss(now time.Time, err error) {
 	var unknown *bamboofall.UnknownOutcomeError
-	if errors.As(err, &unknown) {
+	if errors.As(err, &unknown) && !failedOnTheWay(err) {
 		c.lossyAt = now
 	}
 }
