jobs/cell: take in the owner's own delay

Callers saw workers taken for silent whose answers waited in the owner. The cell decides with the owner's clock alone and cannot tell the two apart, so it is told how long orders and answers wait in the owner. Nothing uses it yet.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -66,6 +66,8 @@
 	nextScan time.Time
 	// lossyAt is when a call to a worker last got no answer.
 	lossyAt time.Time
+	// owner is the owner's own delay.
+	owner ownerDelay
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
