entry/front: measure the owner's own delay

Callers saw workers taken for silent by hundreds on fleets of 490 workers, and nothing told whether the workers or the owner were late: the log had only 'worker silent' with 'deadline exceeded', and no counter told how long an order or an event waits inside the owner.

The owner now measures how long orders wait until they are handed over, how long events wait in its ring, how late its timers fire and how long a step of the cell takes: histograms and gauges on the metrics page, a line 'owner slow' at most every 2 s while the delay is above 100 ms, and the same figures in the lines 'restored' and 'ownership ended'.

Times are taken on the monotonic clock, which stands still while a VM is suspended, so that a sleep is not taken for slowness.

--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -11,8 +11,11 @@
 // have slept since it was decided.
 const staleOrder = 500 * time.Millisecond
 
-// carryOut sends an order to its worker and gives the result back.
-func (o *owner) carryOut(order cell.Order, decided time.Time) {
+// carryOut sends an order to its worker and gives the result back. Handed is when
+// the loop handed the order over.
+func (o *owner) carryOut(order cell.Order, decided, handed time.Time) {
+	defer o.underWay.Add(-1)
+	o.delays.waited(waitOrder, time.Since(handed))
 	f := o.front
 	ctx := o.ctx
 	var sighting bamboofall.Sighting
@@ -38,7 +41,7 @@
 			report, err = f.workers.Hold(ctx, order.Worker, order.Hold)
 		}
 	}
-	o.events.Push(ctx, func(at time.Time) {
+	o.push(ctx, func(at time.Time) {
 		switch order.Kind {
 		case cell.OrderStart:
 			o.cell.Started(at, order, sighting, err)
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -55,6 +55,9 @@
 	ready atomic.Bool
 	// renewal is the sequence number of the next renewal.
 	renewal uint64
+	delays  *delays
+	// underWay is the number of orders that are not answered.
+	underWay atomic.Int64
 
 	// Of the loop:
 	sequence uint64
@@ -64,6 +67,10 @@
 	// inboxRead is when the inbox was last read to its end.
 	inboxRead time.Time
 	failed    error
+	// delay is the owner's own delay, at delayAt. slowNoted is when it was last
+	// logged.
+	delay              time.Duration
+	delayAt, slowNoted time.Time
 }
 
 // waiter is a call that is answered once a flush is stored.
@@ -77,7 +84,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	return &owner{
 		front: f, record: r, events: ring.New[func(time.Time)](ownerRing),
-		group: group, ctx: ctx, renewal: sequence, sequence: sequence,
+		group: group, ctx: ctx, renewal: sequence, sequence: sequence, delays: newDelays(f.metrics),
 		cell: cell.New(cell.Config{
 			Token: bamboofall.Token(r.Epoch), Lease: f.leaseTime(), FormerLeases: former,
 			KeepEnded:    f.set.Bounds.KeepEnded + 10*time.Second,
@@ -148,7 +155,9 @@
 		o.takeWorker(now(), r)
 	}
 	known, open := o.cell.Jobs()
-	o.front.log.Event("restored", logrus.Fields{"epoch": o.record.Epoch, "records": len(records), "jobs": known, "open": open})
+	fields := o.figures()
+	fields["records"], fields["jobs"], fields["open"] = len(records), known, open
+	o.front.log.Event("restored", fields)
 	return read, nil
 }
 
@@ -206,7 +215,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case due := <-ticker.C:
+			o.delays.waited(waitTick, time.Since(due))
 		case f := <-o.events.Items():
 			f(now())
 			o.drainEvents()
@@ -220,6 +230,19 @@
 	}
 }
 
+// push hands an event to the loop, and notes how long it waits there.
+func (o *owner) push(ctx context.Context, f func(at time.Time)) {
+	o.events.Push(ctx, o.timed(f))
+}
+
+func (o *owner) timed(f func(at time.Time)) func(at time.Time) {
+	arrived := time.Now()
+	return func(at time.Time) {
+		o.delays.waited(waitEvent, time.Since(arrived))
+		f(at)
+	}
+}
+
 func (o *owner) drainEvents() {
 	for range stepEvents {
 		select {
@@ -232,7 +255,10 @@
 }
 
 func (o *owner) step(at time.Time) error {
+	o.watchDelay(at)
+	began := time.Now()
 	out := o.cell.Step(at)
+	o.delays.stepped(time.Since(began))
 	for _, n := range out.Notes {
 		o.front.log.Note(o.record.Epoch, n)
 	}
@@ -240,7 +266,8 @@
 		return errDeposed
 	}
 	for _, order := range out.Orders {
-		go o.carryOut(order, at)
+		o.underWay.Add(1)
+		go o.carryOut(order, at, began)
 	}
 	if at.Sub(o.counted) >= countEvery {
 		o.counted = at
@@ -262,7 +289,7 @@
 
 func (o *owner) storeRecords(records []bamboofall.StoreRecord, flush uint64) {
 	err := o.append(o.ctx, records)
-	o.events.Push(o.ctx, func(at time.Time) {
+	o.push(o.ctx, func(at time.Time) {
 		o.storing = false
 		if err != nil {
 			o.failed = err
@@ -282,13 +309,13 @@
 }
 
 func (o *owner) setConfiguration(conf *bamboofall.Configuration) {
-	o.events.Push(o.ctx, func(time.Time) { o.cell.SetConfiguration(conf) })
+	o.push(o.ctx, func(time.Time) { o.cell.SetConfiguration(conf) })
 }
 
 // followWorkers follows the announcements of workers from an offset on.
 func (o *owner) followWorkers(ctx context.Context, from int64) error {
 	return o.front.follow(ctx, platform.TopicWorkers, from, workersWait, func(r bamboofall.StoredRecord) {
-		o.events.Push(ctx, func(at time.Time) { o.takeWorker(at, r) })
+		o.push(ctx, func(at time.Time) { o.takeWorker(at, r) })
 	}, nil)
 }
 
@@ -311,9 +338,9 @@
 // reached no owner.
 func (o *owner) followInbox(ctx context.Context, from int64) error {
 	return o.front.follow(ctx, topicInbox, from, inboxWait, func(r bamboofall.StoredRecord) {
-		o.events.Push(ctx, func(at time.Time) { o.takeInbox(at, r) })
+		o.push(ctx, func(at time.Time) { o.takeInbox(at, r) })
 	}, func(int64) {
-		o.events.Push(ctx, func(at time.Time) { o.inboxRead = at })
+		o.push(ctx, func(at time.Time) { o.inboxRead = at })
 	})
 }
 
@@ -372,7 +399,7 @@
 		return none, errNotOwner
 	}
 	done := make(chan T, 1)
-	if !o.events.TryPush(func(at time.Time) { f(at, func(v T) { done <- v }) }) {
+	if !o.events.TryPush(o.timed(func(at time.Time) { f(at, func(v T) { done <- v }) })) {
 		return none, errNotOwner
 	}
 	select {
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -116,7 +116,8 @@
 		f.lease.Lost()
 	}
 	f.leaseMu.Unlock()
-	fields := logrus.Fields{"epoch": o.record.Epoch}
+	o.delays.quiet(f.metrics)
+	fields := o.figures()
 	if err != nil {
 		fields["error"] = err.Error()
 	}
--- a/internal/entry/metricset/metricset.go
+++ b/internal/entry/metricset/metricset.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// Write prints all counters, and the histograms as the function puts them into
+// Write prints all counters and gauges, and the histograms as the function puts them into
 // lines.
 func (s *Set) Write(w io.Writer, lines func(tally.HistogramSnapshot) []string) error {
 	snapshot := s.Scope.Snapshot()
@@ -57,6 +57,9 @@
 	for _, c := range snapshot.Counters() {
 		out = append(out, fmt.Sprintf("%s%s %d", c.Name(), TagText(c.Tags()), c.Value()))
 	}
+	for _, g := range snapshot.Gauges() {
+		out = append(out, fmt.Sprintf("%s%s %g", g.Name(), TagText(g.Tags()), g.Value()))
+	}
 	for _, h := range snapshot.Histograms() {
 		out = append(out, lines(h)...)
 	}
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -89,6 +89,17 @@
 	return wait
 }
 
+// Workers returns the number of workers that are known, and of those that do not
+// answer.
+func (c *Cell) Workers() (known, silent int) {
+	for _, w := range c.order {
+		if w.silent() {
+			silent++
+		}
+	}
+	return len(c.order), silent
+}
+
 // endsUnstored reports whether ends of a worker are not in the store yet.
 func (c *Cell) endsUnstored(w *worker) bool { return w.got > w.seen && !c.IsStored(w.gotAt) }
 
