entry/front: carry orders by other entry VMs

Callers of the grown sites saw tasks run twice and jobs unserved: the owner's processor and link carried some 2,500 calls a second to 490 workers, JSON both ways, while 41 other entry VMs idled. The decisions stay with one owner, as it packs best; the calls need not.

Each entry VM announces itself to the owner once a second and when the owner changes. The owner calls as many workers itself as it can carry (the policy is dispatch.Table). The orders for the others go in batches to relays, which answer before they carry anything out, make the calls, and give the results back in batches. A batch forms by itself of what comes while two others are under way.

What keeps the promises: - The right to act is checked when a batch is made. LeaseUntil, run numbers and tokens are the owner's, so an order that is carried late is as safe as a direct call that is late. - A relay drops what it has from an owner before the newest epoch that it knows from the store or from a batch, and what waited there for over 500 ms. - A result counts once. A start that a relay may have carried out when it failed has an unknown outcome; holds and stops go another way at once. None of it is counted against the worker. A late answer to a hold is used. - A relay whose batch fails, or that gives no result for 600 ms though one is due, is left out for 3 s.

Ruled out: connections shared with callers' calls. The first call to an owner that has gone then met a connection that it had closed, so that its outcome was unknown where it had been certain: front_test.go:363: assertion failed: 504 (status int) != 503 (http.StatusServiceUnavailable int): {"error":"unknown"} So relays have a client of their own. Ruled out as well: silence as 600 ms without any result, as holds wait for up to 2 s; only results that are due count.

The tests fail without the part that they guard: - orders of an old owner not dropped: relay_test.go:280: assertion failed: (started.Task.Job bamboofall.JobID) != (bamboofall.JobID) - orders that waited too long carried out: relay_test.go:311: assertion failed: ORDER_OUTCOME_DONE (jobpb.OrderOutcome) != ORDER_OUTCOME_NOT_SENT - a relay without results not left out: relay_test.go:188: timeout hit after 20s: 0 of 1 lines with relay left out

Changed in a test file: newFleet takes options for the entry VMs.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/dispatch"
 	"bamboofall.example/bamboofall/internal/run/clock"
 	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
@@ -61,6 +62,13 @@
 	config   atomic.Pointer[bamboofall.Configuration]
 	metrics  *metrics
 	settings string
+	// capacity is in thousandths of a core.
+	capacity       uint32
+	workersPerCore int
+	relay          *relay
+	others         others
+	// ownerChanged has an item when the owner has changed.
+	ownerChanged chan struct{}
 
 	leaseMu sync.Mutex
 	lease   *lease.Lease
@@ -78,8 +86,14 @@
 	leaveOnce, releaseOnce sync.Once
 }
 
+// Option changes how an entry VM works.
+type Option func(*Front)
+
+// WithWorkersPerCore sets how many workers an entry VM with a whole core carries.
+func WithWorkersPerCore(n int) Option { return func(f *Front) { f.workersPerCore = n } }
+
 // New returns an entry VM that has not started. Path names its settings file.
-func New(path string, set *platform.Settings, engine *httpclient.Engine, log *Log) *Front {
+func New(path string, set *platform.Settings, engine *httpclient.Engine, log *Log, options ...Option) *Front {
 	client := httpclient.New(engine)
 	process := string(set.VM) + "/" + uuid.NewString()[:8]
 	h := fnv.New32a()
@@ -89,10 +103,15 @@
 		set: set, log: log, process: process, settings: path,
 		store:   platform.NewStore(client, set.Store),
 		workers: platform.NewWorkers(client),
-		peers:   newPeers(client),
+		peers:   newPeers(client, httpclient.New(engine)),
 		metrics: newMetrics(string(set.DataCentre)),
 		lease:   lease.New(now(), lease.DefaultTiming(), process, set.Peers, rank),
 		leaving: make(chan struct{}), releasing: make(chan struct{}),
+		capacity: ownCapacity, workersPerCore: dispatch.WorkersPerCore, ownerChanged: make(chan struct{}, 1),
+	}
+	f.relay = newRelay(f)
+	for _, option := range options {
+		option(f)
 	}
 	return f
 }
@@ -102,17 +121,19 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.relay.ctx = inner
 	stop, err := f.listen(metricsPort)
 	if err != nil {
 		return err
 	}
 	defer stop()
 	f.log.Event("start", logrus.Fields{"process": f.process, "callers": f.set.Callers, "peers": f.set.Peers, "store": f.set.Store})
-	inner, cancel := context.WithCancel(ctx)
-	defer cancel()
 	group, inner := errgroup.WithContext(inner)
 	group.Go(func() error { return f.followConfiguration(inner) })
 	group.Go(func() error { return f.followOwner(inner) })
+	group.Go(func() error { return f.announce(inner) })
 	group.Go(func() error {
 		defer cancel()
 		return f.waitForEnd(inner, signals)
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -39,6 +39,8 @@
 	audit  standin.Audit
 	fronts []*entry
 	log    *lines
+	// options are those of the entry VMs.
+	options []Option
 }
 
 type entry struct {
@@ -65,9 +67,9 @@
 	return l.text.String()
 }
 
-func newFleet(t *testing.T, fronts, workers int, work time.Duration) *fleet {
+func newFleet(t *testing.T, fronts, workers int, work time.Duration, options ...Option) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: standin.NewStore(), log: &lines{}}
+	f := &fleet{t: t, store: standin.NewStore(), log: &lines{}, options: options}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log(f.log.String())
@@ -124,7 +126,7 @@
 	assert.NilError(f.t, err)
 	log := NewLog(f.log, set.VM)
 	ctx, cancel := context.WithCancel(context.Background())
-	fr := New(path, set, engine, log)
+	fr := New(path, set, engine, log, f.options...)
 	var ended sync.WaitGroup
 	ended.Go(func() { assert.Check(f.t, log.Run(ctx)) })
 	ended.Go(func() { assert.Check(f.t, fr.Run(ctx, uint16(port+4))) })
--- /dev/null
+++ b/internal/entry/front/orderwire.go
@@ -0,0 +1,171 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/jobs/dispatch"
+	"bamboofall.example/bamboofall/internal/wire/jobpb"
+)
+
+// encodeBatch puts orders into a batch. Tasks of a job share its payload.
+func encodeBatch(epoch uint64, owner netip.AddrPort, batch []dispatch.Order[cell.Order]) (*jobpb.CarryRequest, error) {
+	req := &jobpb.CarryRequest{Epoch: epoch, Owner: owner.String(), Orders: make([]*jobpb.WorkerOrder, 0, len(batch))}
+	places := make(map[string]uint32)
+	for _, b := range batch {
+		o := b.Order
+		address, err := o.Worker.Address.MarshalBinary()
+		if err != nil {
+			return nil, fmt.Errorf("address of worker %s: %w", o.Worker.ID, err)
+		}
+		m := &jobpb.WorkerOrder{Id: b.ID, Kind: jobpb.OrderKind(o.Kind), Worker: o.Worker.ID, Address: address}
+		if o.Kind == cell.OrderHold {
+			m.Token, m.Seen = uint64(o.Hold.Token), o.Hold.Seen
+			m.LeaseUntilMs, m.WaitMs = o.Hold.LeaseUntil.Milliseconds(), o.Hold.Wait.Milliseconds()
+		} else {
+			s := o.Start
+			m.Token, m.Task, m.Run, m.Percent = uint64(s.Token), encodeTask(s.Task), s.Run, uint32(o.Percent)
+			m.Checkpoint, m.Ticket, m.LeaseUntilMs = s.Checkpoint, s.Ticket, s.LeaseUntil.Milliseconds()
+			if s.Payload != "" {
+				if places[s.Payload] == 0 {
+					req.Payloads = append(req.Payloads, s.Payload)
+					places[s.Payload] = uint32(len(req.Payloads))
+				}
+				m.Payload = places[s.Payload]
+			}
+		}
+		req.Orders = append(req.Orders, m)
+	}
+	return req, nil
+}
+
+// decodeOrder returns an order of a batch.
+func decodeOrder(m *jobpb.WorkerOrder, payloads []string) (cell.Order, error) {
+	o := cell.Order{Kind: cell.OrderKind(m.GetKind()), Worker: bamboofall.WorkerRef{ID: m.GetWorker()}, Percent: int(m.GetPercent())}
+	if err := o.Worker.Address.UnmarshalBinary(m.GetAddress()); err != nil {
+		return o, err
+	}
+	token, until := bamboofall.Token(m.GetToken()), milliseconds(m.GetLeaseUntilMs())
+	if o.Kind == cell.OrderHold {
+		o.Hold = bamboofall.HoldOrder{LeaseUntil: until, Token: token, Seen: m.GetSeen(), Wait: milliseconds(m.GetWaitMs())}
+		return o, nil
+	}
+	o.Start = bamboofall.StartOrder{
+		Task: decodeTask(m.GetTask()), Run: m.GetRun(), Checkpoint: m.GetCheckpoint(), LeaseUntil: until, Token: token, Ticket: m.GetTicket(),
+	}
+	if place := int(m.GetPayload()); place > len(payloads) {
+		return o, fmt.Errorf("payload %d of %d", place, len(payloads))
+	} else if place > 0 {
+		o.Start.Payload = payloads[place-1]
+	}
+	return o, nil
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func encodeTask(n bamboofall.TaskName) *jobpb.TaskName {
+	return &jobpb.TaskName{Job: string(n.Job), Occurrence: uint32(n.Occurrence), Step: uint32(n.Step), Index: uint32(n.Index)}
+}
+
+func decodeTask(m *jobpb.TaskName) bamboofall.TaskName {
+	return bamboofall.TaskName{
+		Job: bamboofall.JobID(m.GetJob()), Occurrence: int(m.GetOccurrence()), Step: int(m.GetStep()), Index: int(m.GetIndex()),
+	}
+}
+
+// encodeResult puts what became of an order into a message.
+func encodeResult(id uint64, report bamboofall.HoldReport, err error) *jobpb.OrderResult {
+	m := &jobpb.OrderResult{Id: id}
+	var carrier *bamboofall.CarrierError
+	var notDone *bamboofall.NotDoneError
+	var rejected *bamboofall.RejectedError
+	seen := report.Sighting
+	switch {
+	case err == nil:
+		m.Outcome = jobpb.OrderOutcome_ORDER_OUTCOME_DONE
+	case errors.As(err, &rejected):
+		m.Outcome, m.Reason = jobpb.OrderOutcome_ORDER_OUTCOME_REJECTED, string(rejected.Cause)
+		seen = rejected.Sighting
+	case errors.As(err, &carrier):
+		m.Outcome, m.Reason = jobpb.OrderOutcome_ORDER_OUTCOME_NOT_SENT, carrier.Reason
+	case errors.As(err, &notDone):
+		m.Outcome, m.Reason, m.Overloaded = jobpb.OrderOutcome_ORDER_OUTCOME_NOT_DONE, notDone.Reason, notDone.Overloaded
+	default:
+		m.Outcome, m.Reason = jobpb.OrderOutcome_ORDER_OUTCOME_UNKNOWN, err.Error()
+	}
+	m.ClockMs = seen.Clock.Milliseconds()
+	if !seen.Born.IsZero() {
+		m.BornUnixMs = seen.Born.UnixMilli()
+	}
+	for _, p := range report.Running {
+		m.Running = append(m.Running, &jobpb.RunningTask{
+			Task: encodeTask(p.Task), Run: p.Run, Checkpoint: p.Checkpoint, Percent: int32(p.Percent), Gauge: p.Gauge,
+		})
+	}
+	for _, e := range report.Ends {
+		m.Ends = append(m.Ends, &jobpb.RunEnd{
+			Number: e.Number, Task: encodeTask(e.Task), Run: e.Run, Cause: uint32(e.Cause), Checkpoint: e.Checkpoint,
+		})
+	}
+	return m
+}
+
+// decodeResult returns what became of an order. Relay names who carried it.
+func decodeResult(m *jobpb.OrderResult, call, relay string) (bamboofall.HoldReport, error) {
+	report := bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: milliseconds(m.GetClockMs())}}
+	if m.GetBornUnixMs() > 0 {
+		report.Born = time.UnixMilli(m.GetBornUnixMs())
+	}
+	switch m.GetOutcome() {
+	case jobpb.OrderOutcome_ORDER_OUTCOME_DONE:
+	case jobpb.OrderOutcome_ORDER_OUTCOME_REJECTED:
+		return bamboofall.HoldReport{}, &bamboofall.RejectedError{Call: call, Cause: bamboofall.RejectCause(m.GetReason()), Sighting: report.Sighting}
+	case jobpb.OrderOutcome_ORDER_OUTCOME_NOT_DONE:
+		return bamboofall.HoldReport{}, &bamboofall.NotDoneError{Call: call, Reason: m.GetReason(), Overloaded: m.GetOverloaded()}
+	case jobpb.OrderOutcome_ORDER_OUTCOME_NOT_SENT:
+		return bamboofall.HoldReport{}, notSentBy(call, relay, m.GetReason())
+	default:
+		return bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: call, Err: errors.New(m.GetReason())}
+	}
+	for _, p := range m.GetRunning() {
+		report.Running = append(report.Running, bamboofall.Placed{
+			Task: decodeTask(p.GetTask()), Run: p.GetRun(), Checkpoint: p.GetCheckpoint(), Percent: int(p.GetPercent()), Gauge: p.GetGauge(),
+		})
+	}
+	for _, e := range m.GetEnds() {
+		report.Ends = append(report.Ends, bamboofall.End{
+			Number: e.GetNumber(), Task: decodeTask(e.GetTask()), Run: e.GetRun(), Cause: bamboofall.EndCause(e.GetCause()), Checkpoint: e.GetCheckpoint(),
+		})
+	}
+	return report, nil
+}
+
+// notSentBy returns the error of an order that a carrier did not send.
+func notSentBy(call, carrier, reason string) error {
+	cause := &bamboofall.CarrierError{Carrier: carrier, Reason: reason}
+	return &bamboofall.NotDoneError{Call: call, Reason: cause.Error(), Err: cause}
+}
+
+// lostBy returns the error of an order that a carrier may have sent.
+func lostBy(call, carrier, reason string) error {
+	return &bamboofall.UnknownOutcomeError{Call: call, Err: &bamboofall.CarrierError{Carrier: carrier, Reason: reason}}
+}
+
+// orderCall names the call of an order in errors.
+func orderCall(kind cell.OrderKind) string {
+	switch kind {
+	case cell.OrderStart:
+		return "start"
+	case cell.OrderStop:
+		return "stop"
+	case cell.OrderHold:
+		return "hold"
+	case cell.OrderPace:
+		return "pace"
+	}
+	return "order"
+}
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -60,6 +60,7 @@
 	underWay atomic.Int64
 
 	// Of the loop:
+	relays   *relays
 	sequence uint64
 	storing  bool
 	waiters  []waiter
@@ -82,7 +83,7 @@
 // newOwner returns an owner that has not started. It ends with the context.
 func newOwner(ctx context.Context, f *Front, r lease.Record, former time.Time, sequence uint64) *owner {
 	group, ctx := errgroup.WithContext(ctx)
-	return &owner{
+	o := &owner{
 		front: f, record: r, events: ring.New[func(time.Time)](ownerRing),
 		group: group, ctx: ctx, renewal: sequence, sequence: sequence, delays: newDelays(f.metrics),
 		cell: cell.New(cell.Config{
@@ -91,6 +92,8 @@
 			RemoteFactor: f.set.Bounds.RemoteFactor, HarmAfter: f.set.Bounds.HarmAfter,
 		}),
 	}
+	o.relays = newRelays(o)
+	return o
 }
 
 // run restores the cell and owns it until it is deposed, released or stopped.
@@ -267,11 +270,13 @@
 	}
 	for _, order := range out.Orders {
 		o.underWay.Add(1)
-		go o.carryOut(order, at, began)
+		o.relays.order(at, order)
 	}
+	o.relays.step(at)
 	if at.Sub(o.counted) >= countEvery {
 		o.counted = at
 		o.front.metrics.takeCell(o.cell.Counters())
+		o.relays.count(o.front.metrics)
 	}
 	if o.storing {
 		return nil
@@ -323,6 +328,7 @@
 func (o *owner) takeWorker(at time.Time, r bamboofall.StoredRecord) {
 	if len(r.Value) == 0 {
 		o.cell.RemoveWorker(at, r.Key)
+		o.relays.table.RemoveWorker(r.Key)
 		return
 	}
 	w, err := platform.DecodeWorker(r.Key, r.Value)
@@ -332,6 +338,7 @@
 		return
 	}
 	o.cell.SetWorker(at, w)
+	o.relays.table.SetWorker(w.ID, w.Zone)
 }
 
 // followInbox takes over what entry VMs stored, from an offset on, while they
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -45,6 +45,8 @@
 		f.lease.Observe(now(), record, r.Offset+1)
 		f.leaseMu.Unlock()
 		if before.Epoch != record.Epoch || before.Released != record.Released {
+			f.relay.fence(record.Epoch)
+			signalOnce(f.ownerChanged)
 			f.log.Event("owner", logrus.Fields{"epoch": record.Epoch, "address": record.Address, "process": record.Process, "released": record.Released})
 		}
 	}
@@ -52,6 +54,14 @@
 	return f.follow(ctx, topicOwners, fromNewest, ownerWait, take, func(end int64) { f.considerClaim(ctx, end) })
 }
 
+// signalOnce leaves an item in a channel of one, if there is none.
+func signalOnce(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func decodeOwner(r bamboofall.StoredRecord) (lease.Record, error) {
 	m := &jobpb.Ownership{}
 	if err := proto.Unmarshal(r.Value, m); err != nil {
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -19,12 +19,33 @@
 // peers holds the clients of other entry VMs.
 type peers struct {
 	http *httpclient.Client
-	mu   sync.Mutex
-	at   map[netip.AddrPort]jobpb.JobsClient
+	// relayHTTP has connections of its own: a call of a caller that meets one that
+	// the other side has closed would have an unknown outcome.
+	relayHTTP *httpclient.Client
+	mu        sync.Mutex
+	at        map[netip.AddrPort]jobpb.JobsClient
+	// relays are the clients of relays, and of owners that use this VM as one.
+	relays map[netip.AddrPort]jobpb.RelaysClient
+}
+
+func newPeers(c, relays *httpclient.Client) *peers {
+	return &peers{
+		http: c, relayHTTP: relays, at: make(map[netip.AddrPort]jobpb.JobsClient), relays: make(map[netip.AddrPort]jobpb.RelaysClient),
+	}
 }
 
-func newPeers(c *httpclient.Client) *peers {
-	return &peers{http: c, at: make(map[netip.AddrPort]jobpb.JobsClient)}
+// uncompressed saves the time to compress a few bytes for a local network.
+const uncompressed = "gzip"
+
+func (p *peers) relay(at netip.AddrPort) jobpb.RelaysClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.relays[at]
+	if c == nil {
+		c = jobpb.NewRelaysClient(p.relayHTTP, "http://"+at.String(), connect.WithAcceptCompression(uncompressed, nil, nil))
+		p.relays[at] = c
+	}
+	return c
 }
 
 func (p *peers) client(at netip.AddrPort) jobpb.JobsClient {
@@ -47,9 +68,16 @@
 	path, handler := jobpb.NewJobsHandler(&jobsServer{f})
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
+	mux.Handle(jobpb.NewRelaysHandler(&relaysServer{f}, connect.WithCompression(uncompressed, nil, nil)))
 	return mux
 }
 
+// relaysServer answers an owner that uses this VM as a relay, and relays if this VM
+// is the owner.
+type relaysServer struct {
+	f *Front
+}
+
 // jobsServer answers other entry VMs if this VM owns the cell.
 type jobsServer struct {
 	f *Front
--- /dev/null
+++ b/internal/entry/front/relay_test.go
@@ -0,0 +1,314 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/jobs/dispatch"
+	"bamboofall.example/bamboofall/internal/wire/jobpb"
+)
+
+// fewWorkers lets an entry VM carry two workers, so that most go by relays.
+const fewWorkers = 2 * 1000 / ownCapacity
+
+// wideSteps is a job whose tasks take half a worker each, so that a few jobs use all.
+const wideSteps = `{"task_spec":"x","steps":[{"count":4,"cpu":8000,"memory_request_mb":64,"estimated_ms":100},{"count":2,"cpu":8000,"memory_request_mb":64,"estimated_ms":100,"after":[0]}]}`
+
+// count returns a counter of an entry VM.
+func (e *entry) count(name, tag string) int64 {
+	for _, c := range e.metrics.Scope.Snapshot().Counters() {
+		if c.Name() == name && (tag == "" || c.Tags()["way"] == tag) {
+			return c.Value()
+		}
+	}
+	return 0
+}
+
+// waitForLines waits until the log has a text a number of times.
+func (f *fleet) waitForLines(text string, n int) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if got := strings.Count(f.log.String(), text); got < n {
+			return poll.Continue("%d of %d lines with %s", got, n, text)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func TestOrdersGoByOtherEntryVMs(t *testing.T) {
+	f := newFleet(t, 3, 6, 50*time.Millisecond, WithWorkersPerCore(fewWorkers))
+	owner := f.fronts[f.waitForOwner(-1)]
+	f.waitForLines("relay joined", 2)
+	for n := range 6 {
+		status, body := f.do(n%3, http.MethodPost, "/q/"+id(n), wideSteps)
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+	for n := range 6 {
+		f.waitForState(n%3, id(n), "completed")
+	}
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+	time.Sleep(countEvery + 2*ownerTick)
+	assert.Assert(t, owner.count("ordersSent", wayRelayed) > 0)
+	assert.Assert(t, owner.count("ordersSent", wayDirect) > 0)
+	assert.Assert(t, owner.count("relayBatches", "") > 0)
+	assert.Equal(t, owner.count("relaysLost", ""), int64(0))
+	assert.Equal(t, owner.count("relayResultsMissing", ""), int64(0))
+	assert.Assert(t, !strings.Contains(f.log.String(), "worker silent"))
+	strongest, known := owner.strongestPeer(now())
+	assert.Assert(t, known)
+	assert.Equal(t, strongest, uint32(ownCapacity))
+}
+
+// Orders that a relay had when it was killed must neither be lost nor done twice,
+// and its workers must not be taken for silent.
+func TestARelayIsKilledWithOrders(t *testing.T) {
+	f := newFleet(t, 3, 6, 700*time.Millisecond, WithWorkersPerCore(fewWorkers))
+	first := f.waitForOwner(-1)
+	f.waitForLines("relay joined", 2)
+	for n := range 8 {
+		status, body := f.do(first, http.MethodPost, "/q/"+id(n), wideSteps)
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+	f.waitForState(first, id(0), "running")
+	f.fronts[(first+1)%3].stop()
+	for n := range 8 {
+		f.waitForState(first, id(n), "completed")
+	}
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+	assert.Assert(t, strings.Contains(f.log.String(), "relay left out"))
+	assert.Assert(t, !strings.Contains(f.log.String(), "worker silent"))
+}
+
+func TestASuccessorGoesOnByRelays(t *testing.T) {
+	f := newFleet(t, 3, 6, 700*time.Millisecond, WithWorkersPerCore(fewWorkers))
+	first := f.waitForOwner(-1)
+	other := (first + 1) % 3
+	f.waitForLines("relay joined", 2)
+	for n := range 8 {
+		status, body := f.do(first, http.MethodPost, "/q/"+id(n), wideSteps)
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+	f.waitForState(other, id(0), "running")
+	f.fronts[first].stop()
+	f.fronts[first] = f.fronts[other]
+	for n := range 8 {
+		f.waitForState(other, id(n), "completed")
+	}
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+}
+
+// keeper is a relay that takes orders and keeps them, or only the starts and gives
+// the others to an entry VM.
+type keeper struct {
+	jobpb.UnimplementedRelaysHandler
+	vm dispatch.VM
+	// passTo carries out what is not kept.
+	passTo *relay
+
+	mu     sync.Mutex
+	orders []cell.Order
+}
+
+// Carry implements the Relays service.
+func (k *keeper) Carry(_ context.Context, r *connect.Request[jobpb.CarryRequest]) (*connect.Response[jobpb.CarryResponse], error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	passed := proto.CloneOf(r.Msg)
+	passed.Orders = nil
+	for _, m := range r.Msg.GetOrders() {
+		order, err := decodeOrder(m, r.Msg.GetPayloads())
+		if err != nil {
+			return nil, err
+		}
+		if k.passTo != nil && order.Kind != cell.OrderStart {
+			passed.Orders = append(passed.Orders, m)
+			continue
+		}
+		k.orders = append(k.orders, order)
+	}
+	if k.passTo != nil {
+		k.passTo.take(now(), netip.MustParseAddrPort(passed.GetOwner()), passed)
+	}
+	return connect.NewResponse(&jobpb.CarryResponse{}), nil
+}
+
+func (k *keeper) kept() []cell.Order {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.orders
+}
+
+// startKeeper starts a relay that keeps orders and is by far the strongest.
+func (f *fleet) startKeeper(owner int, passTo *relay) *keeper {
+	k := &keeper{passTo: passTo}
+	mux := http.NewServeMux()
+	mux.Handle(jobpb.NewRelaysHandler(k))
+	server := httptest.NewServer(mux)
+	f.t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	k.vm = dispatch.VM{Address: address, Process: "keeper", DataCentre: "a", Capacity: 100 * ownCapacity}
+	f.announce(owner, k.vm)
+	return k
+}
+
+func (f *fleet) announce(owner int, vm dispatch.VM) {
+	f.t.Helper()
+	res, err := (&relaysServer{f.fronts[owner].Front}).Announce(context.Background(), connect.NewRequest(&jobpb.AnnounceRequest{
+		Process: vm.Process, Address: vm.Address.String(), DataCentre: string(vm.DataCentre), Capacity: vm.Capacity,
+	}))
+	assert.NilError(f.t, err)
+	assert.Assert(f.t, !res.Msg.GetNotOwner())
+}
+
+// A relay that takes orders and is heard of no more must not keep them from being
+// carried out.
+func TestARelayThatGivesNoResultsIsLeftOut(t *testing.T) {
+	f := newFleet(t, 1, 4, 50*time.Millisecond, WithWorkersPerCore(1))
+	f.waitForOwner(-1)
+	k := f.startKeeper(0, nil)
+	status, body := f.do(0, http.MethodPost, "/q/"+id(1), wideSteps)
+	assert.Equal(t, status, http.StatusOK, body)
+	f.waitForState(0, id(1), "completed")
+	assert.Assert(t, len(k.kept()) > 0)
+	f.waitForLines("relay left out", 1)
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+	assert.Assert(t, !strings.Contains(f.log.String(), "worker silent"))
+}
+
+// What a relay still has from an owner that was replaced must not start anything:
+// the worker has seen the successor's token.
+func TestOrdersOfAnOldOwnerAreRefusedByWorkers(t *testing.T) {
+	f := newFleet(t, 2, 4, 50*time.Millisecond, WithWorkersPerCore(1))
+	first := f.waitForOwner(-1)
+	k := f.startKeeper(first, f.fronts[1-first].relay)
+	status, body := f.do(1-first, http.MethodPost, "/q/"+id(1), wideSteps)
+	assert.Equal(t, status, http.StatusOK, body)
+	starts := func() (starts []cell.Order) {
+		for _, o := range k.kept() {
+			if o.Kind == cell.OrderStart {
+				starts = append(starts, o)
+			}
+		}
+		return starts
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(starts()) == 0 {
+			return poll.Continue("no start")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+	f.fronts[first].stop()
+	f.waitForOwner(first)
+	f.waitForState(1-first, id(1), "completed")
+	for _, o := range starts() {
+		_, err := f.fronts[1-first].perform(context.Background(), o)
+		var rejected *bamboofall.RejectedError
+		assert.Assert(t, errors.As(err, &rejected), "%v: %v", o.Start.Task, err)
+		assert.Equal(t, rejected.Cause, bamboofall.RejectFenced)
+	}
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+}
+
+// scripted stands in for all workers: it tells of each order and answers when told.
+type scripted struct {
+	bamboofall.TaskWorkers
+	holds  chan struct{}
+	starts chan bamboofall.StartOrder
+}
+
+func (s *scripted) Hold(context.Context, bamboofall.WorkerRef, bamboofall.HoldOrder) (bamboofall.HoldReport, error) {
+	<-s.holds
+	return bamboofall.HoldReport{}, nil
+}
+
+func (s *scripted) Start(_ context.Context, _ bamboofall.WorkerRef, o bamboofall.StartOrder) (bamboofall.Sighting, error) {
+	s.starts <- o
+	return bamboofall.Sighting{}, nil
+}
+
+func batchOf(t *testing.T, epoch uint64, orders ...cell.Order) *jobpb.CarryRequest {
+	t.Helper()
+	var batch []dispatch.Order[cell.Order]
+	for i, o := range orders {
+		o.Worker = bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+		batch = append(batch, dispatch.Order[cell.Order]{ID: uint64(i + 1), Order: o})
+	}
+	req, err := encodeBatch(epoch, netip.MustParseAddrPort("127.0.0.1:1"), batch)
+	assert.NilError(t, err)
+	return req
+}
+
+func startOf(n int) cell.Order {
+	return cell.Order{Kind: cell.OrderStart, Start: bamboofall.StartOrder{Task: bamboofall.TaskName{Job: bamboofall.JobID(id(n))}, Run: 1}}
+}
+
+// loneRelay returns a relay with room for one call, to scripted workers.
+func loneRelay(t *testing.T) (*relay, *scripted) {
+	t.Helper()
+	f := newFleet(t, 1, 0, time.Millisecond)
+	x := &scripted{holds: make(chan struct{}), starts: make(chan bamboofall.StartOrder, 10)}
+	fr := f.fronts[0].Front
+	r := &relay{f: &Front{set: fr.set, log: fr.log, metrics: fr.metrics, peers: fr.peers, workers: x}, ctx: t.Context(), limit: 1}
+	return r, x
+}
+
+// A relay that still has orders of an owner that was replaced must not carry them
+// out once the successor has given it one.
+func TestARelayDropsTheOrdersOfAnOldOwner(t *testing.T) {
+	r, x := loneRelay(t)
+	owner := netip.MustParseAddrPort("127.0.0.1:1")
+	old := batchOf(t, 1, cell.Order{Kind: cell.OrderHold}, startOf(1))
+	assert.Assert(t, r.take(now(), owner, old))
+	assert.Assert(t, r.take(now(), owner, batchOf(t, 2, startOf(2))))
+	close(x.holds)
+	started := <-x.starts
+	assert.Equal(t, started.Task.Job, bamboofall.JobID(id(2)))
+	assert.Assert(t, !r.take(now(), owner, old), "it knows a later owner")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.calls > 0 {
+			return poll.Continue("calls under way")
+		}
+		return poll.Success()
+	})
+	assert.Equal(t, len(x.starts), 0)
+}
+
+func TestARelayDropsAnOrderThatWaitedTooLong(t *testing.T) {
+	r, x := loneRelay(t)
+	owner := netip.MustParseAddrPort("127.0.0.1:1")
+	r.reports = reportsUnderWay // results stay where the test finds them
+	assert.Assert(t, r.take(now(), owner, batchOf(t, 1, cell.Order{Kind: cell.OrderHold})))
+	waited := batchOf(t, 1, cell.Order{Kind: cell.OrderHold}, startOf(1))
+	assert.Assert(t, r.take(now().Add(-staleOrder-time.Millisecond), owner, waited))
+	close(x.holds)
+	var results []reported
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if results = r.results; len(results) < 3 {
+			return poll.Continue("%d results", len(results))
+		}
+		return poll.Success()
+	})
+	for _, m := range results[1:] {
+		assert.Equal(t, m.GetOutcome(), jobpb.OrderOutcome_ORDER_OUTCOME_NOT_SENT, fmt.Sprint(m))
+	}
+	assert.Equal(t, len(x.starts), 0)
+}
