state/lease: let the strongest VMs claim first

Callers of fleets whose entry VMs differ saw almost nothing served: of 42 VMs, 34 with 0.192 of a processor and 10 Mbit/s, whoever was first owned the cell and decided for 490 workers.

Settings now say what a VM has ([limits]); its capacity is the processor share, or the part of a processor that its link can feed. Owners write their own capacity and that of the strongest other VM they know of into their record. A VM compares itself with that: weaker ones wait longer in proportion, up to 1.2 s when an owner is silent or leaves, up to 3 s before the first claim of all. Equal VMs, and VMs whose capacity is not known, claim exactly as before. An owner that has been slow for 4 s releases the cell to a VM at least twice as strong, at most once a minute. Which VMs are up is not known yet (strongestPeer is a stub), so nothing yields and followers compare themselves with the last owner.

The tests are in virtual time.

Ruled out: refusing to claim below a capacity, as a fleet of weak VMs would have no owner; an election, as it needs calls between VMs while a data centre is cut off.

--- a/internal/entry/front/announce.go
+++ b/internal/entry/front/announce.go
@@ -23,8 +23,9 @@
 	announceTimeout = 500 * time.Millisecond
 	// announceTries bounds the tries that follow each other fast.
 	announceTries = 10
-	// ownCapacity is taken as the capacity of an entry VM, in thousandths of a core.
-	ownCapacity = 400
+	// assumedCapacity is taken for a VM of unknown capacity, in thousandths of a
+	// core: that of a small VM of the platform.
+	assumedCapacity = 400
 )
 
 // announce tells the owner of this VM, from time to time and when the owner or the
@@ -66,7 +67,7 @@
 	defer cancel()
 	res, err := f.peers.relay(owner.Address).Announce(ctx, connect.NewRequest(&jobpb.AnnounceRequest{
 		Process: f.process, Address: f.set.Peers.String(), DataCentre: string(f.set.DataCentre),
-		Capacity: f.capacity, Leaving: f.isLeaving(),
+		Capacity: capacityOf(f.set.Machine), Leaving: f.isLeaving(),
 	}))
 	if err != nil || res.Msg.GetNotOwner() {
 		f.metrics.Count("announcementsFailed", nil)
@@ -91,12 +92,21 @@
 		Capacity: m.GetCapacity(), Leaving: m.GetLeaving(),
 	}
 	s.f.others.heard(now(), vm)
+	vm.Capacity = assumed(vm.Capacity)
 	if !o.events.TryPush(o.timed(func(at time.Time) { o.relays.heard(at, vm) })) {
 		return connect.NewResponse(&jobpb.AnnounceResponse{NotOwner: true}), nil
 	}
 	return connect.NewResponse(&jobpb.AnnounceResponse{}), nil
 }
 
+// assumed returns a capacity, or what is taken for one that is not known.
+func assumed(capacity uint32) uint32 {
+	if capacity == 0 {
+		return assumedCapacity
+	}
+	return capacity
+}
+
 // others holds what other entry VMs announced. The zero value is ready.
 type others struct {
 	mu sync.Mutex
--- /dev/null
+++ b/internal/entry/front/capacity_test.go
@@ -0,0 +1,44 @@
+package front
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall/platform"
+)
+
+func TestAVMCarriesWhatItsProcessorAndItsLinkCan(t *testing.T) {
+	for _, c := range []struct {
+		machine platform.Machine
+		want    uint32
+	}{
+		{platform.Machine{}, 0},
+		{platform.Machine{MilliProcessors: 192}, 192},
+		{platform.Machine{MilliProcessors: 192, LinkBits: 10_000_000}, 192},
+		{platform.Machine{MilliProcessors: 800, LinkBits: 10_000_000}, 285},
+		{platform.Machine{MilliProcessors: 800, LinkBits: 200_000_000}, 800},
+		{platform.Machine{MilliProcessors: 800, LinkBits: 1}, 1},
+		{platform.Machine{LinkBits: 10_000_000}, 285},
+	} {
+		assert.Equal(t, capacityOf(c.machine), c.want, "%+v", c.machine)
+	}
+}
+
+// A VM that gives the cell to a stronger one goes on as an entry VM.
+func TestAnOwnerThatYieldsStaysAnEntryVM(t *testing.T) {
+	f := newFleet(t, 2, 2, 50*time.Millisecond)
+	first := f.waitForOwner(-1)
+	o := f.fronts[first].owner.Load()
+	o.push(o.ctx, func(time.Time) { close(o.yielding) })
+	// Whoever owns the cell next, both VMs take calls.
+	for at := range f.fronts {
+		status, body := f.do(at, http.MethodPost, "/q/"+id(at), twoSteps)
+		assert.Equal(t, status, http.StatusOK, body)
+		f.waitForState(1-at, id(at), "completed")
+	}
+	assert.Assert(t, f.fronts[first].owner.Load() != o)
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+}
--- a/internal/entry/front/carry.go
+++ b/internal/entry/front/carry.go
@@ -46,7 +46,7 @@
 
 func newRelays(o *owner) *relays {
 	f := o.front
-	own := dispatch.VM{Address: f.set.Peers, Process: f.process, DataCentre: f.set.DataCentre, Capacity: f.capacity}
+	own := dispatch.VM{Address: f.set.Peers, Process: f.process, DataCentre: f.set.DataCentre, Capacity: assumed(capacityOf(f.set.Machine))}
 	r := &relays{
 		o: o, table: dispatch.NewTable(own, f.workersPerCore), book: dispatch.NewBook[cell.Order](platform.OrderLimit),
 	}
--- a/internal/entry/front/delay.go
+++ b/internal/entry/front/delay.go
@@ -118,6 +118,7 @@
 	o.delayAt = at
 	o.delay = o.delays.close()
 	o.cell.SetOwnerDelay(at, o.delay)
+	o.considerYield(at)
 	scope := o.front.metrics.Scope
 	scope.Gauge("ownerDelaySeconds").Update(o.delay.Seconds())
 	scope.Gauge("ownerRing").Update(float64(len(o.events.Items())))
@@ -132,6 +133,7 @@
 // figures tells how the owner keeps up, and with what.
 func (o *owner) figures() logrus.Fields {
 	fields := o.delays.fields()
+	maps.Copy(fields, o.front.machine())
 	known, silent := o.cell.Workers()
 	maps.Copy(fields, logrus.Fields{
 		"epoch": o.record.Epoch, "delayMs": o.delay.Milliseconds(), "ring": len(o.events.Items()), "orders": o.underWay.Load(),
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
@@ -62,8 +63,7 @@
 	config   atomic.Pointer[bamboofall.Configuration]
 	metrics  *metrics
 	settings string
-	// capacity is in thousandths of a core.
-	capacity       uint32
+	// workersPerCore is how many workers an entry VM with a whole core carries.
 	workersPerCore int
 	relay          *relay
 	others         others
@@ -99,15 +99,17 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(process))
 	rank := float64(h.Sum32()%1024) / 1024
+	view := lease.New(now(), lease.DefaultTiming(), process, set.Peers, rank)
+	view.SetCapacity(capacityOf(set.Machine))
 	f := &Front{
 		set: set, log: log, process: process, settings: path,
 		store:   platform.NewStore(client, set.Store),
 		workers: platform.NewWorkers(client),
 		peers:   newPeers(client, httpclient.New(engine)),
 		metrics: newMetrics(string(set.DataCentre)),
-		lease:   lease.New(now(), lease.DefaultTiming(), process, set.Peers, rank),
+		lease:   view,
 		leaving: make(chan struct{}), releasing: make(chan struct{}),
-		capacity: ownCapacity, workersPerCore: dispatch.WorkersPerCore, ownerChanged: make(chan struct{}, 1),
+		workersPerCore: dispatch.WorkersPerCore, ownerChanged: make(chan struct{}, 1),
 	}
 	f.relay = newRelay(f)
 	for _, option := range options {
@@ -129,7 +131,9 @@
 		return err
 	}
 	defer stop()
-	f.log.Event("start", logrus.Fields{"process": f.process, "callers": f.set.Callers, "peers": f.set.Peers, "store": f.set.Store})
+	fields := f.machine()
+	maps.Copy(fields, logrus.Fields{"process": f.process, "callers": f.set.Callers, "peers": f.set.Peers, "store": f.set.Store})
+	f.log.Event("start", fields)
 	group, inner := errgroup.WithContext(inner)
 	group.Go(func() error { return f.followConfiguration(inner) })
 	group.Go(func() error { return f.followOwner(inner) })
--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -24,7 +24,7 @@
 	var err error
 	began := now()
 	switch {
-	case closed(f.releasing) || !f.mayAct(o.record.Epoch):
+	case o.givesUp() || !f.mayAct(o.record.Epoch):
 		err = &bamboofall.NotDoneError{Call: "order", Reason: "the owner is not confirmed"}
 	case began.Sub(decided) > staleOrder:
 		err = &bamboofall.NotDoneError{Call: "order", Reason: "the process has slept"}
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -56,6 +56,8 @@
 	// renewal is the sequence number of the next renewal.
 	renewal uint64
 	delays  *delays
+	// yielding is closed when the owner gives the cell to a stronger VM.
+	yielding chan struct{}
 	// underWay is the number of orders that are not answered.
 	underWay atomic.Int64
 
@@ -86,6 +88,7 @@
 	o := &owner{
 		front: f, record: r, events: ring.New[func(time.Time)](ownerRing),
 		group: group, ctx: ctx, renewal: sequence, sequence: sequence, delays: newDelays(f.metrics),
+		yielding: make(chan struct{}),
 		cell: cell.New(cell.Config{
 			Token: bamboofall.Token(r.Epoch), Lease: f.leaseTime(), FormerLeases: former,
 			KeepEnded:    f.set.Bounds.KeepEnded + 10*time.Second,
@@ -402,7 +405,7 @@
 // the answer.
 func ask[T any](ctx context.Context, o *owner, f func(at time.Time, answer func(T))) (T, error) {
 	var none T
-	if !o.ready.Load() || closed(o.front.releasing) {
+	if !o.ready.Load() || o.givesUp() {
 		return none, errNotOwner
 	}
 	done := make(chan T, 1)
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -47,7 +47,8 @@
 		if before.Epoch != record.Epoch || before.Released != record.Released {
 			f.relay.fence(record.Epoch)
 			signalOnce(f.ownerChanged)
-			f.log.Event("owner", logrus.Fields{"epoch": record.Epoch, "address": record.Address, "process": record.Process, "released": record.Released})
+			f.log.Event("owner", logrus.Fields{"epoch": record.Epoch, "address": record.Address, "process": record.Process, "released": record.Released,
+				"capacity": record.Capacity, "strongestOther": record.Strongest, "yielded": record.Yielded})
 		}
 	}
 	defer f.owners.Wait()
@@ -71,11 +72,17 @@
 	if err != nil {
 		return lease.Record{}, err
 	}
-	return lease.Record{Epoch: m.GetEpoch(), Address: address, Process: m.GetProcess(), Released: m.GetReleased()}, nil
+	return lease.Record{
+		Epoch: m.GetEpoch(), Address: address, Process: m.GetProcess(), Released: m.GetReleased(),
+		Capacity: m.GetCapacity(), Strongest: m.GetStrongest(), Yielded: m.GetYielded(),
+	}, nil
 }
 
 func encodeOwner(r lease.Record) (bamboofall.StoreRecord, error) {
-	value, err := proto.Marshal(&jobpb.Ownership{Epoch: r.Epoch, Address: r.Address.String(), Process: r.Process, Released: r.Released})
+	value, err := proto.Marshal(&jobpb.Ownership{
+		Epoch: r.Epoch, Address: r.Address.String(), Process: r.Process, Released: r.Released,
+		Capacity: r.Capacity, Strongest: r.Strongest, Yielded: r.Yielded,
+	})
 	return bamboofall.StoreRecord{Key: keyOwner, Value: value}, err
 }
 
@@ -88,6 +95,7 @@
 	if !claim || f.config.Load() == nil || f.owner.Load() != nil {
 		return
 	}
+	record.Strongest, _ = f.strongestPeer(now())
 	stored, err := encodeOwner(record)
 	if err != nil {
 		f.log.Event("claim failed", logrus.Fields{"error": err.Error()})
@@ -111,7 +119,9 @@
 	f.lease.Claimed(sent, record, end)
 	former := f.lease.FormerGrants(cell.LeaseBound(f.leaseTime()))
 	f.leaseMu.Unlock()
-	f.log.Event("claimed", logrus.Fields{"epoch": record.Epoch})
+	fields := f.machine()
+	fields["epoch"] = record.Epoch
+	f.log.Event("claimed", fields)
 	o := newOwner(ctx, f, record, former, sequence+1)
 	f.owner.Store(o)
 	f.owners.Go(func() { f.own(o) })
@@ -152,16 +162,19 @@
 // the cell up, and then releases it.
 func (o *owner) renewals(ctx context.Context) error {
 	every := lease.DefaultTiming().Renew
-	for ctx.Err() == nil && !closed(o.front.releasing) {
+	for ctx.Err() == nil && !o.givesUp() {
+		record := o.record
+		record.Strongest, _ = o.front.strongestPeer(now())
 		var fenced *bamboofall.FencedError
-		switch err := o.renew(ctx, o.record); {
-		case err == nil:
-			sleepUntil(ctx, o.front.releasing, every)
-		case errors.As(err, &fenced):
+		err := o.renew(ctx, record)
+		if errors.As(err, &fenced) {
 			return err
-		default:
-			sleepUntil(ctx, o.front.releasing, storeRetry)
 		}
+		if err != nil {
+			o.rest(ctx, storeRetry)
+			continue
+		}
+		o.rest(ctx, every)
 	}
 	if ctx.Err() != nil {
 		return nil
@@ -169,6 +182,40 @@
 	return o.release(ctx)
 }
 
+// givesUp reports whether the owner is to release the cell, or has.
+func (o *owner) givesUp() bool { return closed(o.front.releasing) || closed(o.yielding) }
+
+// rest waits until the next renewal, or until the owner gives up.
+func (o *owner) rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-o.front.releasing:
+	case <-o.yielding:
+	case <-ctx.Done():
+	}
+}
+
+// considerYield gives the cell to a much stronger VM if this one is slow.
+func (o *owner) considerYield(at time.Time) {
+	if o.givesUp() {
+		return
+	}
+	f := o.front
+	strongest, _ := f.strongestPeer(at)
+	f.leaseMu.Lock()
+	yield := f.lease.Yield(at, o.delay >= slowOwner, strongest)
+	f.leaseMu.Unlock()
+	if !yield {
+		return
+	}
+	fields := o.figures()
+	fields["strongestOther"] = strongest
+	f.log.Event("owner yields", fields)
+	close(o.yielding)
+}
+
 // releaseTries bounds the appends that release a cell: a store that takes none
 // of them for a second lets the cell expire.
 const releaseTries = 10
@@ -176,7 +223,8 @@
 // release tells the others that the cell is free.
 func (o *owner) release(ctx context.Context) error {
 	released := o.record
-	released.Released = true
+	released.Strongest, _ = o.front.strongestPeer(now())
+	released.Released, released.Yielded = true, closed(o.yielding)
 	for range releaseTries {
 		var fenced *bamboofall.FencedError
 		if err := o.renew(ctx, released); err == nil || errors.As(err, &fenced) || ctx.Err() != nil {
