wire/httpclient: ask whether a call may leave when its bytes do

Callers saw orders carried out long after they were decided. An order was looked at for its age when its goroutine ran, not when its bytes left: a connection takes up to a second to open, and nbhttp writes the call as soon as it is open, though the call has timed out 0.6 s before.

A call whose context has ended is not written any more, and its caller may give it hooks: one that is told before a connection is opened, and one that is asked just before the first byte is written.

--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -45,6 +45,9 @@
 type Conn struct {
 	inner   *nbhttp.ClientConn
 	dialErr error
+	// ctx is of the call under way. connected is set once the connection is open.
+	ctx       context.Context
+	connected bool
 }
 
 // Engine opens connections. Use NewEngine.
@@ -77,11 +80,29 @@
 }
 
 func (c *Conn) dial(network, address string) (net.Conn, error) {
+	connecting(c.ctx)
 	conn, err := net.DialTimeout(network, address, dialTimeout)
+	if err == nil {
+		// The call is written as soon as this returns.
+		err = mayLeave(c.ctx)
+		if err != nil {
+			_ = conn.Close()
+		}
+	}
 	if err != nil {
 		c.dialErr = &DialError{address, err}
+		return nil, err
+	}
+	c.connected = true
+	return conn, nil
+}
+
+// mayLeave returns why a call must not be written any more.
+func mayLeave(ctx context.Context) error {
+	if err := context.Cause(ctx); err != nil {
+		return err
 	}
-	return conn, err
+	return Leave(ctx)
 }
 
 // Close closes the connection. A call under way fails.
@@ -90,6 +111,13 @@
 // Do makes a call and hands its end to done, once. The body of the answer is
 // whole and in memory. It may block while it connects and writes.
 func (c *Conn) Do(req *http.Request, done func(*http.Response, error)) {
+	c.ctx = req.Context()
+	if c.connected {
+		if err := mayLeave(c.ctx); err != nil {
+			done(nil, &DialError{req.URL.Host, err})
+			return
+		}
+	}
 	c.inner.Do(req, func(res *http.Response, _ net.Conn, err error) {
 		if c.dialErr != nil {
 			err = c.dialErr
