entry/front: hold the owner's own state against no worker

Callers saw workers taken for silent by the owner's own doing: an order that the owner did not send, as it was not confirmed or the order had waited for 0.5 s, gave a NotDoneError, and the cell counted that as a failure of the worker. After one such order a worker gets no new work, no new lease, and is asked again and again.

Such an order now ends as a WithheldError. It counts against no worker; for 100 ms after it nothing is placed, for the next start would be withheld as well and a start that is ordered again at once would take the whole processor. Whether an order may leave is looked at once more when its bytes do, so waiting for a connection counts.

Orders were sent by a goroutine each, all at once: after a burst the loop shared the processor with hundreds of them.

--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,9 @@
 package bamboofall
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // StaleTokenError says that a fencing token was refused for a larger one.
 type StaleTokenError struct {
@@ -47,6 +50,29 @@
 
 func (e *CarrierError) Error() string { return fmt.Sprintf("by way of %s: %s", e.Carrier, e.Reason) }
 
+// WithholdCause says why an order was not sent.
+type WithholdCause string
+
+// The causes for which an order is withheld.
+const (
+	// WithheldUnconfirmed means that the owner may not act.
+	WithheldUnconfirmed WithholdCause = "unconfirmed"
+	// WithheldStale means that the order has waited too long in this system.
+	WithheldStale WithholdCause = "stale"
+)
+
+// WithheldError says that the owner did not send an order for a cause of its own.
+// It tells nothing of the worker.
+type WithheldError struct {
+	Cause WithholdCause
+	// Age is how long before the order was decided.
+	Age time.Duration
+}
+
+func (e *WithheldError) Error() string {
+	return fmt.Sprintf("withheld as %s %v after it was decided", e.Cause, e.Age.Round(time.Millisecond))
+}
+
 // UnknownOutcomeError says that a call may have had its effect, or may have it
 // later.
 type UnknownOutcomeError struct {
--- a/internal/entry/front/carry.go
+++ b/internal/entry/front/carry.go
@@ -62,7 +62,7 @@
 	switch {
 	case !relayed:
 		r.counts.direct++
-		go r.o.carryOut(order, at, time.Now())
+		r.o.sender.add(&queuedOrder{Order: order, decided: at, handed: time.Now()})
 	case r.book.Add(at, vm.Address, order, order.Hold.Wait):
 		r.counts.relayed++
 	default:
@@ -166,7 +166,7 @@
 			r.end(at, order, notSentBy(orderCall(order.Kind), "the owner", why))
 		}
 	}
-	if closed(f.releasing) || !f.mayAct(o.record.Epoch) {
+	if o.givesUp() || !f.mayAct(o.record.Epoch) {
 		refuse("the owner is not confirmed")
 		return
 	}
--- a/internal/entry/front/delay.go
+++ b/internal/entry/front/delay.go
@@ -123,6 +123,7 @@
 	scope.Gauge("ownerDelaySeconds").Update(o.delay.Seconds())
 	scope.Gauge("ownerRing").Update(float64(len(o.events.Items())))
 	scope.Gauge("ownerOrdersUnderWay").Update(float64(o.underWay.Load()))
+	scope.Gauge("ownerOrdersWaiting").Update(float64(o.sender.waiting()))
 	if o.delay < slowOwner || at.Sub(o.slowNoted) < slowEvery {
 		return
 	}
@@ -136,7 +137,7 @@
 	maps.Copy(fields, o.front.machine())
 	known, silent := o.cell.Workers()
 	maps.Copy(fields, logrus.Fields{
-		"epoch": o.record.Epoch, "delayMs": o.delay.Milliseconds(), "ring": len(o.events.Items()), "orders": o.underWay.Load(),
+		"epoch": o.record.Epoch, "delayMs": o.delay.Milliseconds(), "ring": len(o.events.Items()), "orders": o.underWay.Load(), "ordersWaiting": o.sender.waiting(),
 		"workers": known, "workersSilent": silent,
 	})
 	return fields
@@ -144,7 +145,7 @@
 
 // quiet takes the gauges back once the owner has ended.
 func (d *delays) quiet(m *metrics) {
-	for _, name := range []string{"ownerDelaySeconds", "ownerRing", "ownerOrdersUnderWay"} {
+	for _, name := range []string{"ownerDelaySeconds", "ownerRing", "ownerOrdersUnderWay", "ownerOrdersWaiting"} {
 		m.Scope.Gauge(name).Update(0)
 	}
 }
--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -2,40 +2,73 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
 	"bamboofall.example/bamboofall/internal/jobs/dispatch"
+	"bamboofall.example/bamboofall/internal/wire/httpclient"
 )
 
 // staleOrder is the age at which an order is not sent any more: the process may
 // have slept since it was decided.
 const staleOrder = dispatch.StaleOrder
 
-// carryOut sends an order to its worker and gives the result back. Handed is when
-// the loop handed the order over.
-func (o *owner) carryOut(order cell.Order, decided, handed time.Time) {
+// carryOut sends an order to its worker and gives the result back. It calls left
+// once the order waits for the other side, or ends.
+func (o *owner) carryOut(q *queuedOrder, left func()) {
 	defer o.underWay.Add(-1)
-	o.delays.waited(waitOrder, time.Since(handed))
-	f := o.front
-	ctx := o.ctx
+	defer left()
+	waits := sync.OnceFunc(func() {
+		o.delays.waited(waitOrder, time.Since(q.handed))
+		left()
+	})
 	var report bamboofall.HoldReport
-	var err error
-	began := now()
+	err := o.withhold(q)
+	if err != nil {
+		waits()
+	} else {
+		report, err = o.front.perform(o.watch(q, waits), &q.Order)
+	}
+	var withheld *bamboofall.WithheldError
+	if errors.As(err, &withheld) {
+		o.front.metrics.Count("ordersWithheld", map[string]string{"cause": string(withheld.Cause)})
+	}
+	o.push(o.ctx, func(at time.Time) { o.result(at, q.Order, report, err) })
+}
+
+// watch returns a context for the call of an order. The order is looked at once
+// more when its bytes leave: it may have waited for a connection.
+func (o *owner) watch(q *queuedOrder, waits func()) context.Context {
+	return httpclient.WithHooks(o.ctx, &httpclient.Hooks{
+		Connecting: waits,
+		Leave: func() error {
+			waits()
+			return o.withhold(q)
+		},
+	})
+}
+
+// withhold returns why an order must not be sent any more, as a
+// *bamboofall.NotDoneError, or nil.
+func (o *owner) withhold(q *queuedOrder) error {
+	age := now().Sub(q.decided)
+	withheld := &bamboofall.WithheldError{Age: age}
 	switch {
-	case o.givesUp() || !f.mayAct(o.record.Epoch):
-		err = &bamboofall.NotDoneError{Call: "order", Reason: "the owner is not confirmed"}
-	case began.Sub(decided) > staleOrder:
-		err = &bamboofall.NotDoneError{Call: "order", Reason: "the process has slept"}
+	case o.givesUp() || !o.front.mayAct(o.record.Epoch):
+		withheld.Cause = bamboofall.WithheldUnconfirmed
+	case age > staleOrder:
+		withheld.Cause = bamboofall.WithheldStale
 	default:
-		report, err = f.perform(ctx, order)
+		return nil
 	}
-	o.push(ctx, func(at time.Time) { o.result(at, order, report, err) })
+	return &bamboofall.NotDoneError{Call: "order", Reason: withheld.Error(), Err: withheld}
 }
 
 // perform makes the call of an order. Only holds report more than the sighting.
-func (f *Front) perform(ctx context.Context, order cell.Order) (report bamboofall.HoldReport, err error) {
+func (f *Front) perform(ctx context.Context, order *cell.Order) (report bamboofall.HoldReport, err error) {
 	s := order.Start
 	switch order.Kind {
 	case cell.OrderStart:
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -56,6 +56,7 @@
 	// renewal is the sequence number of the next renewal.
 	renewal uint64
 	delays  *delays
+	sender  *sender
 	// yielding is closed when the owner gives the cell to a stronger VM.
 	yielding chan struct{}
 	// underWay is the number of orders that are not answered.
@@ -96,6 +97,7 @@
 		}),
 	}
 	o.relays = newRelays(o)
+	o.sender = newSender(o.carryOut)
 	return o
 }
 
--- a/internal/entry/front/relay.go
+++ b/internal/entry/front/relay.go
@@ -156,7 +156,7 @@
 	case now().Sub(c.arrived) > staleOrder:
 		return bamboofall.HoldReport{}, r.notSent(c.Order, "it waited too long at the relay")
 	}
-	return r.f.perform(r.ctx, c.Order)
+	return r.f.perform(r.ctx, &c.Order)
 }
 
 // add queues a result for the owner. The caller has locked the relay.
--- a/internal/entry/front/relay_test.go
+++ b/internal/entry/front/relay_test.go
@@ -213,7 +213,7 @@
 	f.waitForOwner(first)
 	f.waitForState(1-first, id(1), "completed")
 	for _, o := range starts() {
-		_, err := f.fronts[1-first].perform(context.Background(), o)
+		_, err := f.fronts[1-first].perform(context.Background(), &o)
 		var rejected *bamboofall.RejectedError
 		assert.Assert(t, errors.As(err, &rejected), "%v: %v", o.Start.Task, err)
 		assert.Equal(t, rejected.Cause, bamboofall.RejectFenced)
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -68,6 +68,8 @@
 	lossyAt time.Time
 	// owner is the owner's own delay.
 	owner ownerDelay
+	// withheldAt is when the owner last held back an order for a cause of its own.
+	withheldAt time.Time
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
@@ -176,7 +178,9 @@
 // Step decides what is due.
 func (c *Cell) Step(now time.Time) Output {
 	c.scan(now)
-	c.place(now)
+	if now.Sub(c.withheldAt) >= withheldPause {
+		c.place(now)
+	}
 	c.hold(now)
 	out := c.out
 	c.out = Output{}
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -27,6 +27,10 @@
 	// holdUnstored is the time between calls while ends wait for the store, for
 	// the worker repeats them at once.
 	holdUnstored = 400 * time.Millisecond
+	// withheldPause is how long nothing is placed after the owner has held back an
+	// order: a renewal that confirms the owner takes a few milliseconds, and is tried
+	// again after 100.
+	withheldPause = 100 * time.Millisecond
 	// clockFresh is the age at which the clock of an idle worker is looked at
 	// again: after it a lease would be shorter by up to 0.4 s.
 	clockFresh = 20 * time.Second
@@ -187,8 +191,12 @@
 }
 
 func (c *Cell) holdFailed(now time.Time, w *worker, err error) {
-	c.counters.HoldFailures++
 	w.nextHold = now.Add(holdRetry)
+	if failedOnTheWay(err) {
+		c.noteWithheld(now, err)
+		return
+	}
+	c.counters.HoldFailures++
 	var rejected *bamboofall.RejectedError
 	if errors.As(err, &rejected) {
 		c.rejected(now, w, rejected)
@@ -200,12 +208,23 @@
 // failedOnTheWay reports whether an order failed before it was the worker's.
 func failedOnTheWay(err error) bool {
 	var carrier *bamboofall.CarrierError
-	return errors.As(err, &carrier)
+	var withheld *bamboofall.WithheldError
+	return errors.As(err, &carrier) || errors.As(err, &withheld)
+}
+
+// noteWithheld notes that the owner held back an order as it was late or may not
+// act. The next would be held back as well.
+func (c *Cell) noteWithheld(now time.Time, err error) {
+	var withheld *bamboofall.WithheldError
+	if errors.As(err, &withheld) {
+		c.withheldAt = now
+	}
 }
 
 // unheard notes that a worker did not answer.
 func (c *Cell) unheard(now time.Time, w *worker, err error) {
 	if failedOnTheWay(err) {
+		c.noteWithheld(now, err)
 		return
 	}
 	w.failures++
