jobs/cell: withdraw starts that have not left

A start that the owner had decided on stayed in its backlog, and left after the job was cancelled: nothing looked at it again.

An order to start is withdrawn as soon as its run is to end or is given up: with the job, with the life of its worker, or as another copy is done. The owner looks at that when the bytes leave, so a start cannot leave after the acknowledgement, which waits for the store. What a worker has received and carries out late is stopped by number, as before. Other carriers of orders must ask Order.Withdrawn as well.

Before: TestAStartDoesNotLeaveOnceItsJobIsCancelled: orders_test.go:87: timeout hit after 5s: 3 starts left

--- a/errors.go
+++ b/errors.go
@@ -59,6 +59,8 @@
 	WithheldUnconfirmed WithholdCause = "unconfirmed"
 	// WithheldStale means that the order has waited too long in this system.
 	WithheldStale WithholdCause = "stale"
+	// WithheldWithdrawn means that the order is not wanted any more.
+	WithheldWithdrawn WithholdCause = "withdrawn"
 )
 
 // WithheldError says that the owner did not send an order for a cause of its own.
--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -59,6 +59,8 @@
 	switch {
 	case o.givesUp() || !o.front.mayAct(o.record.Epoch):
 		withheld.Cause = bamboofall.WithheldUnconfirmed
+	case q.Withdrawn():
+		withheld.Cause = bamboofall.WithheldWithdrawn
 	case age > staleOrder:
 		withheld.Cause = bamboofall.WithheldStale
 	default:
--- a/internal/entry/front/orders_test.go
+++ b/internal/entry/front/orders_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
@@ -67,6 +68,35 @@
 	return w.TaskWorkers.Start(ctx, to, s)
 }
 
+const oneStep = `{"task_spec":"x","steps":[{"count":3,"cpu":500,"memory_request_mb":64,"estimated_ms":100}]}`
+
+// A start once left the owner's own backlog after the job's cancellation had been
+// acknowledged.
+func TestAStartDoesNotLeaveOnceItsJobIsCancelled(t *testing.T) {
+	f := newFleet(t, 1, 2, time.Minute)
+	fr := f.fronts[0].Front
+	way := &slowWay{TaskWorkers: fr.workers, got: make(chan struct{}, 16), open: make(chan struct{})}
+	fr.workers = way
+	f.waitForOwner(-1)
+	status, body := f.do(0, http.MethodPost, "/q/"+id(1), oneStep)
+	assert.Equal(t, status, http.StatusOK, body)
+	<-way.got
+	status, body = f.do(0, http.MethodDelete, "/q/"+id(1), "")
+	assert.Equal(t, status, http.StatusOK, body)
+	close(way.open)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !strings.Contains(page(t, fr), `ordersWithheld{cause="withdrawn",dataCentre="a"} 3`) {
+			return poll.Continue("%d starts left", way.started.Load())
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	assert.Equal(t, way.started.Load(), int64(0))
+	// A start that is not withdrawn leaves.
+	status, body = f.do(0, http.MethodPost, "/q/"+id(2), oneStep)
+	assert.Equal(t, status, http.StatusOK, body)
+	f.waitForState(0, id(2), "running")
+}
+
 // An order may wait for a connection for longer than it is good for.
 func TestAStartDoesNotLeaveOnceItIsStale(t *testing.T) {
 	f := newFleet(t, 1, 1, 50*time.Millisecond)
--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -56,6 +57,8 @@
 	pacing      bool
 	// heldSince is since when the share has been zero.
 	heldSince time.Time
+	// withdrawn is set once the start must not be sent any more.
+	withdrawn atomic.Bool
 	// resumed is set for a run that began from a checkpoint.
 	resumed bool
 }
@@ -109,6 +112,7 @@
 		return
 	}
 	a.held = false
+	a.withdrawn.Store(true)
 	w.attempts = slices.DeleteFunc(w.attempts, func(b *attempt) bool { return a == b })
 	w.account(a, -1)
 	a.task.attempts = slices.DeleteFunc(a.task.attempts, func(b *attempt) bool { return a == b })
@@ -257,6 +261,7 @@
 		c.release(a)
 		return
 	}
+	a.withdrawn.Store(true)
 	c.orderStop(now, a)
 }
 
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -136,6 +136,10 @@
 	beside bool
 }
 
+// Withdrawn reports whether an order must not be sent any more, as its run is to
+// end or has been given up. It may be called while the cell decides.
+func (o *Order) Withdrawn() bool { return o.Kind == OrderStart && o.attempt.withdrawn.Load() }
+
 // Output is what a step decided.
 type Output struct {
 	Orders []Order
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -216,7 +216,7 @@
 // act. The next would be held back as well.
 func (c *Cell) noteWithheld(now time.Time, err error) {
 	var withheld *bamboofall.WithheldError
-	if errors.As(err, &withheld) {
+	if errors.As(err, &withheld) && withheld.Cause != bamboofall.WithheldWithdrawn {
 		c.withheldAt = now
 	}
 }
