jobs/cell: test that a start is withdrawn before its task is begun again

The test said that a start is withdrawn when its worker starts again. That is one way; a start may as well be kept for the new life. What must hold is that it is withdrawn before the task is begun again.

--- a/internal/jobs/cell/withdrawn_test.go
+++ b/internal/jobs/cell/withdrawn_test.go
@@ -26,11 +26,24 @@
 	assert.Assert(t, !next.Withdrawn())
 }
 
-// A start that waits in the owner must not leave it once its task may be begun
-// elsewhere.
-func TestAStartIsWithdrawnWithTheLifeOfItsWorker(t *testing.T) {
+// A start that waits in the owner must not leave it once its task has been begun
+// again.
+func TestAStartIsWithdrawnBeforeItsTaskIsBegunAgain(t *testing.T) {
 	d := newDriven(t)
 	start := d.next(cell.OrderStart)
-	d.SetWorker(d.now, bamboofall.Worker{WorkerRef: start.Worker, Born: d.now, Service: "s", Room: bamboofall.Resources{MilliProcessors: 1000}})
-	assert.Assert(t, start.Withdrawn())
+	born := d.now
+	room := bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30}
+	d.SetWorker(d.now, bamboofall.Worker{WorkerRef: start.Worker, Born: born, Service: "s", Room: room})
+	for range 100 {
+		d.step()
+		open := d.open
+		d.open = nil
+		for _, o := range open {
+			if o.Kind == cell.OrderHold {
+				d.Held(d.now, o, bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: d.now.Sub(born) + 1, Born: born}}, nil)
+				continue
+			}
+			assert.Assert(t, o.Kind != cell.OrderStart || start.Withdrawn())
+		}
+	}
 }
