entry/front: withhold relayed orders like direct ones

A batch once held starts whose job was cancelled while they waited for the batch: only an order's age and the right to act were looked at. The reasons for which the owner withholds a direct order now hold for relayed ones, when the batch is made, and are counted the same way. The relay looks at its own reasons once more when the bytes leave, as a direct order is looked at.

--- a/internal/entry/front/carry.go
+++ b/internal/entry/front/carry.go
@@ -28,7 +28,7 @@
 type relays struct {
 	o       *owner
 	table   *dispatch.Table
-	book    *dispatch.Book[cell.Order]
+	book    *dispatch.Book[*queuedOrder]
 	watched time.Time
 	counts  relayCounts
 }
@@ -41,14 +41,14 @@
 
 // relayCounts counts what went by which way.
 type relayCounts struct {
-	direct, relayed, batches, results, late, missing, stale, lost int64
+	direct, relayed, batches, results, late, missing, unqueued, lost int64
 }
 
 func newRelays(o *owner) *relays {
 	f := o.front
 	own := dispatch.VM{Address: f.set.Peers, Process: f.process, DataCentre: f.set.DataCentre, Capacity: assumed(capacityOf(f.set.Machine))}
 	r := &relays{
-		o: o, table: dispatch.NewTable(own, f.workersPerCore), book: dispatch.NewBook[cell.Order](platform.OrderLimit),
+		o: o, table: dispatch.NewTable(own, f.workersPerCore), book: dispatch.NewBook[*queuedOrder](platform.OrderLimit),
 	}
 	for _, way := range [...]string{wayDirect, wayRelayed} {
 		f.metrics.Scope.Tagged(map[string]string{"way": way}).Counter("ordersSent")
@@ -58,23 +58,25 @@
 
 // order gives an order to its relay, or carries it out from here.
 func (r *relays) order(at time.Time, order cell.Order) {
+	q := &queuedOrder{Order: order, decided: at, handed: time.Now()}
 	vm, relayed := r.table.Way(order.Worker.ID)
 	switch {
 	case !relayed:
 		r.counts.direct++
-		r.o.sender.add(&queuedOrder{Order: order, decided: at, handed: time.Now()})
-	case r.book.Add(at, vm.Address, order, order.Hold.Wait):
+		r.o.sender.add(q)
+	case r.book.Add(vm.Address, q, order.Hold.Wait):
 		r.counts.relayed++
 	default:
-		r.counts.stale++
-		r.end(at, order, notSentBy(orderCall(order.Kind), vm.Address.String(), "too many orders wait in the owner"))
+		r.counts.unqueued++
+		r.end(at, q, notSentBy(orderCall(order.Kind), vm.Address.String(), "too many orders wait in the owner"))
 	}
 }
 
 // end gives the failure of an order to the cell.
-func (r *relays) end(at time.Time, order cell.Order, err error) {
+func (r *relays) end(at time.Time, q *queuedOrder, err error) {
 	r.o.underWay.Add(-1)
-	r.o.result(at, order, bamboofall.HoldReport{}, err)
+	r.o.countWithheld(err)
+	r.o.result(at, q.Order, bamboofall.HoldReport{}, err)
 }
 
 // step sends what waits, and gives up what is overdue.
@@ -137,12 +139,12 @@
 func (r *relays) takeBack(at time.Time, relay netip.AddrPort, why string) {
 	unsent, sent := r.book.Lost(relay)
 	for _, order := range unsent {
-		r.order(at, order)
+		r.order(at, order.Order)
 	}
 	for _, order := range sent {
 		switch order.Kind {
 		case cell.OrderHold, cell.OrderStop:
-			r.order(at, order)
+			r.order(at, order.Order)
 		default:
 			r.end(at, order, lostBy(orderCall(order.Kind), relay.String(), why))
 		}
@@ -152,28 +154,20 @@
 // send hands the next batch to a relay.
 func (r *relays) send(at time.Time, relay netip.AddrPort) {
 	f, o := r.o.front, r.o
-	batch, stale := r.book.Batch(at, relay)
-	for _, order := range stale {
-		r.counts.stale++
-		r.end(at, order, notSentBy(orderCall(order.Kind), "the owner", "it waited too long in the owner"))
+	batch, withheld := r.book.Batch(at, relay, o.withhold)
+	for _, w := range withheld {
+		r.end(at, w.Order, w.Err)
 	}
 	if len(batch) == 0 {
 		return
 	}
-	refuse := func(why string) {
-		r.book.Acknowledged(relay)
-		for _, order := range r.book.NotSent(batch) {
-			r.end(at, order, notSentBy(orderCall(order.Kind), "the owner", why))
-		}
-	}
-	if o.givesUp() || !f.mayAct(o.record.Epoch) {
-		refuse("the owner is not confirmed")
-		return
-	}
 	req, err := encodeBatch(o.record.Epoch, f.set.Peers, batch)
 	if err != nil {
 		f.log.Event("batch not made", logrus.Fields{"epoch": o.record.Epoch, "error": err.Error()})
-		refuse(err.Error())
+		r.book.Acknowledged(relay)
+		for _, order := range r.book.NotSent(batch) {
+			r.end(at, order, notSentBy(orderCall(order.Kind), "the owner", err.Error()))
+		}
 		return
 	}
 	r.counts.batches++
@@ -188,7 +182,7 @@
 }
 
 // sent takes over what became of a batch.
-func (r *relays) sent(at time.Time, relay netip.AddrPort, batch []dispatch.Order[cell.Order], err error, deposed bool) {
+func (r *relays) sent(at time.Time, relay netip.AddrPort, batch []dispatch.Order[*queuedOrder], err error, deposed bool) {
 	r.book.Acknowledged(relay)
 	switch {
 	case deposed:
@@ -199,7 +193,7 @@
 		back := r.book.NotSent(batch)
 		r.lose(at, relay, err.Error())
 		for _, order := range back {
-			r.order(at, order)
+			r.order(at, order.Order)
 		}
 	case err != nil:
 		r.lose(at, relay, err.Error())
@@ -234,10 +228,10 @@
 		switch {
 		case verdict == dispatch.Wanted:
 			r.o.underWay.Add(-1)
-			r.o.result(at, order, report, err)
+			r.o.result(at, order.Order, report, err)
 		case order.Kind == cell.OrderHold && err == nil:
 			r.counts.late++
-			r.o.cell.HeldLate(at, order, report)
+			r.o.cell.HeldLate(at, order.Order, report)
 		}
 	}
 }
@@ -249,7 +243,7 @@
 	m.Raise("ordersSent", map[string]string{"way": wayRelayed}, c.relayed)
 	for name, total := range map[string]int64{
 		"relayBatches": c.batches, "relayResults": c.results, "relayResultsLate": c.late, "relayResultsMissing": c.missing,
-		"relayOrdersStale": c.stale, "relaysLost": c.lost,
+		"relayOrdersUnqueued": c.unqueued, "relaysLost": c.lost,
 	} {
 		m.Raise(name, nil, total)
 	}
--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -8,13 +8,12 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
-	"bamboofall.example/bamboofall/internal/jobs/dispatch"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
 )
 
 // staleOrder is the age at which an order is not sent any more: the process may
 // have slept since it was decided.
-const staleOrder = dispatch.StaleOrder
+const staleOrder = 500 * time.Millisecond
 
 // carryOut sends an order to its worker and gives the result back. It calls left
 // once the order waits for the other side, or ends.
@@ -32,11 +31,15 @@
 	} else {
 		report, err = o.front.perform(o.watch(q, waits), &q.Order)
 	}
+	o.countWithheld(err)
+	o.push(o.ctx, func(at time.Time) { o.result(at, q.Order, report, err) })
+}
+
+func (o *owner) countWithheld(err error) {
 	var withheld *bamboofall.WithheldError
 	if errors.As(err, &withheld) {
 		o.front.metrics.Count("ordersWithheld", map[string]string{"cause": string(withheld.Cause)})
 	}
-	o.push(o.ctx, func(at time.Time) { o.result(at, q.Order, report, err) })
 }
 
 // watch returns a context for the call of an order. The order is looked at once
--- a/internal/entry/front/orderwire.go
+++ b/internal/entry/front/orderwire.go
@@ -13,7 +13,7 @@
 )
 
 // encodeBatch puts orders into a batch. Tasks of a job share its payload.
-func encodeBatch(epoch uint64, owner netip.AddrPort, batch []dispatch.Order[cell.Order]) (*jobpb.CarryRequest, error) {
+func encodeBatch(epoch uint64, owner netip.AddrPort, batch []dispatch.Order[*queuedOrder]) (*jobpb.CarryRequest, error) {
 	req := &jobpb.CarryRequest{Epoch: epoch, Owner: owner.String(), Orders: make([]*jobpb.WorkerOrder, 0, len(batch))}
 	places := make(map[string]uint32)
 	for _, b := range batch {
--- a/internal/entry/front/orderwire_test.go
+++ b/internal/entry/front/orderwire_test.go
@@ -35,9 +35,9 @@
 		{Kind: cell.OrderPace, Worker: worker, Start: bamboofall.StartOrder{Task: task, Run: 1001, Token: 7}, Percent: 30},
 		{Kind: cell.OrderHold, Worker: worker, Hold: bamboofall.HoldOrder{LeaseUntil: 6 * time.Second, Token: 7, Seen: 9, Wait: 2 * time.Second}},
 	}
-	var batch []dispatch.Order[cell.Order]
+	var batch []dispatch.Order[*queuedOrder]
 	for i, o := range orders {
-		batch = append(batch, dispatch.Order[cell.Order]{ID: uint64(i + 1), Order: o})
+		batch = append(batch, dispatch.Order[*queuedOrder]{ID: uint64(i + 1), Order: &queuedOrder{Order: o}})
 	}
 	req, err := encodeBatch(7, netip.MustParseAddrPort("10.0.0.2:7000"), batch)
 	assert.NilError(t, err)
--- a/internal/entry/front/relay.go
+++ b/internal/entry/front/relay.go
@@ -11,6 +11,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/wire/httpclient"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
 
@@ -150,13 +151,24 @@
 }
 
 func (r *relay) carryOut(c carried) (bamboofall.HoldReport, error) {
+	if err := r.withhold(&c); err != nil {
+		return bamboofall.HoldReport{}, err
+	}
+	// The order is looked at once more when its bytes leave: it may have waited for a
+	// connection.
+	ctx := httpclient.WithHooks(r.ctx, &httpclient.Hooks{Leave: func() error { return r.withhold(&c) }})
+	return r.f.perform(ctx, &c.Order)
+}
+
+// withhold returns why an order must not be sent any more, or nil.
+func (r *relay) withhold(c *carried) error {
 	switch {
 	case r.fenced(c.epoch):
-		return bamboofall.HoldReport{}, r.notSent(c.Order, "another owner has taken over")
+		return r.notSent(c.Order, "another owner has taken over")
 	case now().Sub(c.arrived) > staleOrder:
-		return bamboofall.HoldReport{}, r.notSent(c.Order, "it waited too long at the relay")
+		return r.notSent(c.Order, "it waited too long at the relay")
 	}
-	return r.f.perform(r.ctx, &c.Order)
+	return nil
 }
 
 // add queues a result for the owner. The caller has locked the relay.
--- a/internal/entry/front/relay_test.go
+++ b/internal/entry/front/relay_test.go
@@ -240,10 +240,10 @@
 
 func batchOf(t *testing.T, epoch uint64, orders ...cell.Order) *jobpb.CarryRequest {
 	t.Helper()
-	var batch []dispatch.Order[cell.Order]
+	var batch []dispatch.Order[*queuedOrder]
 	for i, o := range orders {
 		o.Worker = bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("127.0.0.1:1")}
-		batch = append(batch, dispatch.Order[cell.Order]{ID: uint64(i + 1), Order: o})
+		batch = append(batch, dispatch.Order[*queuedOrder]{ID: uint64(i + 1), Order: &queuedOrder{Order: o}})
 	}
 	req, err := encodeBatch(epoch, netip.MustParseAddrPort("127.0.0.1:1"), batch)
 	assert.NilError(t, err)
--- a/internal/jobs/dispatch/book.go
+++ b/internal/jobs/dispatch/book.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// StaleOrder is the age at which an order is not sent any more.
-	StaleOrder = 500 * time.Millisecond
 	// batchOrders bounds the orders of a batch: with large payloads it is a few
 	// hundred kilobytes.
 	batchOrders = 256
@@ -29,10 +27,9 @@
 
 // entry is an order that a relay has or is to get.
 type entry[T any] struct {
-	id      uint64
-	order   T
-	relay   netip.AddrPort
-	decided time.Time
+	id    uint64
+	order T
+	relay netip.AddrPort
 	// sent is when the batch was made.
 	sent time.Time
 	wait time.Duration
@@ -73,7 +70,7 @@
 
 // Add queues an order for a relay. The worker may wait for a time before it
 // answers. Add reports false if too many orders wait.
-func (b *Book[T]) Add(now time.Time, relay netip.AddrPort, order T, wait time.Duration) bool {
+func (b *Book[T]) Add(relay netip.AddrPort, order T, wait time.Duration) bool {
 	l := b.links[relay]
 	if l == nil {
 		l = &link[T]{}
@@ -83,7 +80,7 @@
 		return false
 	}
 	b.next++
-	l.queue = append(l.queue, &entry[T]{id: b.next, order: order, relay: relay, decided: now, wait: wait})
+	l.queue = append(l.queue, &entry[T]{id: b.next, order: order, relay: relay, wait: wait})
 	return true
 }
 
@@ -99,9 +96,15 @@
 	return ready
 }
 
-// Batch takes the next batch for a relay. Orders that have waited too long are not
-// in it. The batch is under way until it is acknowledged.
-func (b *Book[T]) Batch(now time.Time, relay netip.AddrPort) (batch []Order[T], stale []T) {
+// Withheld is an order that is not sent.
+type Withheld[T any] struct {
+	Order T
+	Err   error
+}
+
+// Batch takes the next batch for a relay. Orders for which withhold returns an
+// error are not in it. The batch is under way until it is acknowledged.
+func (b *Book[T]) Batch(now time.Time, relay netip.AddrPort, withhold func(T) error) (batch []Order[T], withheld []Withheld[T]) {
 	l := b.links[relay]
 	taken := 0
 	for _, e := range l.queue {
@@ -109,8 +112,8 @@
 			break
 		}
 		taken++
-		if now.Sub(e.decided) > StaleOrder {
-			stale = append(stale, e.order)
+		if err := withhold(e.order); err != nil {
+			withheld = append(withheld, Withheld[T]{e.order, err})
 			continue
 		}
 		e.sent = now
@@ -125,7 +128,7 @@
 	if len(batch) > 0 {
 		l.underWay++
 	}
-	return batch, stale
+	return batch, withheld
 }
 
 // Acknowledged takes over that a call with a batch has ended.
--- a/internal/jobs/dispatch/book_test.go
+++ b/internal/jobs/dispatch/book_test.go
@@ -1,43 +1,54 @@
 package dispatch
 
 import (
+	"errors"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
-	"net/netip"
 )
 
 var compareAddresses = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
 
+var errStale = errors.New("stale")
+
+func sendAll(string) error { return nil }
+
 const limit = 400 * time.Millisecond
 
 func TestOrdersThatComeMeanwhileShareABatch(t *testing.T) {
 	b := NewBook[string](limit)
-	add := func(ms int, order string) { assert.Assert(t, b.Add(at(ms), address(1), order, 0)) }
-	add(0, "a")
-	first, _ := b.Batch(at(0), address(1))
+	add := func(order string) { assert.Assert(t, b.Add(address(1), order, 0)) }
+	add("a")
+	first, _ := b.Batch(at(0), address(1), sendAll)
 	assert.DeepEqual(t, first, []Order[string]{{1, "a"}})
-	add(1, "b")
-	_, _ = b.Batch(at(1), address(1))
-	add(2, "c")
-	add(3, "d")
+	add("b")
+	_, _ = b.Batch(at(1), address(1), sendAll)
+	add("c")
+	add("d")
 	assert.Equal(t, len(b.Ready()), 0, "two batches are under way")
 	b.Acknowledged(address(1))
 	assert.Equal(t, len(b.Ready()), 1)
-	third, stale := b.Batch(at(4), address(1))
+	third, withheld := b.Batch(at(4), address(1), sendAll)
 	assert.DeepEqual(t, third, []Order[string]{{3, "c"}, {4, "d"}})
-	assert.Equal(t, len(stale), 0)
+	assert.Equal(t, len(withheld), 0)
 }
 
-func TestAnOrderThatWaitedTooLongIsNotSent(t *testing.T) {
+func TestAnOrderThatIsWithheldIsNotSent(t *testing.T) {
 	b := NewBook[string](limit)
-	b.Add(at(0), address(1), "old", 0)
-	b.Add(at(1), address(1), "young", 0)
-	batch, stale := b.Batch(at(501), address(1))
+	b.Add(address(1), "old", 0)
+	b.Add(address(1), "young", 0)
+	batch, withheld := b.Batch(at(501), address(1), func(order string) error {
+		if order == "old" {
+			return errStale
+		}
+		return nil
+	})
 	assert.DeepEqual(t, batch, []Order[string]{{2, "young"}})
-	assert.DeepEqual(t, stale, []string{"old"})
+	assert.Equal(t, len(withheld), 1)
+	assert.Equal(t, withheld[0], Withheld[string]{"old", errStale})
 	_, verdict := b.Result(at(502), address(1), 1)
 	assert.Equal(t, verdict, Unwanted)
 }
@@ -45,18 +56,18 @@
 func TestTheQueueOfARelayIsBounded(t *testing.T) {
 	b := NewBook[string](limit)
 	for range queueOrders {
-		assert.Assert(t, b.Add(at(0), address(1), "a", 0))
+		assert.Assert(t, b.Add(address(1), "a", 0))
 	}
-	assert.Assert(t, !b.Add(at(0), address(1), "a", 0))
-	batch, _ := b.Batch(at(0), address(1))
+	assert.Assert(t, !b.Add(address(1), "a", 0))
+	batch, _ := b.Batch(at(0), address(1), sendAll)
 	assert.Equal(t, len(batch), batchOrders)
-	assert.Assert(t, b.Add(at(0), address(1), "a", 0))
+	assert.Assert(t, b.Add(address(1), "a", 0))
 }
 
 func TestAResultCountsOnce(t *testing.T) {
 	b := NewBook[string](limit)
-	b.Add(at(0), address(1), "a", 0)
-	b.Batch(at(0), address(1))
+	b.Add(address(1), "a", 0)
+	b.Batch(at(0), address(1), sendAll)
 	order, verdict := b.Result(at(10), address(1), 1)
 	assert.Equal(t, order, "a")
 	assert.Equal(t, verdict, Wanted)
@@ -68,9 +79,9 @@
 
 func TestAResultAfterTheDeadlineIsLate(t *testing.T) {
 	b := NewBook[string](limit)
-	b.Add(at(0), address(1), "waits", 2*time.Second)
-	b.Add(at(0), address(1), "answers at once", 0)
-	b.Batch(at(0), address(1))
+	b.Add(address(1), "waits", 2*time.Second)
+	b.Add(address(1), "answers at once", 0)
+	b.Batch(at(0), address(1), sendAll)
 	assert.DeepEqual(t, b.Overdue(at(700)), []string(nil))
 	assert.DeepEqual(t, b.Overdue(at(701)), []string{"answers at once"})
 	assert.DeepEqual(t, b.Overdue(at(2700)), []string(nil))
@@ -87,13 +98,13 @@
 
 func TestARelayIsQuietOnlyIfAResultIsDue(t *testing.T) {
 	b := NewBook[string](limit)
-	b.Add(at(0), address(1), "waits", 2*time.Second)
-	b.Batch(at(0), address(1))
+	b.Add(address(1), "waits", 2*time.Second)
+	b.Batch(at(0), address(1), sendAll)
 	assert.Equal(t, len(b.Quiet(at(2600))), 0)
 	assert.Equal(t, len(b.Quiet(at(2601))), 1)
-	b.Add(at(2000), address(1), "start", 0)
-	b.Add(at(2000), address(1), "another", 0)
-	b.Batch(at(2000), address(1))
+	b.Add(address(1), "start", 0)
+	b.Add(address(1), "another", 0)
+	b.Batch(at(2000), address(1), sendAll)
 	b.Result(at(2500), address(1), 2)
 	assert.Equal(t, len(b.Quiet(at(2700))), 0, "it gave a result lately")
 	assert.Equal(t, len(b.Quiet(at(3101))), 1)
@@ -101,11 +112,11 @@
 
 func TestALostRelayGivesItsOrdersBack(t *testing.T) {
 	b := NewBook[string](limit)
-	b.Add(at(0), address(1), "sent", 0)
-	b.Add(at(0), address(2), "elsewhere", 0)
-	b.Batch(at(0), address(1))
-	b.Batch(at(0), address(2))
-	b.Add(at(1), address(1), "waiting", 0)
+	b.Add(address(1), "sent", 0)
+	b.Add(address(2), "elsewhere", 0)
+	b.Batch(at(0), address(1), sendAll)
+	b.Batch(at(0), address(2), sendAll)
+	b.Add(address(1), "waiting", 0)
 	unsent, sent := b.Lost(address(1))
 	assert.DeepEqual(t, unsent, []string{"waiting"})
 	assert.DeepEqual(t, sent, []string{"sent"})
@@ -117,9 +128,9 @@
 
 func TestABatchThatWasNotSentComesBackWhole(t *testing.T) {
 	b := NewBook[string](limit)
-	b.Add(at(0), address(1), "a", 0)
-	b.Add(at(0), address(1), "b", 0)
-	batch, _ := b.Batch(at(0), address(1))
+	b.Add(address(1), "a", 0)
+	b.Add(address(1), "b", 0)
+	batch, _ := b.Batch(at(0), address(1), sendAll)
 	assert.DeepEqual(t, b.NotSent(batch), []string{"a", "b"})
 	_, verdict := b.Result(at(1), address(1), 1)
 	assert.Equal(t, verdict, Unwanted)
