entry/front: keep a relay that gives results

A relay that has given a result within 600 ms is now kept: holds and stops of the batch are sent again, and starts wait for their results, as the batch may have arrived.

A result is credited to the relay that has the order, not to the address in the report. An unknown outcome no longer names its call twice.

Before: --- FAIL: TestABatchIsNotAcknowledged "relay left out" in the log Ruled out: a longer limit for the call. A relay that is gone would keep its workers for as long.

--- a/internal/entry/front/carry.go
+++ b/internal/entry/front/carry.go
@@ -142,10 +142,9 @@
 		r.order(at, order.Order)
 	}
 	for _, order := range sent {
-		switch order.Kind {
-		case cell.OrderHold, cell.OrderStop:
+		if repeatable(order) {
 			r.order(at, order.Order)
-		default:
+		} else {
 			r.end(at, order, lostBy(orderCall(order.Kind), relay.String(), why))
 		}
 	}
@@ -195,11 +194,25 @@
 		for _, order := range back {
 			r.order(at, order.Order)
 		}
+	case err != nil && r.book.Alive(at, relay):
+		// The batch may have arrived. What cannot be repeated waits for its results.
+		r.o.front.log.Event("batch unanswered", logrus.Fields{
+			"epoch": r.o.record.Epoch, "relay": relay, "orders": len(batch), "error": err.Error(),
+		})
+		for _, b := range batch {
+			if repeatable(b.Order) && r.book.GiveUp(b.ID) {
+				r.order(at, b.Order.Order)
+			}
+		}
 	case err != nil:
 		r.lose(at, relay, err.Error())
 	}
 }
 
+// repeatable reports whether an order may be carried out twice, and later than the
+// orders that follow it.
+func repeatable(q *queuedOrder) bool { return q.Kind == cell.OrderHold || q.Kind == cell.OrderStop }
+
 // Report implements the Relays service.
 func (s *relaysServer) Report(ctx context.Context, m *connect.Request[jobpb.ReportRequest]) (*connect.Response[jobpb.ReportResponse], error) {
 	relay, err := netip.ParseAddrPort(m.Msg.GetRelay())
@@ -219,7 +232,7 @@
 // take takes results over.
 func (r *relays) take(at time.Time, relay netip.AddrPort, results []*jobpb.OrderResult) {
 	for _, m := range results {
-		order, verdict := r.book.Result(at, relay, m.GetId())
+		order, verdict := r.book.Result(at, m.GetId())
 		if verdict == dispatch.Unwanted {
 			continue
 		}
--- a/internal/entry/front/orderwire.go
+++ b/internal/entry/front/orderwire.go
@@ -83,6 +83,7 @@
 	var carrier *bamboofall.CarrierError
 	var notDone *bamboofall.NotDoneError
 	var rejected *bamboofall.RejectedError
+	var unknown *bamboofall.UnknownOutcomeError
 	seen := report.Sighting
 	switch {
 	case err == nil:
@@ -94,6 +95,8 @@
 		m.Outcome, m.Reason = jobpb.OrderOutcome_ORDER_OUTCOME_NOT_SENT, carrier.Reason
 	case errors.As(err, &notDone):
 		m.Outcome, m.Reason, m.Overloaded = jobpb.OrderOutcome_ORDER_OUTCOME_NOT_DONE, notDone.Reason, notDone.Overloaded
+	case errors.As(err, &unknown):
+		m.Outcome, m.Reason = jobpb.OrderOutcome_ORDER_OUTCOME_UNKNOWN, unknown.Err.Error()
 	default:
 		m.Outcome, m.Reason = jobpb.OrderOutcome_ORDER_OUTCOME_UNKNOWN, err.Error()
 	}
--- a/internal/entry/front/relay_test.go
+++ b/internal/entry/front/relay_test.go
@@ -109,28 +109,45 @@
 	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
 }
 
-// keeper is a relay that takes orders and keeps them, or only the starts and gives
-// the others to an entry VM.
+// carrier is a relay that does something of its own with batches.
+type carrier func(ctx context.Context, r *jobpb.CarryRequest)
+
+// startRelay starts a relay that is by far the strongest.
+func (f *fleet) startRelay(owner int, c carrier) {
+	f.t.Helper()
+	mux := http.NewServeMux()
+	var mu sync.Mutex
+	mux.Handle(jobpb.RelaysCarryProcedure, connect.NewUnaryHandler(jobpb.RelaysCarryProcedure,
+		func(ctx context.Context, r *connect.Request[jobpb.CarryRequest]) (*connect.Response[jobpb.CarryResponse], error) {
+			mu.Lock()
+			defer mu.Unlock()
+			c(ctx, r.Msg)
+			return connect.NewResponse(&jobpb.CarryResponse{}), nil
+		}))
+	server := httptest.NewServer(mux)
+	f.t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	f.announce(owner, dispatch.VM{Address: address, Process: "test", DataCentre: "a", Capacity: 100 * assumedCapacity})
+}
+
+// keeper is a relay that keeps starts, and other orders as well if nothing carries
+// them out.
 type keeper struct {
-	jobpb.UnimplementedRelaysHandler
-	vm dispatch.VM
-	// passTo carries out what is not kept.
 	passTo *relay
 
 	mu     sync.Mutex
 	orders []cell.Order
 }
 
-// Carry implements the Relays service.
-func (k *keeper) Carry(_ context.Context, r *connect.Request[jobpb.CarryRequest]) (*connect.Response[jobpb.CarryResponse], error) {
+func (k *keeper) carry(_ context.Context, r *jobpb.CarryRequest) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	passed := proto.CloneOf(r.Msg)
+	passed := proto.CloneOf(r)
 	passed.Orders = nil
-	for _, m := range r.Msg.GetOrders() {
-		order, err := decodeOrder(m, r.Msg.GetPayloads())
+	for _, m := range r.GetOrders() {
+		order, err := decodeOrder(m, r.GetPayloads())
 		if err != nil {
-			return nil, err
+			panic(err)
 		}
 		if k.passTo != nil && order.Kind != cell.OrderStart {
 			passed.Orders = append(passed.Orders, m)
@@ -141,7 +158,6 @@
 	if k.passTo != nil {
 		k.passTo.take(now(), netip.MustParseAddrPort(passed.GetOwner()), passed)
 	}
-	return connect.NewResponse(&jobpb.CarryResponse{}), nil
 }
 
 func (k *keeper) kept() []cell.Order {
@@ -150,19 +166,6 @@
 	return k.orders
 }
 
-// startKeeper starts a relay that keeps orders and is by far the strongest.
-func (f *fleet) startKeeper(owner int, passTo *relay) *keeper {
-	k := &keeper{passTo: passTo}
-	mux := http.NewServeMux()
-	mux.Handle(jobpb.NewRelaysHandler(k))
-	server := httptest.NewServer(mux)
-	f.t.Cleanup(server.Close)
-	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-	k.vm = dispatch.VM{Address: address, Process: "keeper", DataCentre: "a", Capacity: 100 * assumedCapacity}
-	f.announce(owner, k.vm)
-	return k
-}
-
 func (f *fleet) announce(owner int, vm dispatch.VM) {
 	f.t.Helper()
 	res, err := (&relaysServer{f.fronts[owner].Front}).Announce(context.Background(), connect.NewRequest(&jobpb.AnnounceRequest{
@@ -177,7 +180,8 @@
 func TestARelayThatGivesNoResultsIsLeftOut(t *testing.T) {
 	f := newFleet(t, 1, 4, 50*time.Millisecond, WithWorkersPerCore(1))
 	f.waitForOwner(-1)
-	k := f.startKeeper(0, nil)
+	k := &keeper{}
+	f.startRelay(0, k.carry)
 	status, body := f.do(0, http.MethodPost, "/q/"+id(1), wideSteps)
 	assert.Equal(t, status, http.StatusOK, body)
 	f.waitForState(0, id(1), "completed")
@@ -192,7 +196,8 @@
 func TestOrdersOfAnOldOwnerAreRefusedByWorkers(t *testing.T) {
 	f := newFleet(t, 2, 4, 50*time.Millisecond, WithWorkersPerCore(1))
 	first := f.waitForOwner(-1)
-	k := f.startKeeper(first, f.fronts[1-first].relay)
+	k := &keeper{passTo: f.fronts[1-first].relay}
+	f.startRelay(first, k.carry)
 	status, body := f.do(1-first, http.MethodPost, "/q/"+id(1), wideSteps)
 	assert.Equal(t, status, http.StatusOK, body)
 	starts := func() (starts []cell.Order) {
@@ -221,6 +226,33 @@
 	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
 }
 
+// A relay that has a batch may fail to acknowledge it. What it then carries out must
+// count, and the relay must go on.
+func TestABatchIsNotAcknowledged(t *testing.T) {
+	f := newFleet(t, 2, 4, 300*time.Millisecond, WithWorkersPerCore(1))
+	first := f.waitForOwner(-1)
+	passed := f.fronts[1-first].relay
+	batches := 0
+	f.startRelay(first, carrier(func(ctx context.Context, r *jobpb.CarryRequest) {
+		passed.take(now(), netip.MustParseAddrPort(r.GetOwner()), r)
+		if batches++; batches%4 == 0 {
+			<-ctx.Done()
+		}
+	}))
+	for n := range 4 {
+		status, body := f.do(first, http.MethodPost, "/q/"+id(n), wideSteps)
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+	for n := range 4 {
+		f.waitForState(first, id(n), "completed")
+	}
+	assert.DeepEqual(t, f.audit.Broken(), []string(nil))
+	for _, line := range []string{"relay left out", "start unanswered", "worker silent"} {
+		assert.Assert(t, !strings.Contains(f.log.String(), line), line)
+	}
+	assert.Assert(t, strings.Contains(f.log.String(), "batch unanswered"))
+}
+
 // scripted stands in for all workers: it tells of each order and answers when told.
 type scripted struct {
 	bamboofall.TaskWorkers
--- a/internal/jobs/dispatch/book.go
+++ b/internal/jobs/dispatch/book.go
@@ -45,9 +45,10 @@
 	queue []*entry[T]
 	// underWay is the number of batches that are not acknowledged.
 	underWay int
-	// heard is when the relay last gave a result, or got an order while it had none.
-	heard time.Time
-	open  int
+	// heard is when the relay last gave a result. quietSince is the same, or when it
+	// got an order while it had none.
+	heard, quietSince time.Time
+	open              int
 }
 
 // Book keeps the orders that relays carry. Use NewBook.
@@ -119,7 +120,7 @@
 		e.sent = now
 		b.open[e.id] = e
 		if l.open == 0 {
-			l.heard = now
+			l.quietSince = now
 		}
 		l.open++
 		batch = append(batch, Order[T]{e.id, e.order})
@@ -168,21 +169,42 @@
 	Late
 )
 
-// Result takes over that a relay gave the result of an order.
-func (b *Book[T]) Result(now time.Time, relay netip.AddrPort, id uint64) (T, Verdict) {
-	if l := b.links[relay]; l != nil {
-		l.heard = now
+// Result takes over that the result of an order has come.
+func (b *Book[T]) Result(now time.Time, id uint64) (T, Verdict) {
+	verdict := Wanted
+	e := b.open[id]
+	if e == nil {
+		verdict = Late
+		e = b.late[id]
 	}
-	if e := b.open[id]; e != nil {
-		b.close(e)
-		return e.order, Wanted
+	if e == nil {
+		var none T
+		return none, Unwanted
 	}
-	if e := b.late[id]; e != nil {
+	l := b.links[e.relay]
+	l.heard, l.quietSince = now, now
+	if verdict == Wanted {
+		b.close(e)
+	} else {
 		delete(b.late, id)
-		return e.order, Late
 	}
-	var none T
-	return none, Unwanted
+	return e.order, verdict
+}
+
+// Alive reports whether a relay has given a result lately.
+func (b *Book[T]) Alive(now time.Time, relay netip.AddrPort) bool {
+	l := b.links[relay]
+	return l != nil && now.Sub(l.heard) <= quietFor
+}
+
+// GiveUp gives up an order, and reports whether it was waiting for its result. The
+// result may still come late.
+func (b *Book[T]) GiveUp(id uint64) bool {
+	e := b.open[id]
+	if e != nil {
+		b.giveUp(e)
+	}
+	return e != nil
 }
 
 // Overdue gives up the orders whose result should have come, and returns them.
@@ -212,7 +234,7 @@
 func (b *Book[T]) Quiet(now time.Time) []netip.AddrPort {
 	quiet := make(map[netip.AddrPort]bool)
 	for _, e := range b.open {
-		if now.Sub(e.sent) > e.wait+quietFor && now.Sub(b.links[e.relay].heard) > quietFor {
+		if now.Sub(e.sent) > e.wait+quietFor && now.Sub(b.links[e.relay].quietSince) > quietFor {
 			quiet[e.relay] = true
 		}
 	}
--- a/internal/jobs/dispatch/book_test.go
+++ b/internal/jobs/dispatch/book_test.go
@@ -49,7 +49,7 @@
 	assert.DeepEqual(t, batch, []Order[string]{{2, "young"}})
 	assert.Equal(t, len(withheld), 1)
 	assert.Equal(t, withheld[0], Withheld[string]{"old", errStale})
-	_, verdict := b.Result(at(502), address(1), 1)
+	_, verdict := b.Result(at(502), 1)
 	assert.Equal(t, verdict, Unwanted)
 }
 
@@ -68,12 +68,12 @@
 	b := NewBook[string](limit)
 	b.Add(address(1), "a", 0)
 	b.Batch(at(0), address(1), sendAll)
-	order, verdict := b.Result(at(10), address(1), 1)
+	order, verdict := b.Result(at(10), 1)
 	assert.Equal(t, order, "a")
 	assert.Equal(t, verdict, Wanted)
-	_, verdict = b.Result(at(20), address(1), 1)
+	_, verdict = b.Result(at(20), 1)
 	assert.Equal(t, verdict, Unwanted)
-	_, verdict = b.Result(at(20), address(1), 77)
+	_, verdict = b.Result(at(20), 77)
 	assert.Equal(t, verdict, Unwanted)
 }
 
@@ -86,13 +86,13 @@
 	assert.DeepEqual(t, b.Overdue(at(701)), []string{"answers at once"})
 	assert.DeepEqual(t, b.Overdue(at(2700)), []string(nil))
 	assert.DeepEqual(t, b.Overdue(at(2701)), []string{"waits"})
-	order, verdict := b.Result(at(2800), address(1), 1)
+	order, verdict := b.Result(at(2800), 1)
 	assert.Equal(t, order, "waits")
 	assert.Equal(t, verdict, Late)
-	_, verdict = b.Result(at(2900), address(1), 1)
+	_, verdict = b.Result(at(2900), 1)
 	assert.Equal(t, verdict, Unwanted)
 	b.Overdue(at(5401))
-	_, verdict = b.Result(at(5402), address(1), 2)
+	_, verdict = b.Result(at(5402), 2)
 	assert.Equal(t, verdict, Unwanted, "nothing is kept for ever")
 }
 
@@ -105,11 +105,27 @@
 	b.Add(address(1), "start", 0)
 	b.Add(address(1), "another", 0)
 	b.Batch(at(2000), address(1), sendAll)
-	b.Result(at(2500), address(1), 2)
+	b.Result(at(2500), 2)
 	assert.Equal(t, len(b.Quiet(at(2700))), 0, "it gave a result lately")
 	assert.Equal(t, len(b.Quiet(at(3101))), 1)
 }
 
+func TestARelayIsAliveWhileItGivesResults(t *testing.T) {
+	b := NewBook[string](limit)
+	assert.Assert(t, !b.Alive(at(0), address(1)))
+	b.Add(address(1), "a", 0)
+	b.Add(address(1), "b", 0)
+	b.Batch(at(0), address(1), sendAll)
+	assert.Assert(t, !b.Alive(at(10), address(1)), "it has an order, and has given nothing")
+	b.Result(at(100), 1)
+	assert.Assert(t, b.Alive(at(700), address(1)))
+	assert.Assert(t, !b.Alive(at(701), address(1)))
+	assert.Assert(t, b.GiveUp(2))
+	assert.Assert(t, !b.GiveUp(2))
+	_, verdict := b.Result(at(800), 2)
+	assert.Equal(t, verdict, Late)
+}
+
 func TestALostRelayGivesItsOrdersBack(t *testing.T) {
 	b := NewBook[string](limit)
 	b.Add(address(1), "sent", 0)
@@ -120,9 +136,9 @@
 	unsent, sent := b.Lost(address(1))
 	assert.DeepEqual(t, unsent, []string{"waiting"})
 	assert.DeepEqual(t, sent, []string{"sent"})
-	_, verdict := b.Result(at(2), address(1), 1)
+	_, verdict := b.Result(at(2), 1)
 	assert.Equal(t, verdict, Late)
-	_, verdict = b.Result(at(2), address(2), 2)
+	_, verdict = b.Result(at(2), 2)
 	assert.Equal(t, verdict, Wanted)
 }
 
@@ -132,6 +148,6 @@
 	b.Add(address(1), "b", 0)
 	batch, _ := b.Batch(at(0), address(1), sendAll)
 	assert.DeepEqual(t, b.NotSent(batch), []string{"a", "b"})
-	_, verdict := b.Result(at(1), address(1), 1)
+	_, verdict := b.Result(at(1), 1)
 	assert.Equal(t, verdict, Unwanted)
 }
