jobs/cell: look only at workers to which a call may be due

Each step went through all workers for calls that are due: with 3,600 workers and 400 jobs a second in the model that took 7.7 of the 15 s of processor of Step. A step now looks at the workers at which something has happened (an answer, a placement, an announcement, ends that were stored), and at all of them every 5 ms for what is due by time alone; what is not noted is found then.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -97,6 +97,7 @@
 	w.attempts = append(w.attempts, a)
 	a.held = true
 	w.account(a, 1)
+	c.lookAt(w)
 	t.attempts = append(t.attempts, a)
 	t.step.runs++
 	return a
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -90,6 +90,7 @@
 	pressure *pressure.Model
 	room     room
 	field    field
+	holds    holdList
 }
 
 // Counters counts what an owner did.
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -34,7 +34,7 @@
 
 // hold renews leases and asks workers what they run.
 func (c *Cell) hold(now time.Time) {
-	for _, w := range c.order {
+	for _, w := range c.dueHolds(now) {
 		if w.holding || now.Before(w.nextHold) {
 			continue
 		}
@@ -134,6 +134,7 @@
 	} else {
 		w.holding = false
 	}
+	c.lookAt(w)
 	if err != nil {
 		c.holdFailed(now, w, err)
 		return
@@ -232,6 +233,7 @@
 		}
 		w.awaitsStore = false
 		w.wake(now)
+		c.lookAt(w)
 		return true
 	})
 }
--- a/internal/jobs/cell/room.go
+++ b/internal/jobs/cell/room.go
@@ -92,6 +92,7 @@
 // gained notes that tasks may fit at a worker that did not before.
 func (c *Cell) gained(w *worker) {
 	c.unsettled = true
+	c.lookAt(w)
 	w.wasUsable = w.usable()
 	r := &c.room
 	r.last++
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -65,6 +65,8 @@
 	// leasesNoted is the end of leases that was last noted.
 	leasesNoted time.Time
 
+	// looked is set while the worker is among those to look at.
+	looked bool
 	// holding is set while a call that may wait is under way, asking while one
 	// beside it is that does not.
 	holding, asking   bool
