--- a/internal/jobs/cell/cell_bench_test.go
+++ b/internal/jobs/cell/cell_bench_test.go
@@ -119,7 +119,7 @@
 // newBenchOwner returns an owner of workers with standing tasks that were watched
 // for a while. With a backlog the rest of them is full, and 1,000 jobs with 10,000
 // tasks of many sizes wait, half of them tasks that fill.
-func newBenchOwner(b *testing.B, workers int, backlog bool) *benchOwner {
+func newBenchOwner(b testing.TB, workers int, backlog bool) *benchOwner {
 	b.Helper()
 	o := &benchOwner{
 		Cell: cell.New(cell.Config{Token: 1, Lease: time.Hour, KeepEnded: time.Second, RemoteFactor: 2, HarmAfter: 4 * time.Second}),
@@ -175,7 +175,7 @@
 }
 
 // step lets the owner decide until it has no orders but those that wait.
-func (o *benchOwner) step(b *testing.B) {
+func (o *benchOwner) step(b testing.TB) {
 	b.Helper()
 	for {
 		out := o.Step(o.now)
@@ -223,7 +223,7 @@
 	o.Held(o.now, order, bamboofall.HoldReport{Sighting: o.seen(), Running: o.running[id], Ends: ends}, nil)
 }
 
-func (o *benchOwner) holdAll(b *testing.B) {
+func (o *benchOwner) holdAll(b testing.TB) {
 	b.Helper()
 	for _, id := range slices.Sorted(maps.Keys(o.holds)) {
 		o.held(id)
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -563,3 +563,19 @@
 	}
 	assert.DeepEqual(t, runs, []uint32{1, 1})
 }
+
+// With a backlog of many sizes each end of a run made the owner look at every worker
+// for every step that waits, and the owner of a large fleet fell behind.
+func TestAnEndWithABacklogIsCheap(t *testing.T) {
+	o := newBenchOwner(t, 66, true)
+	const ends = 200
+	before, done := o.Looks(), o.Counters().Done
+	for range ends {
+		o.now = o.now.Add(time.Millisecond)
+		o.end()
+		o.step(t)
+	}
+	assert.Equal(t, o.Counters().Done-done, int64(ends))
+	looks := (o.Looks() - before) / ends
+	assert.Assert(t, looks <= 2*66, "%d looks for each end", looks)
+}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -308,6 +308,7 @@
 // scoreAt returns how well a worker that has a place among all suits a task. It
 // reports false if the task cannot start there.
 func (c *Cell) scoreAt(now time.Time, t *task, tier tailTier, w *worker, at int) (float64, bool) {
+	c.room.looks++
 	switch c.obstacleAt(now, t, w) {
 	case noObstacle:
 	case obstacleHealth:
--- a/internal/jobs/cell/room.go
+++ b/internal/jobs/cell/room.go
@@ -80,6 +80,8 @@
 	// while.
 	pausing []*worker
 	pass    uint64
+	// looks counts how often a worker was looked at for a task.
+	looks int
 }
 
 func newRoom() room {
