jobs/cell: pass over standing tasks that are at work

The scan every 50 ms asked of each standing task whether its end is overdue, its run slow or standing still. Nothing of that applies to one that is at work and not being stopped. Decisions are the same: TestDecisionsStayTheSame passes with the golden file unchanged.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -316,6 +316,9 @@
 // watchAttempt asks for what is in doubt or overdue, and orders stops again that
 // were not answered.
 func (c *Cell) watchAttempt(now time.Time, a *attempt) {
+	if a.state == attemptRunning && !a.stopping && a.task.step.Standing && a.percent >= fullPace {
+		return // a standing task at work: the one most often met
+	}
 	if a.state == attemptUnsure || c.overdue(now, a) {
 		c.ask(now, a.worker)
 	}
