--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -100,6 +100,7 @@
 	w.attempts = append(w.attempts, a)
 	a.held = true
 	w.account(a, 1)
+	c.lookAt(w)
 	t.attempts = append(t.attempts, a)
 	t.step.runs++
 	return a
@@ -342,6 +343,9 @@
 // watchAttempt asks for what is in doubt or overdue, and orders stops again that
 // were not answered.
 func (c *Cell) watchAttempt(now time.Time, a *attempt) {
+	if a.state == attemptRunning && !a.stopping && a.task.step.Standing && a.percent >= fullPace {
+		return // a standing task at work: the one most often met
+	}
 	if a.state == attemptUnsure || c.overdue(now, a) {
 		c.ask(now, a.worker)
 	}
--- a/internal/jobs/cell/room.go
+++ b/internal/jobs/cell/room.go
@@ -80,6 +80,8 @@
 	// while.
 	pausing []*worker
 	pass    uint64
+	// looks counts how often a worker was looked at for a task.
+	looks int
 }
 
 func newRoom() room {
@@ -92,6 +94,7 @@
 // gained notes that tasks may fit at a worker that did not before.
 func (c *Cell) gained(w *worker) {
 	c.unsettled = true
+	c.lookAt(w)
 	w.wasUsable = w.usable()
 	r := &c.room
 	r.last++
