--- a/jobs.go
+++ b/jobs.go
@@ -116,19 +116,20 @@
 
 // ParseTaskName reads a name as String writes it.
 func ParseTaskName(text string) (TaskName, error) {
-	parts := strings.Split(text, ".")
-	if len(parts) != 4 || parts[0] == "" {
-		return TaskName{}, fmt.Errorf("task name %q does not have four parts", text)
-	}
+	job, rest, _ := strings.Cut(text, ".")
 	var n [3]int
-	for i, part := range parts[1:] {
+	for i := range n {
+		part, more, found := strings.Cut(rest, ".")
+		if job == "" || found != (i < len(n)-1) {
+			return TaskName{}, fmt.Errorf("task name %q does not have four parts", text)
+		}
 		v, err := strconv.Atoi(part)
 		if err != nil || v < 0 {
 			return TaskName{}, fmt.Errorf("task name %q: part %q is not a number", text, part)
 		}
-		n[i] = v
+		n[i], rest = v, more
 	}
-	return TaskName{JobID(parts[0]), n[0], n[1], n[2]}, nil
+	return TaskName{JobID(job), n[0], n[1], n[2]}, nil
 }
 
 // Queue is a queue of jobs as the operators configure it.
