entry/front, run/asyncwriter: write lines with less work

Seen: a line of the log cost 12.9 us of a processor, as much as half a call to a worker, and each line that came alone a wake-up and a system call of its own. Cause: logrus.JSONFormatter copies the fields and has encoding/json find out their types; WithFields copied them twice more. Change: a formatter of logrus that appends. The fields of a line are handed over, not copied. The writer's thread waits 50 ms for further lines before it writes. What it costs: a process that is killed loses the lines of its last 50 ms. The bound on lines, the ring and the order are as before; writing still never waits. Ruled out: a buffer flushed by size alone; lines would stay for minutes on an idle VM. TestLinesOfAShortTimeAreWrittenTogether failed before with '100 writes'.

--- a/internal/entry/front/log.go
+++ b/internal/entry/front/log.go
@@ -16,7 +16,7 @@
 
 const (
 	// linesPerSecond bounds all lines, routinePerSecond those of runs that
-	// start and end as they should. A line costs 13 us of a
+	// start and end as they should. A line costs 6 us of a
 	// processor (BenchmarkLogLine).
 	linesPerSecond   = 500
 	routinePerSecond = 150
@@ -27,7 +27,8 @@
 // Log writes one structured line for each decision. It never waits, and it
 // counts the lines that it leaves out. Use NewLog.
 type Log struct {
-	logger  *logrus.Entry
+	logger  *logrus.Logger
+	vm      string
 	writer  *asyncwriter.Writer
 	all     *rate.Limiter
 	routine *rate.Limiter
@@ -41,9 +42,9 @@
 	w := asyncwriter.New(out)
 	l := logrus.New()
 	l.SetOutput(w)
-	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	l.SetFormatter(lineFormat{})
 	return &Log{
-		logger: l.WithField("vm", vm), writer: w,
+		logger: l, vm: string(vm), writer: w,
 		all:     rate.NewLimiter(linesPerSecond, linesPerSecond*burstSeconds),
 		routine: rate.NewLimiter(routinePerSecond, routinePerSecond*burstSeconds),
 	}
@@ -53,7 +54,16 @@
 func (l *Log) Run(ctx context.Context) error { return l.writer.Run(ctx) }
 
 // Event writes a line about the process or its dependencies.
-func (l *Log) Event(event string, fields logrus.Fields) { l.logger.WithFields(fields).Info(event) }
+func (l *Log) Event(event string, fields logrus.Fields) { l.write(event, fields) }
+
+// write writes a line and keeps the fields.
+func (l *Log) write(event string, fields logrus.Fields) {
+	if fields == nil {
+		fields = logrus.Fields{}
+	}
+	fields["vm"] = l.vm
+	(&logrus.Entry{Logger: l.logger, Data: fields}).Info(event)
+}
 
 // Note writes a line about a decision of the cell.
 func (l *Log) Note(epoch uint64, n cell.Note) {
@@ -73,13 +83,13 @@
 	if n.Run > 0 {
 		fields["run"] = n.Run
 	}
-	l.logger.WithFields(fields).Info(n.Event)
+	l.write(n.Event, fields)
 }
 
 // Call writes a line about a call of a caller.
 func (l *Log) Call(routine bool, fields logrus.Fields) {
 	if l.allow(routine) {
-		l.logger.WithFields(fields).Info("call")
+		l.write("call", fields)
 	}
 }
 
--- a/internal/run/asyncwriter/asyncwriter.go
+++ b/internal/run/asyncwriter/asyncwriter.go
@@ -8,12 +8,19 @@
 	"context"
 	"io"
 	"slices"
+	"time"
 
 	"bamboofall.example/bamboofall/internal/run/ring"
 )
 
-// lines is the size of the ring: some seconds of lines at full load.
-const lines = 4096
+const (
+	// lines is the size of the ring: some seconds of lines at full load.
+	lines = 4096
+	// gatherTime is how long lines wait for others. Each write costs a system call
+	// and a wake-up, more than the line itself; a process that is killed loses the
+	// lines of this time.
+	gatherTime = 50 * time.Millisecond
+)
 
 // Writer is an io.Writer that never waits. Use New.
 type Writer struct {
@@ -35,10 +42,18 @@
 
 // Run writes lines until the context ends, and then what is left.
 func (w *Writer) Run(ctx context.Context) error {
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
 	for {
 		select {
 		case line := <-w.ring.Items():
+			timer.Reset(gatherTime)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+			}
 			w.write(line)
+			w.drain()
 		case <-ctx.Done():
 			w.drain()
 			return nil
@@ -46,7 +61,7 @@
 	}
 }
 
-// write gathers the lines that wait, for each call costs processor time.
+// write writes a line with those that wait, up to a size.
 func (w *Writer) write(line []byte) {
 	const most = 64 << 10
 	for len(line) < most {
--- a/internal/run/asyncwriter/asyncwriter_test.go
+++ b/internal/run/asyncwriter/asyncwriter_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -53,3 +55,36 @@
 	assert.Equal(t, out.String(), want.String())
 	assert.Equal(t, w.Dropped(), int64(0))
 }
+
+// counter counts the writes that it gets.
+type counter struct {
+	bytes.Buffer
+	writes int
+}
+
+func (c *counter) Write(b []byte) (int, error) {
+	c.writes++
+	return c.Buffer.Write(b)
+}
+
+// Each line was written by a call of its own while lines came one by one.
+func TestLinesOfAShortTimeAreWrittenTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &counter{}
+		w := New(out)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		const spacing = gatherTime / 10
+		for i := range 100 {
+			fmt.Fprintf(w, "line %d\n", i)
+			time.Sleep(spacing)
+		}
+		time.Sleep(gatherTime)
+		synctest.Wait()
+		assert.Equal(t, strings.Count(out.String(), "\n"), 100)
+		assert.Assert(t, out.writes <= 11, "%d writes", out.writes)
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
