wire/httpclient, platform: make calls without a net/http request

Cause: for each call to a worker or the store a URL was put together and parsed, two header maps were filled, a context with a timer of its own was made beside the connection's deadline, and the answer was copied twice; 59 allocations, 5 KB. Change: Client.Call takes a request whose body is in memory, writes it into a pooled buffer and returns status and body. The time-out is the connection's deadline. Method, target and header are checked, as a worker's ID comes from the store: what net/http would have replaced is refused, and nothing is sent. Calls whose context is over send nothing and say so. connect-go and the own deployments keep Client.Do and Conn.Do. Evidence: TestCallsAreWhatNetHTTPReads has net/http's server read the calls.

--- a/internal/wire/httpclient/conn.go
+++ b/internal/wire/httpclient/conn.go
@@ -25,6 +25,8 @@
 	// ownDelay is how late this process may look at a deadline for the silence to
 	// be the other end's. A timer of an idle process is a few milliseconds late.
 	ownDelay = 20 * time.Millisecond
+
+	headerConnection = "Connection"
 )
 
 var (
@@ -63,39 +65,44 @@
 // Do makes a call and hands its end to done, once. The body of the answer is
 // whole and in memory. It blocks until then.
 func (c *Conn) Do(req *http.Request, done func(*http.Response, error)) {
+	out := writeBuffers.Get().(*bytes.Buffer)
+	defer putBuffer(out)
+	host := req.URL.Host
+	if err := req.Write(out); err != nil {
+		done(nil, &DialError{host, err})
+		return
+	}
 	now := time.Now()
-	done(c.exchange(req, now, now.Add(c.limit)))
+	if err := c.exchange(req.Context(), host, out.Bytes(), now, now.Add(c.limit), true); err != nil {
+		done(nil, err)
+		return
+	}
+	done(c.answer.response(req), nil)
 }
 
 // keepsOpen reports whether the connection can carry another call.
-func (c *Conn) keepsOpen() bool {
-	return !c.answer.extra && c.answer.header.Get("Connection") != "close"
-}
-
-// exchange makes a call. A process that comes late to the deadline waits longer,
-// see call.expired.
-func (c *Conn) exchange(req *http.Request, began, deadline time.Time) (*http.Response, error) {
-	out := writeBuffers.Get().(*bytes.Buffer)
-	out.Reset()
-	defer func() {
-		if out.Cap() <= maxKept {
-			writeBuffers.Put(out)
-		}
-	}()
-	if err := req.Write(out); err != nil {
-		return nil, &DialError{req.URL.Host, err}
-	}
-	x := call{conn: c, ctx: req.Context(), host: req.URL.Host, out: out.Bytes(), began: began, deadline: deadline}
+func (c *Conn) keepsOpen() bool { return !c.answer.last && !c.answer.extra }
+
+// exchange sends a request and gathers the answer, without its header if that is
+// not wanted. A process that comes late to the deadline waits longer, see
+// call.expired.
+func (c *Conn) exchange(ctx context.Context, host string, out []byte, began, deadline time.Time, header bool) error {
+	x := call{conn: c, ctx: ctx, host: host, out: out, began: began, deadline: deadline}
+	c.answer.wantsHeader = header
 	err := x.run()
 	if errors.Is(err, errStale) {
 		// Nothing was sent.
 		c.drop()
 		err = x.run()
 	}
-	if err != nil {
-		return nil, err
+	return err
+}
+
+func putBuffer(b *bytes.Buffer) {
+	if b.Cap() <= maxKept {
+		b.Reset()
+		writeBuffers.Put(b)
 	}
-	return c.answer.response(req), nil
 }
 
 // drop closes what was opened, for the next call to open it anew.
@@ -158,6 +165,9 @@
 }
 
 func (x *call) run() error {
+	if err := context.Cause(x.ctx); err != nil {
+		return &DialError{x.host, err}
+	}
 	conn, reused, err := x.conn.connect(x.ctx, x.host, x.deadline)
 	if err != nil {
 		return err
@@ -322,6 +332,9 @@
 	header, trailer http.Header
 	body            []byte
 	whole           bool
+	wantsHeader     bool
+	// last is set if the other end closes the connection after the answer.
+	last bool
 	// extra is set if more than one answer came.
 	extra bool
 }
@@ -329,7 +342,10 @@
 // reset makes an answer ready for the next call. It has a parser of its own, so
 // nothing that came after an answer is taken for the next one.
 func (a *answer) reset(limits *nbhttp.Engine) {
-	*a = answer{header: make(http.Header)}
+	*a = answer{wantsHeader: a.wantsHeader}
+	if a.wantsHeader {
+		a.header = make(http.Header)
+	}
 	a.parser = nbhttp.NewParser(nil, limits, a, true, nil)
 }
 
@@ -356,7 +372,13 @@
 
 // OnHeader implements nbhttp.Processor.
 func (a *answer) OnHeader(_ *nbhttp.Parser, key, value string) {
-	if !a.whole {
+	if a.whole {
+		return
+	}
+	if key == headerConnection && value == "close" {
+		a.last = true
+	}
+	if a.wantsHeader {
 		a.header.Add(key, value)
 	}
 }
@@ -371,7 +393,7 @@
 
 // OnTrailerHeader implements nbhttp.Processor.
 func (a *answer) OnTrailerHeader(_ *nbhttp.Parser, key, value string) {
-	if a.whole {
+	if a.whole || !a.wantsHeader {
 		return
 	}
 	if a.trailer == nil {
--- a/internal/wire/httpclient/conn_test.go
+++ b/internal/wire/httpclient/conn_test.go
@@ -155,9 +155,12 @@
 	host := strings.TrimPrefix(server.URL, "http://")
 	_, _, err = c.connect(context.Background(), host, time.Now().Add(time.Minute))
 	assert.NilError(t, err)
-	req, err := http.NewRequest(http.MethodPost, server.URL, strings.NewReader("order"))
-	assert.NilError(t, err)
-	_, err = c.exchange(req, time.Now(), time.Now().Add(-time.Millisecond))
+	late := time.Now().Add(-time.Millisecond)
+	err = c.exchange(context.Background(), host, []byte("POST / HTTP/1.1\r\n\r\n"), late, late, false)
+	assert.Assert(t, IsDial(err), "%v", err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	err = c.exchange(ctx, host, []byte("POST / HTTP/1.1\r\n\r\n"), time.Now(), time.Now().Add(time.Minute), false)
 	assert.Assert(t, IsDial(err), "%v", err)
 }
 
@@ -236,3 +239,45 @@
 		assert.Equal(t, string(data), fmt.Sprint(n))
 	}
 }
+
+func TestCallsAreWhatNetHTTPReads(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		assert.Check(t, err)
+		w.WriteHeader(http.StatusConflict)
+		_, _ = fmt.Fprintf(w, "%s %s %s %q %s %d", r.Method, r.Host, r.RequestURI, r.Header["X-Life"], body, r.ContentLength)
+	}))
+	defer server.Close()
+	engine, err := NewEngine()
+	assert.NilError(t, err)
+	defer engine.Stop()
+	c := New(engine)
+	host := strings.TrimPrefix(server.URL, "http://")
+	call := func(r Request) (string, error) {
+		r.Host, r.Timeout = host, time.Minute
+		status, body, err := c.Call(context.Background(), &r)
+		assert.Check(t, err != nil || status == http.StatusConflict)
+		return string(body), err
+	}
+	for range 2 {
+		got, err := call(Request{Method: http.MethodPost, Target: "/v1/x?y=%20z", Header: []Field{{"X-Life", "i-1 2"}}, Body: []byte("order")})
+		assert.NilError(t, err)
+		assert.Equal(t, got, "POST "+host+` /v1/x?y=%20z ["i-1 2"] order 5`)
+		got, err = call(Request{Method: http.MethodGet, Target: "/"})
+		assert.NilError(t, err)
+		assert.Equal(t, got, "GET "+host+" / []  0")
+		got, err = call(Request{Method: http.MethodPost, Target: "/"})
+		assert.NilError(t, err)
+		assert.Equal(t, got, "POST "+host+" / []  0")
+	}
+	for _, bad := range []Request{
+		{Method: "GET /x", Target: "/"},
+		{Method: "GET", Target: "/ HTTP/1.1\r\nX-Life: i-2"},
+		{Method: "GET", Target: ""},
+		{Method: "GET", Target: "/", Header: []Field{{"X-Life", "i-1\r\nX-More: 1"}}},
+		{Method: "GET", Target: "/", Header: []Field{{"X: Life", "i-1"}}},
+	} {
+		_, err := call(bad)
+		assert.Assert(t, IsDial(err), "%v", bad)
+	}
+}
--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -10,6 +10,7 @@
 package httpclient
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -122,35 +123,77 @@
 	return &Client{engine: e, pools: make(map[string]*connpool.Pool[*Conn])}
 }
 
+// Request is a call whose body is in memory.
+type Request struct {
+	Method string
+	// Host is an address with a port.
+	Host string
+	// Target is the path with its query.
+	Target string
+	Header []Field
+	Body   []byte
+	// Timeout bounds the call, as the deadline of its context does.
+	Timeout time.Duration
+}
+
+// Field is a field of a header.
+type Field struct{ Name, Value string }
+
+// Call makes a call and returns the status and the body of the answer.
+func (c *Client) Call(ctx context.Context, r *Request) (int, []byte, error) {
+	out := writeBuffers.Get().(*bytes.Buffer)
+	defer putBuffer(out)
+	if err := r.write(out); err != nil {
+		return 0, nil, &DialError{r.Host, err}
+	}
+	conn, began := c.take(r.Host)
+	deadline := began.Add(r.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	err := conn.exchange(ctx, r.Host, out.Bytes(), began, deadline, false)
+	status, body := conn.answer.code, conn.answer.body
+	c.ended(r.Host, conn, began, err)
+	if err != nil {
+		return 0, nil, err
+	}
+	return status, body, nil
+}
+
 // Do makes a call within the deadline of the request's context. The body of the
 // answer is whole and in memory.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	out := writeBuffers.Get().(*bytes.Buffer)
+	defer putBuffer(out)
+	host := req.URL.Host
+	if err := req.Write(out); err != nil {
+		return nil, &DialError{host, err}
+	}
+	conn, began := c.take(host)
 	deadline, ok := req.Context().Deadline()
 	if !ok {
-		deadline = time.Now().Add(maxCall)
+		deadline = began.Add(maxCall)
+	}
+	err := conn.exchange(req.Context(), host, out.Bytes(), began, deadline, true)
+	var res *http.Response
+	if err == nil {
+		res = conn.answer.response(req)
 	}
-	return c.DoBefore(req, deadline)
+	c.ended(host, conn, began, err)
+	return res, err
 }
 
-// DoBefore makes a call that ends at a deadline or with the request's context.
-func (c *Client) DoBefore(req *http.Request, deadline time.Time) (*http.Response, error) {
-	host := req.URL.Host
-	conn, began := c.take(host)
-	res, err := conn.exchange(req, began, deadline)
-	if err == nil {
-		if conn.keepsOpen() {
-			c.put(host, conn)
-		} else {
-			conn.Close()
-		}
-		return res, nil
+// ended keeps the connection of a call, or closes it.
+func (c *Client) ended(host string, conn *Conn, began time.Time, err error) {
+	if err == nil && conn.keepsOpen() {
+		c.put(host, conn)
+		return
 	}
 	conn.Close()
 	var late *TimeoutError
 	if errors.As(err, &late) && late.Late <= ownDelay {
 		c.doubt(host, began)
 	}
-	return nil, err
 }
 
 func (c *Client) take(host string) (*Conn, time.Time) {
