jobs/cell: take no lease for ended before the owner is confirmed after it

Second 33.5: the data centre of the owner of epoch 3 is cut off. 35.6: a successor outside claims, reaches worker i-33f2b276f8 in another data centre and renews its leases. 36.93: the leases that the former owner had granted there end by its own account, 'the lease ended unseen', and it begins the four runs again on workers of its own data centre, which the successor does not reach. It may act until 37.0: 3.5 s after it was last confirmed, while a successor claims after 1.6 s.

A lease counts as ended only once the owner has been confirmed by a renewal that was sent after that end: an owner that is confirmed had no successor until then, so nobody else can have renewed it. That is 0.4 s later at most for an owner that reaches the store, and never for one that does not; its successor does it. The same holds for the leases of former owners.

Ruled out as a mend: a shorter time to act, as an outage of the store would stop all work.

--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -265,6 +265,7 @@
 
 func (o *owner) step(at time.Time) error {
 	o.watchDelay(at)
+	o.cell.SetConfirmed(o.front.confirmedAt())
 	began := time.Now()
 	out := o.cell.Step(at)
 	o.delays.stepped(time.Since(began))
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -141,6 +141,13 @@
 	return f.lease.MayAct(now(), epoch)
 }
 
+// confirmedAt returns when this VM was last sure to be the only owner.
+func (f *Front) confirmedAt() time.Time {
+	f.leaseMu.Lock()
+	defer f.leaseMu.Unlock()
+	return f.lease.ConfirmedAt()
+}
+
 // ownerAddress returns where the owner answers, if one is known.
 func (f *Front) ownerAddress() (lease.Record, bool) {
 	f.leaseMu.Lock()
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -68,6 +68,8 @@
 	lossyAt map[bamboofall.DataCentre]time.Time
 	// owner is the owner's own delay.
 	owner ownerDelay
+	// confirmedAt is when the owner was last sure to be the only one.
+	confirmedAt time.Time
 	// withheldAt is when the owner last held back an order for a cause of its own.
 	withheldAt time.Time
 	// lastSummary is when the last summary was noted.
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -263,7 +263,7 @@
 
 // endLeases takes off the runs of a silent worker whose leases have ended.
 func (c *Cell) endLeases(now time.Time, w *worker) {
-	if len(w.attempts) == 0 || !w.silent() || !now.After(w.leasesEnd) {
+	if len(w.attempts) == 0 || !w.silent() || !c.surelyPast(now, w.leasesEnd) {
 		return
 	}
 	// Standing tasks never end as done, so nothing is lost by not waiting.
@@ -297,7 +297,7 @@
 	if !c.inDoubt {
 		return
 	}
-	if now.Before(c.cfg.FormerLeases) {
+	if !c.surelyPast(now, c.cfg.FormerLeases) {
 		for _, w := range c.order {
 			if w.former && !w.synced {
 				return
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -226,6 +226,9 @@
 // Epoch returns the epoch that this process owns, or zero.
 func (l *Lease) Epoch() uint64 { return l.ownEpoch }
 
+// ConfirmedAt returns when this owner was last sure to be the only one.
+func (l *Lease) ConfirmedAt() time.Time { return l.confirmedAt }
+
 // MayAct reports whether the owner of an epoch may give orders.
 func (l *Lease) MayAct(now time.Time, epoch uint64) bool {
 	return l.ownEpoch == epoch && epoch != 0 && now.Sub(l.confirmedAt) < l.timing.Act
