--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -280,10 +280,10 @@
 // endLeases takes off the runs of a silent worker whose leases have ended. A run
 // that may have ended as done waits for the worker to tell, but not for ever.
 func (c *Cell) endLeases(now time.Time, w *worker) {
-	if len(w.attempts) == 0 || !w.silent() || !now.After(w.leasesEnd) {
+	if len(w.attempts) == 0 || !w.silent() || !c.surelyPast(now, w.leasesEnd) {
 		return
 	}
-	untold := now.After(w.leasesEnd.Add(UnseenEnds)) && now.Sub(w.silentSince) > UnseenEnds
+	untold := c.surelyPast(now, w.leasesEnd.Add(UnseenEnds)) && now.Sub(w.silentSince) > UnseenEnds
 	if untold || !w.leasesNoted.Equal(w.leasesEnd) {
 		w.leasesNoted = w.leasesEnd
 		c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the worker did not answer"})
@@ -312,7 +312,7 @@
 	if !c.inDoubt {
 		return
 	}
-	if now.Before(c.cfg.FormerLeases.Add(UnseenEnds)) && slices.ContainsFunc(c.order, (*worker).owesReport) {
+	if !c.surelyPast(now, c.cfg.FormerLeases.Add(UnseenEnds)) && slices.ContainsFunc(c.order, (*worker).owesReport) {
 		return
 	}
 	c.inDoubt = false
@@ -327,7 +327,7 @@
 // doubted reports whether a task of a step may run at a worker that has not
 // answered this owner, or may have ended there as done.
 func (c *Cell) doubted(now time.Time, s *step) bool {
-	return c.inDoubt && s.released && (s.onlyOnce() || now.Before(c.cfg.FormerLeases))
+	return c.inDoubt && s.released && (s.onlyOnce() || !c.surelyPast(now, c.cfg.FormerLeases))
 }
 
 // toldUntil returns the time from which a worker can tell nothing of what was
