jobs/cell: make no more calls than the owner can carry

An owner that was behind went on to start whatever had room and to call workers again as soon as they had answered or failed, so the calls themselves kept it behind: at half of the processor that a load needs, orders waited for 500 ms and more, and half of the work was on calls that were made again.

Once an owner's delay is told, starts and other calls are limited by a rate. While the owner is slow it falls to 0.85 of the calls that are answered, and rises while calls wait and it is not. Starts and other calls each have half of it, and what the others leave. Leases are renewed two seconds before their end whatever the rate; which worker is called next goes round. A cell that is told no delay is not limited.

place.go asks before each step, attempt.go counts a start when it is placed.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -125,6 +125,7 @@
 // what a successor must know.
 func (c *Cell) start(now time.Time, w *worker, t *task, run uint32) {
 	a := c.reserve(w, t, run)
+	c.budget.starts--
 	w.health.Given(now)
 	s := t.step
 	if !s.released {
@@ -189,7 +190,7 @@
 	c.counters.Started++
 	o := c.newOrder(now, OrderStart, a)
 	o.Start.Payload, o.Start.Checkpoint, o.Start.LeaseUntil = t.step.occ.job.Payload, checkpoint, c.grant(now, w)
-	c.out.Orders = append(c.out.Orders, o)
+	c.give(o)
 	c.noteRun(a, "start", routine, fmt.Sprintf("waited %v, worker uses %d of %d",
 		now.Sub(t.step.readyAt).Round(time.Millisecond), w.used.MilliProcessors, w.info.Room.MilliProcessors))
 }
@@ -276,7 +277,7 @@
 func (c *Cell) orderStop(now time.Time, a *attempt) {
 	a.stopOrdered = now
 	a.stopOpen = true
-	c.out.Orders = append(c.out.Orders, c.newOrder(now, OrderStop, a))
+	c.give(c.newOrder(now, OrderStop, a))
 	c.noteRun(a, "stop", routine, a.stopWhy)
 }
 
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -67,7 +67,11 @@
 	// lossyAt is when a call to a worker last got no answer.
 	lossyAt time.Time
 	// owner is the owner's own delay.
-	owner ownerDelay
+	owner  ownerDelay
+	budget budget
+	// holdFrom is the worker from which on calls are made, so that none is left out
+	// while they are limited.
+	holdFrom int
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
@@ -176,6 +180,7 @@
 // Step decides what is due.
 func (c *Cell) Step(now time.Time) Output {
 	c.owner.close(now)
+	c.refill(now)
 	c.scan(now)
 	c.place(now)
 	c.hold(now)
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -34,7 +34,10 @@
 
 // hold renews leases and asks workers what they run.
 func (c *Cell) hold(now time.Time) {
-	for _, w := range c.order {
+	from, refused := c.holdFrom, false
+	for i := range c.order {
+		at := (from + i) % len(c.order)
+		w := c.order[at]
 		if w.holding || now.Before(w.nextHold) {
 			continue
 		}
@@ -48,6 +51,12 @@
 		if !w.synced && !w.listed && now.After(w.toldUntil()) {
 			continue
 		}
+		if !c.mayCall(now, w) {
+			if !refused {
+				c.holdFrom, refused = at, true
+			}
+			continue
+		}
 		o := bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.seen}
 		// A worker that does not answer gets no new lease: the call may be carried
 		// out late, and the end of the leases could never be told.
@@ -59,7 +68,7 @@
 		}
 		w.holding = true
 		w.acknowledged = max(w.acknowledged, o.Seen)
-		c.out.Orders = append(c.out.Orders, Order{
+		c.give(Order{
 			Kind: OrderHold, Worker: w.info.WorkerRef, Hold: o, worker: w, sent: now, born: w.born,
 		})
 	}
@@ -67,11 +76,11 @@
 
 // ask asks a worker for what it runs beside a call that waits for an end.
 func (c *Cell) ask(now time.Time, w *worker) {
-	if !w.holding || !w.synced || w.asking || c.ownerSlow(now) || now.Sub(w.askedAt) < askEvery {
+	if !w.holding || !w.synced || w.asking || c.ownerSlow(now) || !c.mayCall(now, w) || now.Sub(w.askedAt) < askEvery {
 		return
 	}
 	w.asking, w.askedAt = true, now
-	c.out.Orders = append(c.out.Orders, Order{
+	c.give(Order{
 		Kind: OrderHold, Worker: w.info.WorkerRef, Hold: bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.acknowledged},
 		worker: w, sent: now, born: w.born, beside: true,
 	})
--- a/internal/jobs/cell/overload_cell_test.go
+++ b/internal/jobs/cell/overload_cell_test.go
@@ -1,6 +1,8 @@
 package cell_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,3 +82,74 @@
 		})
 	}
 }
+
+// An owner that is behind would only be slower for more starts. What it started runs
+// on, all workers are heard, and one that is told of no delay is not limited.
+func TestASlowOwnerStartsLess(t *testing.T) {
+	const workers = 300
+	play := func(delay time.Duration, told bool) (starts int, unheard map[string]time.Duration) {
+		c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+		c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+		for n := range workers {
+			c.SetWorker(benchStart, testWorker(n))
+		}
+		running := make(map[string][]bamboofall.Placed)
+		heard := make(map[string]time.Duration)
+		unheard = make(map[string]time.Duration)
+		var waiting []cell.Order
+		for d := time.Duration(0); d < 10*time.Second; d += 50 * time.Millisecond {
+			now := benchStart.Add(d)
+			seen := bamboofall.Sighting{Clock: time.Second + d, Born: benchStart}
+			if d < 5*time.Second {
+				submit(c, fmt.Sprintf("%016x", 1+int(d/time.Millisecond)), "q", bamboofall.Step{
+					Count: 50, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true,
+				})
+			}
+			if told {
+				c.SetOwnerDelay(now, delay)
+			}
+			waiting = slices.DeleteFunc(waiting, func(o cell.Order) bool {
+				id := o.Worker.ID
+				due := d >= heard[id]+o.Hold.Wait
+				if due {
+					c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Running: running[id]}, nil)
+				}
+				return due
+			})
+			for _, o := range c.Step(now).Orders {
+				id := o.Worker.ID
+				switch o.Kind {
+				case cell.OrderStart:
+					if d >= 2*time.Second {
+						starts++
+					}
+					if len(running[id]) == 0 {
+						heard[id] = d
+					}
+					running[id] = append(running[id], bamboofall.Placed{Task: o.Start.Task, Run: o.Start.Run, Percent: 100})
+					c.Started(now, o, seen, nil)
+				case cell.OrderHold:
+					if len(running[id]) > 0 {
+						unheard[id] = max(unheard[id], d-heard[id])
+					}
+					heard[id] = d
+					waiting = append(waiting, o)
+				}
+			}
+			_, number, err := c.Flush()
+			assert.NilError(t, err)
+			c.Stored(now, number)
+		}
+		return starts, unheard
+	}
+	free, _ := play(0, false)
+	quick, _ := play(10*time.Millisecond, true)
+	slow, unheard := play(300*time.Millisecond, true)
+	assert.Assert(t, free > 2*slow, "%d, %d", free, slow)
+	assert.Assert(t, quick > 2*slow, "%d, %d", quick, slow)
+	assert.Assert(t, slow > 100, "%d", slow)
+	assert.Assert(t, len(unheard) > workers/6, "%d", len(unheard))
+	for id, d := range unheard {
+		assert.Assert(t, d < 5*time.Second, "%s was not called for %v, and its lease ended", id, d)
+	}
+}
--- a/internal/jobs/cell/overload_test.go
+++ b/internal/jobs/cell/overload_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -40,3 +41,45 @@
 	assert.Assert(t, took(leastAnswers, slowOwner))
 	assert.Assert(t, !took(0, 0), "nothing is told any more")
 }
+
+func TestTheRateOfCallsFollowsWhatIsAnswered(t *testing.T) {
+	c := New(Config{})
+	now := time.Unix(1000, 0)
+	window := func(delay time.Duration, answers int, short bool) float64 {
+		c.SetOwnerDelay(now, delay)
+		for range answers {
+			c.noteAnswer(now, Order{sent: now})
+		}
+		c.budget.short = short
+		now = now.Add(rateEvery)
+		c.SetOwnerDelay(now, delay)
+		c.refill(now)
+		return c.budget.rate
+	}
+	c.refill(now)
+	assert.Equal(t, window(0, 0, false), float64(firstRate), "no call had to wait")
+	assert.Equal(t, window(0, 0, true), rateUp*float64(firstRate))
+	assert.Equal(t, window(slowOwner, 1, true), rateDown*rateUp*float64(firstRate))
+	const carried = 1000
+	assert.Equal(t, window(slowOwner, carried/4, true), max(rateSpare*carried, rateDown*rateDown*rateUp*float64(firstRate)))
+	for range 20 {
+		window(slowOwner, 0, true)
+	}
+	assert.Equal(t, c.budget.rate, float64(leastRate))
+}
+
+func TestStartsAndOtherCallsLeaveEachOtherWhatTheyDoNotUse(t *testing.T) {
+	c := New(Config{})
+	now := time.Unix(1000, 0)
+	c.refill(now)
+	most := firstRate * callBurst / 2
+	assert.Equal(t, c.budget.starts, most)
+	c.budget.starts -= 100
+	now = now.Add(20 * time.Millisecond)
+	c.refill(now)
+	assert.Equal(t, c.budget.calls, most)
+	assert.Assert(t, math.Abs(c.budget.starts-(most-100+0.02*firstRate)) < 0.01, "all of the rate: %v", c.budget.starts)
+	c.budget.starts, c.budget.calls = most, -1e6
+	c.refill(now)
+	assert.Equal(t, c.budget.calls, -float64(firstRate)/2, "no more is made up for than a second brings")
+}
--- a/internal/jobs/cell/pace.go
+++ b/internal/jobs/cell/pace.go
@@ -77,7 +77,7 @@
 		c.counters.Paced++
 		o := c.newOrder(now, OrderPace, a)
 		o.Percent = a.want
-		c.out.Orders = append(c.out.Orders, o)
+		c.give(o)
 		c.noteRun(a, "pace", routine, fmt.Sprintf("%d%%", a.want))
 	}
 }
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -14,7 +14,7 @@
 
 // place gives waiting tasks to workers.
 func (c *Cell) place(now time.Time) {
-	if !c.unsettled || len(c.ready) == 0 {
+	if !c.unsettled || len(c.ready) == 0 || !c.mayStart() {
 		return
 	}
 	c.unsettled = false
@@ -37,6 +37,10 @@
 	slices.SortFunc(steps, func(a, b waitingStep) int { return a.Compare(b.Key) })
 	full := make(map[fitKey]bool)
 	for _, waiting := range steps {
+		if !c.mayStart() {
+			c.unsettled = true
+			break
+		}
 		s := waiting.step
 		if c.doubted(now, s) {
 			continue // a worker that has not answered may run its tasks
