--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -79,6 +79,10 @@
 	confirmedAt time.Time
 	// withheldAt is when the owner last held back an order for a cause of its own.
 	withheldAt time.Time
+	budget     budget
+	// holdFrom is the worker from which on calls are made, so that none is left out
+	// while they are limited.
+	holdFrom int
 	// lastSummary is when the last summary was noted.
 	lastSummary time.Time
 	learned     learned
@@ -195,6 +199,7 @@
 // Step decides what is due.
 func (c *Cell) Step(now time.Time) Output {
 	c.owner.close(now)
+	c.refill(now)
 	c.endPauses(now)
 	c.scan(now)
 	if now.Sub(c.withheldAt) >= withheldPause {
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -55,7 +55,15 @@
 
 // hold renews leases and asks workers what they run.
 func (c *Cell) hold(now time.Time) {
-	for _, w := range c.dueHolds(now) {
+	due := c.dueHolds(now)
+	all := len(due) == len(c.order)
+	from, refused := 0, false
+	if all {
+		from = c.holdFrom
+	}
+	for i := range due {
+		at := (from + i) % len(due)
+		w := due[at]
 		if w.holding || now.Before(w.nextHold) || now.Before(w.restUntil) {
 			continue
 		}
@@ -69,6 +77,12 @@
 		if !w.synced && !w.listed && now.After(w.toldUntil()) {
 			continue
 		}
+		if !c.mayCall(now, w) {
+			if all && !refused {
+				c.holdFrom, refused = at, true
+			}
+			continue
+		}
 		o := bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.seen}
 		// A worker that does not answer gets no new lease: the call may be carried
 		// out late, and the end of the leases could never be told.
@@ -80,7 +94,7 @@
 		}
 		w.holding = true
 		w.acknowledged = max(w.acknowledged, o.Seen)
-		c.out.Orders = append(c.out.Orders, Order{
+		c.give(Order{
 			Kind: OrderHold, Worker: w.info.WorkerRef, Hold: o, worker: w, sent: now, born: w.born,
 		})
 	}
@@ -88,11 +102,11 @@
 
 // ask asks a worker for what it runs beside a call that waits for an end.
 func (c *Cell) ask(now time.Time, w *worker) {
-	if !w.holding || !w.synced || w.asking || c.ownerSlow(now) || now.Sub(w.askedAt) < askEvery {
+	if !w.holding || !w.synced || w.asking || c.ownerSlow(now) || !c.mayCall(now, w) || now.Sub(w.askedAt) < askEvery {
 		return
 	}
 	w.asking, w.askedAt = true, now
-	c.out.Orders = append(c.out.Orders, Order{
+	c.give(Order{
 		Kind: OrderHold, Worker: w.info.WorkerRef, Hold: bamboofall.HoldOrder{Token: c.cfg.Token, Seen: w.acknowledged},
 		worker: w, sent: now, born: w.born, beside: true,
 	})
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -15,7 +15,7 @@
 
 // place gives waiting tasks to workers.
 func (c *Cell) place(now time.Time) {
-	if !c.unsettled || len(c.ready) == 0 {
+	if !c.unsettled || len(c.ready) == 0 || !c.mayStart() {
 		return
 	}
 	c.unsettled = false
@@ -24,6 +24,10 @@
 	c.dropShapes()
 	c.room.pass++
 	for i := range c.ranked {
+		if !c.mayStart() {
+			c.unsettled = true
+			break
+		}
 		s := c.ranked[i].step
 		if len(s.waiting) == 0 {
 			delete(c.ready, s)
