--- a/internal/entry/front/relay_test.go
+++ b/internal/entry/front/relay_test.go
@@ -112,15 +112,15 @@
 }
 
 // carrier is a relay that does something of its own with batches.
-type carrier func(ctx context.Context, r *jobpb.CarryRequest)
+type carrier func(r *jobpb.CarryRequest)
 
 // startRelay starts a relay that is by far the strongest.
 func (f *fleet) startRelay(owner int, c carrier) {
 	f.t.Helper()
 	mux := http.NewServeMux()
 	mux.Handle(jobpb.RelaysCarryProcedure, connect.NewUnaryHandler(jobpb.RelaysCarryProcedure,
-		func(ctx context.Context, r *connect.Request[jobpb.CarryRequest]) (*connect.Response[jobpb.CarryResponse], error) {
-			c(ctx, r.Msg)
+		func(_ context.Context, r *connect.Request[jobpb.CarryRequest]) (*connect.Response[jobpb.CarryResponse], error) {
+			c(r.Msg)
 			return connect.NewResponse(&jobpb.CarryResponse{}), nil
 		}))
 	server := httptest.NewServer(mux)
@@ -138,7 +138,7 @@
 	orders []cell.Order
 }
 
-func (k *keeper) carry(_ context.Context, r *jobpb.CarryRequest) {
+func (k *keeper) carry(r *jobpb.CarryRequest) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	passed := proto.CloneOf(r)
@@ -233,11 +233,11 @@
 	first := f.waitForOwner(-1)
 	passed := f.fronts[1-first].relay
 	var muted atomic.Bool
-	f.startRelay(first, carrier(func(ctx context.Context, r *jobpb.CarryRequest) {
+	f.startRelay(first, carrier(func(r *jobpb.CarryRequest) {
 		passed.take(now(), netip.MustParseAddrPort(r.GetOwner()), r)
 		starts := slices.ContainsFunc(r.GetOrders(), func(o *jobpb.WorkerOrder) bool { return o.GetKind() == jobpb.OrderKind_ORDER_KIND_START })
 		if starts && muted.CompareAndSwap(false, true) {
-			<-ctx.Done()
+			<-t.Context().Done()
 		}
 	}))
 	for n := range 20 {
