wire/httpserver: serve each connection on a goroutine

Cause: nbio's pollers wait in system calls of their own, outside Go's scheduler. A call that came alone took 3.7 to 3.9 waits of a thread, six futex calls of both ends, and as much processor time for that as for reading and answering. Change: an accept loop and a goroutine a connection, with nbhttp's parser, processor and responses as before. Bounds are the same: 32 MB a request, 50,000 connections, 60 s between whole requests. The special build for the race detector is gone with the pollers that it was for. Ruled out: nbhttp's IOModBlocking, which measured alike; it ignores what its parser refuses, so a malformed request would hold its connection for 60 s. Given up: nbio's event loops. Tests: TestDripIsCutOff was skipped under the race detector, as its build had no pollers, and runs there now. New: malformed requests, requests in order however they are cut, Stop.

--- a/internal/wire/httpserver/httpserver_test.go
+++ b/internal/wire/httpserver/httpserver_test.go
@@ -1,35 +1,40 @@
 package httpserver
 
 import (
+	"bufio"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"gotest.tools/v3/assert"
 )
 
-// TestDripIsCutOff sends a request a byte at a time. The server must close the
-// connection though it is never idle.
-func TestDripIsCutOff(t *testing.T) {
-	if ioMode == nbhttp.IOModBlocking {
-		t.Skip("the race detector's build has no pollers; the plain run tests them")
-	}
-	usual := keepAlive
-	keepAlive = 300 * time.Millisecond
-	t.Cleanup(func() { keepAlive = usual })
+// start returns the address of a server.
+func start(t *testing.T, handler http.Handler) string {
 	probe, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	address := probe.Addr().(*net.TCPAddr).AddrPort()
+	address := netip.MustParseAddrPort(probe.Addr().String())
 	assert.NilError(t, probe.Close())
-	s, err := Start(netip.AddrPortFrom(address.Addr(), address.Port()), http.NotFoundHandler())
+	s, err := Start(address, handler)
 	assert.NilError(t, err)
 	t.Cleanup(s.Stop)
+	return address.String()
+}
 
-	c, err := net.Dial("tcp", address.String())
+// TestDripIsCutOff sends a request a byte at a time. The server must close the
+// connection though it is never idle.
+func TestDripIsCutOff(t *testing.T) {
+	usual := keepAlive
+	keepAlive = 300 * time.Millisecond
+	t.Cleanup(func() { keepAlive = usual })
+	c, err := net.Dial("tcp", start(t, http.NotFoundHandler()))
 	assert.NilError(t, err)
 	defer c.Close()
 	closed := make(chan error, 1)
@@ -52,3 +57,77 @@
 		_, _ = c.Write([]byte{b})
 	}
 }
+
+// What cannot be read closes the connection at once, not after keepAlive.
+func TestAMalformedRequestClosesTheConnection(t *testing.T) {
+	address := start(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("served") }))
+	for _, request := range []string{
+		"\x16\x03\x01\x02\x00\x01\x00", "GET\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, request)
+		assert.NilError(t, err)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(keepAlive/2)))
+		_, err = io.ReadAll(c)
+		assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "%q", request)
+		_ = c.Close()
+	}
+}
+
+// Requests of a connection are answered in order, however they are cut.
+func TestRequestsOfAConnectionAreAnsweredInOrder(t *testing.T) {
+	address := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		assert.Check(t, err)
+		_, _ = fmt.Fprintf(w, "%s %d", r.URL.Path, len(body))
+	}))
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer c.Close()
+	const requests, size = 20, 10_000
+	var all strings.Builder
+	for i := range requests {
+		fmt.Fprintf(&all, "POST /%d HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", i, size, strings.Repeat("x", size))
+	}
+	go func() {
+		for rest := all.String(); rest != ""; {
+			n := min(len(rest), 1777)
+			if _, err := io.WriteString(c, rest[:n]); err != nil {
+				return
+			}
+			rest = rest[n:]
+		}
+	}()
+	in := bufio.NewReader(c)
+	for i := range requests {
+		res, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(res.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), fmt.Sprintf("/%d %d", i, size))
+	}
+}
+
+func TestAServerThatStopsClosesItsConnections(t *testing.T) {
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := netip.MustParseAddrPort(probe.Addr().String())
+	assert.NilError(t, probe.Close())
+	s, err := Start(address, http.NotFoundHandler())
+	assert.NilError(t, err)
+	c, err := net.Dial("tcp", address.String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusNotFound)
+	s.Stop()
+	_, err = io.ReadAll(c)
+	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded))
+	_, err = net.Dial("tcp", address.String())
+	assert.Assert(t, err != nil, "the address is still open")
+}
