jobs/sim: let owners in the model do no more than the real one

Owners in the model read answers that came after their call was given up. The real one does so only for orders that other VMs carry, so the model was kinder. They now read none, measure how long answers take as the real one does (the lower quartile, of eight workers at least), and withhold orders with the same error, also those that are withdrawn.

--- a/internal/jobs/sim/owner.go
+++ b/internal/jobs/sim/owner.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"bamboofall.example/bamboofall"
@@ -39,6 +40,9 @@
 	staleOrder = 500 * time.Millisecond
 	// delayEvery is the time between looks at its own delay.
 	delayEvery = 250 * time.Millisecond
+	// answersLeast is how many workers must have been called for the time of their
+	// answers to tell of the owner.
+	answersLeast = 8
 )
 
 // machine is the VM of the present owner. All that it does waits in one line for
@@ -49,10 +53,13 @@
 	free time.Time
 	// out and in are when the link is free.
 	out, in time.Time
-	// waits are how long orders and events waited since delayAt, and delay is what
-	// the owner was told of it.
+	// waits are how long orders and events waited since delayAt, answers how long
+	// workers took to answer at once, and called the workers that were called.
 	waits   [2]struct{ sum, n time.Duration }
-	means   [2]time.Duration
+	answers []time.Duration
+	called  map[string]bool
+	// means are the smoothed waits, the last that of answers.
+	means   [3]time.Duration
 	delayAt time.Time
 	// stepping is set while a step waits for the processor.
 	stepping bool
@@ -93,19 +100,35 @@
 	m.waits[kind].n++
 }
 
-// delay returns the longer of the smoothed mean waits, as an owner measures them.
-// It does not see what waits for the link.
+// delay returns the longest of the smoothed waits, as an owner measures them: the
+// means, and the lower quartile of the times of answers, in which the link shows.
 func (m *machine) delay() time.Duration {
 	longest := time.Duration(0)
-	for kind := range m.waits {
-		mean := m.waits[kind].sum / max(1, m.waits[kind].n)
-		m.means[kind] = (m.means[kind] + mean) / 2
+	for kind := range m.means {
+		wait := time.Duration(0)
+		switch {
+		case kind < len(m.waits):
+			wait = m.waits[kind].sum / max(1, m.waits[kind].n)
+		case len(m.called) >= answersLeast:
+			slices.Sort(m.answers)
+			wait = m.answers[len(m.answers)/4]
+		}
+		m.means[kind] = (m.means[kind] + wait) / 2
 		longest = max(longest, m.means[kind])
 	}
 	clear(m.waits[:])
+	clear(m.called)
+	m.answers = m.answers[:0]
 	return longest
 }
 
+// answered notes how long a worker took to answer at once, or to leave a call
+// unanswered.
+func (m *machine) answered(worker string, took time.Duration) {
+	m.answers = append(m.answers, took)
+	m.called[worker] = true
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/jobs/sim/worker.go
+++ b/internal/jobs/sim/worker.go
@@ -214,10 +214,15 @@
 		if w.machine != m || w.cell != owner {
 			return
 		}
-		m.waited(waitOrder, w.now.Sub(decided))
-		if w.now.Sub(decided) > staleOrder {
+		age := w.now.Sub(decided)
+		m.waited(waitOrder, age)
+		withheld := &bamboofall.WithheldError{Cause: bamboofall.WithheldStale, Age: age}
+		if o.Withdrawn() {
+			withheld.Cause = bamboofall.WithheldWithdrawn
+		}
+		if o.Withdrawn() || age > staleOrder {
 			w.Stats.OwnerStale++
-			w.taken(owner, o, bamboofall.Sighting{}, bamboofall.HoldReport{}, &bamboofall.NotDoneError{Call: "order", Reason: "it waited too long"})
+			w.taken(owner, o, bamboofall.Sighting{}, bamboofall.HoldReport{}, &bamboofall.NotDoneError{Call: "order", Reason: withheld.Error(), Err: withheld})
 			return
 		}
 		w.carry(owner, o, ownerCallTimeout, m.send(&m.out, orderBytes), func(report bamboofall.HoldReport, take func()) {
@@ -246,16 +251,17 @@
 // owner after some time; what comes back is read by the owner before it is taken.
 func (w *World) carry(owner *cell.Cell, o cell.Order, timeout, leaves time.Duration, read func(report bamboofall.HoldReport, take func())) {
 	x := w.workerOf(o.Worker.ID)
+	sent, m := w.now, w.machineOf(owner)
 	way := func() time.Duration { return time.Millisecond + time.Duration(w.random.IntN(4000))*time.Microsecond }
 	answered := false
 	answer := func(s bamboofall.Sighting, report bamboofall.HoldReport, err error) {
 		if answered {
-			if o.Kind == cell.OrderHold && err == nil && w.machineOf(owner) != nil {
-				w.event(owner, eventCost, func() { owner.HeldLate(w.now, o, report) })
-			}
 			return
 		}
 		answered = true
+		if m != nil && o.Hold.Wait == 0 {
+			m.answered(o.Worker.ID, w.now.Sub(sent))
+		}
 		if w.cell != owner && w.ghost != owner {
 			return
 		}
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -173,7 +173,7 @@
 	})
 	w.machine = nil
 	if w.cfg.Owner != nil {
-		w.machine = &machine{w: w, vm: *w.cfg.Owner}
+		w.machine = &machine{w: w, vm: *w.cfg.Owner, called: make(map[string]bool)}
 	}
 	w.version++
 	w.cell.SetConfiguration(&bamboofall.Configuration{
