jobs/cell: doubt only what a silent worker may run after a hand-over

Cause: the logs show 17 workers that had been taken away at second 26. Nobody could tell the new owner whether a begun task ran there or had ended there, so it waited for all begun tasks until none of the 17 could tell any more, though its predecessor had given them nothing since they fell silent.

The record of a worker that falls silent now lists what may run there, and nothing else is started there before the record is open again. A new owner keeps just these runs in doubt. An owner that has not heard all from a worker leaves its record open.

Ruled out: taking a worker that is no longer listed for gone; one that is cut off runs on. Ruled out: the end of the leases by the time of day, which may jump.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -121,6 +121,9 @@
 	a.withdrawn.Store(true)
 	w.attempts = slices.DeleteFunc(w.attempts, func(b *attempt) bool { return a == b })
 	w.account(a, -1)
+	if w.closed && w.recorded {
+		c.pending.workers[w.info.ID] = w
+	}
 	a.task.attempts = slices.DeleteFunc(a.task.attempts, func(b *attempt) bool { return a == b })
 	a.task.step.runs--
 }
--- /dev/null
+++ b/internal/jobs/cell/closed_test.go
@@ -0,0 +1,95 @@
+package cell_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+)
+
+// A worker that was silent long before a hand-over can run only what it was given
+// before. Tasks that ran elsewhere must not wait until it can tell nothing any more.
+func TestOnlyTasksOfAWorkerThatWasSilentWaitAfterAHandOver(t *testing.T) {
+	queues := &bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}}
+	leases := 20 * time.Second
+	stored := make(map[string][]byte)
+	flush := func(c *cell.Cell, now time.Time) {
+		records, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+		for _, r := range records {
+			stored[r.Key] = r.Value
+			if r.Value == nil {
+				delete(stored, r.Key)
+			}
+		}
+	}
+	unanswered := &bamboofall.UnknownOutcomeError{Call: "hold"}
+
+	first := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	first.SetConfiguration(queues)
+	first.SetWorker(benchStart, testWorker(1))
+	first.SetWorker(benchStart, testWorker(2))
+	apart := finiteStep
+	apart.Count, apart.MaxPerWorker = 2, 1
+	submit(first, "0000000000000001", "q", apart)
+	silent, at := "", make(map[string]bamboofall.TaskName)
+	for d := time.Duration(0); d < 3*time.Second; d += 50 * time.Millisecond {
+		now := benchStart.Add(d)
+		for _, o := range first.Step(now).Orders {
+			seen := bamboofall.Sighting{Clock: d + time.Second, Born: benchStart}
+			switch {
+			case o.Kind == cell.OrderStart:
+				at[o.Worker.ID] = o.Start.Task
+				first.Started(now, o, seen, nil)
+				silent = "i-2"
+			case o.Kind == cell.OrderHold && o.Worker.ID == silent:
+				first.Held(now, o, bamboofall.HoldReport{}, unanswered)
+			case o.Kind == cell.OrderHold:
+				report := bamboofall.HoldReport{Sighting: seen}
+				if name, runs := at[o.Worker.ID]; runs {
+					report.Running = []bamboofall.Placed{{Task: name, Run: 1, Percent: 10}}
+				}
+				first.Held(now, o, report, nil)
+			}
+		}
+		flush(first, now)
+	}
+	assert.Equal(t, len(at), 2)
+
+	next := cell.New(cell.Config{Token: 2, Lease: 5 * time.Second, FormerLeases: benchStart.Add(leases), KeepEnded: time.Minute, RemoteFactor: 2})
+	next.SetConfiguration(queues)
+	var records []bamboofall.StoredRecord
+	for _, key := range slices.Sorted(maps.Keys(stored)) {
+		records = append(records, bamboofall.StoredRecord{StoreRecord: bamboofall.StoreRecord{Key: key, Value: stored[key]}})
+	}
+	assert.Equal(t, len(next.Restore(benchStart, records)), 0)
+	next.SetWorker(benchStart, testWorker(1))
+	starts := make(map[bamboofall.TaskName]time.Duration)
+	for d := time.Duration(0); d < leases+cell.UnseenEnds+time.Second; d += 100 * time.Millisecond {
+		now := benchStart.Add(d)
+		for _, o := range next.Step(now).Orders {
+			seen := bamboofall.Sighting{Clock: d + time.Second, Born: benchStart}
+			switch {
+			case o.Kind == cell.OrderStart:
+				if _, again := starts[o.Start.Task]; !again {
+					starts[o.Start.Task] = d
+				}
+				next.Started(now, o, seen, nil)
+			case o.Worker.ID == silent:
+				next.Held(now, o, bamboofall.HoldReport{}, unanswered)
+			case o.Kind == cell.OrderHold:
+				// What ran here is gone.
+				next.Held(now, o, bamboofall.HoldReport{Sighting: seen}, nil)
+			}
+		}
+		flush(next, now)
+	}
+	assert.Assert(t, starts[at["i-1"]] < time.Second, "%v", starts)
+	assert.Assert(t, starts[at["i-2"]] >= leases+cell.UnseenEnds, "%v", starts)
+}
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -290,6 +290,7 @@
 	w.failures++
 	c.noteLoss(now, w, err)
 	if w.failures == silentAfter {
+		c.closeRecord(w)
 		c.note(Note{Event: "worker silent", Worker: w.info.ID, Detail: err.Error()})
 	}
 }
@@ -342,6 +343,9 @@
 	}
 	wasSilent := w.silent()
 	w.failures = 0
+	if w.closed && w.recorded {
+		c.record(w)
+	}
 	if wasSilent {
 		c.gained(w)
 		c.note(Note{Event: "worker answers again", Worker: w.info.ID})
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -218,6 +218,14 @@
 	c.unsettled = true
 }
 
+// unqueue takes a task off the queue of its step.
+func (c *Cell) unqueue(t *task) {
+	if t.queued {
+		t.queued = false
+		t.step.waiting = slices.DeleteFunc(t.step.waiting, func(x *task) bool { return x == t })
+	}
+}
+
 // dequeue takes the tasks of a step off the queue.
 func (c *Cell) dequeue(s *step) {
 	for _, t := range s.waiting {
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -99,7 +99,7 @@
 		}
 	}
 	for id, w := range p.workers {
-		if err := add(keyWorker+id, &jobpb.Worker{Address: w.info.Address.String(), BornUnixMs: unixMS(w.born)}); err != nil {
+		if err := add(keyWorker+id, encodeWorker(w)); err != nil {
 			return nil, 0, err
 		}
 	}
@@ -296,6 +296,7 @@
 	var errs []error
 	specs := make(map[string]*jobpb.Job)
 	progress := make(map[string]*jobpb.Progress)
+	workers := make(map[string]*jobpb.Worker)
 	for _, r := range records {
 		if r.Key == "" || len(r.Value) == 0 {
 			continue
@@ -312,7 +313,11 @@
 			err = proto.Unmarshal(r.Value, m)
 			progress[id] = m
 		case keyWorker:
-			err = c.restoreWorker(id, r.Value)
+			m := &jobpb.Worker{}
+			if err = proto.Unmarshal(r.Value, m); err == nil {
+				err = c.restoreWorker(id, m)
+			}
+			workers[id] = m
 		case keyLearned:
 			err = c.restoreLearned(r.Value)
 		}
@@ -325,6 +330,11 @@
 			errs = append(errs, &RecordError{keyProgress + id, err})
 		}
 	}
+	for _, w := range c.order {
+		if err := c.restoreRuns(now, w, workers[w.info.ID].GetRuns()); err != nil {
+			errs = append(errs, &RecordError{keyWorker + w.info.ID, err})
+		}
+	}
 	slices.SortFunc(c.ended, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
 	c.restoredAt = now
 	c.inDoubt = len(c.workers) > 0
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -43,10 +43,7 @@
 			a.paced = unknownPace
 		}
 		c.counters.Adopted++
-		if t.queued {
-			t.queued = false
-			t.step.waiting = slices.DeleteFunc(t.step.waiting, func(x *task) bool { return x == t })
-		}
+		c.unqueue(t)
 		if t.done || t.step.occ.job.state.Ended() {
 			c.stop(now, a, "the task needs no run")
 		}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
@@ -37,6 +35,9 @@
 	// is in doubt about tasks until all recorded workers have answered.
 	recorded   bool
 	recordedAt uint64
+	// closed is set while the record lists what may run here, and nothing else may
+	// be started.
+	closed bool
 
 	// attempts are in the order in which they were placed.
 	attempts []*attempt
@@ -189,7 +190,32 @@
 	c.pending.workers[w.info.ID] = w
 	delete(c.pending.gone, keyWorker+w.info.ID)
 	w.recordedAt = c.pending.next
-	w.recorded = true
+	w.recorded, w.closed = true, false
+}
+
+// closeRecord records what may run at a worker that has fallen silent, so that a new
+// owner is in doubt about these tasks only. An owner that has not heard all from the
+// worker does not know them.
+func (c *Cell) closeRecord(w *worker) {
+	if !w.recorded || !w.synced || w.owesReport() {
+		return
+	}
+	c.record(w)
+	w.closed = true
+}
+
+// encodeWorker returns the record of a worker.
+func encodeWorker(w *worker) *jobpb.Worker {
+	m := &jobpb.Worker{Address: w.info.Address.String(), BornUnixMs: unixMS(w.born), Silent: w.closed}
+	if !w.closed {
+		return m
+	}
+	for _, a := range w.attempts {
+		if a.state != attemptGated {
+			m.Runs = append(m.Runs, &jobpb.Run{Task: a.task.name().String(), Number: a.run})
+		}
+	}
+	return m
 }
 
 // dropRecord removes the record of a worker at which nothing runs and nothing
@@ -215,11 +241,7 @@
 	c.note(Note{Event: "worker unlisted", Worker: id})
 }
 
-func (c *Cell) restoreWorker(id string, data []byte) error {
-	m := &jobpb.Worker{}
-	if err := proto.Unmarshal(data, m); err != nil {
-		return err
-	}
+func (c *Cell) restoreWorker(id string, m *jobpb.Worker) error {
 	address, err := netip.ParseAddrPort(m.GetAddress())
 	if err != nil {
 		return err
@@ -228,11 +250,31 @@
 		WorkerRef: bamboofall.WorkerRef{ID: id, Address: address}, Born: fromUnixMS(m.GetBornUnixMs()),
 	})
 	w.leasesEnd = c.cfg.FormerLeases
-	w.recorded, w.former = true, true
+	w.recorded, w.closed, w.former = true, m.GetSilent(), !m.GetSilent()
 	c.addWorker(w)
 	return nil
 }
 
+// restoreRuns takes over what may run at a worker that was silent.
+func (c *Cell) restoreRuns(now time.Time, w *worker, runs []*jobpb.Run) error {
+	for _, r := range runs {
+		name, err := bamboofall.ParseTaskName(r.GetTask())
+		if err != nil {
+			return err
+		}
+		t := c.find(name)
+		if t == nil || t.done {
+			continue // it needs no run
+		}
+		a := c.reserve(w, t, r.GetNumber())
+		t.lastRun = max(t.lastRun, a.run)
+		a.state = attemptUnsure
+		a.startedAt, a.doubtedAt = now, now
+		c.unqueue(t)
+	}
+	return nil
+}
+
 // reborn notes that a new life of a worker has begun: what ran is gone, but not
 // what is still to start.
 func (c *Cell) reborn(now time.Time, w *worker, born time.Time) {
