run/collector, wire/httpclient: keep memory well below the limit, name what was not sent

Now 200 %, and collections come more often above 0.4 of the memory. A call that had no time left before the write said 'connect to ...: raw-read ... i/o timeout'.

--- a/internal/run/collector/collector.go
+++ b/internal/run/collector/collector.go
@@ -11,12 +11,12 @@
 
 const (
 	// percent is the garbage at which a collection begins, in percent of what was
-	// in use after the last: a quarter of the collections that are usual in Go.
-	percent = 400
+	// in use after the last: half of the collections that are usual in Go.
+	percent = 200
 	// share is the part of the process's memory above which collections come more
 	// often. The rest is for the program itself, what the kernel holds of
 	// connections, and what comes in during a collection.
-	share = 0.5
+	share = 0.4
 )
 
 // Set sets the collector for a process that has a number of bytes. Zero is no
--- a/internal/run/collector/collector_test.go
+++ b/internal/run/collector/collector_test.go
@@ -15,8 +15,8 @@
 		debug.SetMemoryLimit(usualLimit)
 	})
 	const all = -1 // reads the limit and leaves it
-	Set(184 << 20)
-	assert.Equal(t, debug.SetMemoryLimit(all), int64(92<<20))
+	Set(200 << 20)
+	assert.Equal(t, debug.SetMemoryLimit(all), int64(80<<20))
 	Set(0)
 	assert.Equal(t, debug.SetMemoryLimit(all), int64(math.MaxInt64))
 	assert.Equal(t, debug.SetGCPercent(percent), percent)
--- a/internal/wire/httpclient/conn.go
+++ b/internal/wire/httpclient/conn.go
@@ -31,6 +31,7 @@
 
 var (
 	errClosed = errors.New("the connection is closed")
+	errNoTime = errors.New("no time was left for the call")
 	// errStale says that the other end closed a connection between two calls.
 	errStale = errors.New("the connection was closed while it was idle")
 
@@ -194,7 +195,7 @@
 	switch {
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 	case !x.sent:
-		return &DialError{x.host, err}
+		return &DialError{x.host, errNoTime}
 	default:
 		err = x.expired(conn, raw)
 	}
--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -32,13 +32,14 @@
 	maxCall = 30 * time.Second
 )
 
-// DialError says that no connection could be opened, so nothing was sent.
+// DialError says that nothing was sent: no connection could be opened, or not in
+// time.
 type DialError struct {
 	Address string
 	Err     error
 }
 
-func (e *DialError) Error() string { return fmt.Sprintf("connect to %s: %v", e.Address, e.Err) }
+func (e *DialError) Error() string { return fmt.Sprintf("nothing sent to %s: %v", e.Address, e.Err) }
 
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Err }
