wire/httpclient: keep connections that open too late for their call

The owner came late to connections that were open, gave them up and began to open others, each of them priced. At the deadline the connection is looked at once more. A connection that was opened and carried nothing is kept as well. The pool does not take an opened connection for an answer. Ruled out: a second attempt of the same call; it takes the time of an order that is late.

TestAConnectionThatIsOpenedTooLateIsKept fails without the keeping: 'timeout hit after 30s: no connection is kept'.

--- a/internal/wire/connpool/connpool.go
+++ b/internal/wire/connpool/connpool.go
@@ -54,6 +54,9 @@
 	p.idle = append(p.idle, idle[C]{conn, now})
 }
 
+// Add adds a connection that has just been opened and carried nothing.
+func (p *Pool[C]) Add(now time.Time, conn C) { p.idle = append(p.idle, idle[C]{conn, now}) }
+
 // Expire removes and returns the connections that have been idle too long.
 func (p *Pool[C]) Expire(now time.Time) []C {
 	return p.drop(func(i idle[C]) bool { return now.Sub(i.answered) >= MaxIdle })
--- a/internal/wire/connpool/connpool_test.go
+++ b/internal/wire/connpool/connpool_test.go
@@ -28,4 +28,9 @@
 	_, ok, expired := p.Take(at(150).Add(connpool.MaxIdle), patience)
 	assert.Assert(t, !ok)
 	assert.DeepEqual(t, expired, []string{"new"})
+	p.Add(at(20000), "opened")
+	conn, ok, _ = p.Take(at(20010), patience)
+	assert.Assert(t, !ok, "a connection that was opened is no answer, %s", conn)
+	p.Put(at(20020), "answered")
+	assert.Equal(t, p.Len(), 2)
 }
--- a/internal/wire/httpclient/conn.go
+++ b/internal/wire/httpclient/conn.go
@@ -44,10 +44,13 @@
 	engine *Engine
 	limit  time.Duration
 	answer answer
+	// used is set once a request has been sent.
+	used bool
 
-	mu     sync.Mutex
-	conn   *net.TCPConn
-	closed bool
+	mu      sync.Mutex
+	conn    *net.TCPConn
+	opening *opening
+	closed  bool
 }
 
 // Close closes the connection. A call under way fails.
@@ -117,35 +120,113 @@
 	}
 }
 
+// opening is an attempt to open a connection. It goes on when the call that began it
+// has given up, for the next call to use what it opens.
+type opening struct {
+	done chan struct{}
+	conn *net.TCPConn
+	err  error
+	// opened is called with a connection that its call did not wait for.
+	opened func()
+}
+
 // connect returns the open connection and whether it has carried a call.
-func (c *Conn) connect(ctx context.Context, host string, deadline time.Time) (*net.TCPConn, bool, error) {
+func (x *call) connect() (*net.TCPConn, bool, error) {
+	c := x.conn
 	c.mu.Lock()
 	conn, closed := c.conn, c.closed
+	if conn == nil && !closed && c.opening == nil {
+		c.opening = &opening{done: make(chan struct{})}
+		go c.open(c.opening, x.host)
+	}
+	o := c.opening
 	c.mu.Unlock()
 	switch {
 	case closed:
-		return nil, false, &DialError{host, errClosed}
+		return nil, false, &DialError{x.host, errClosed}
 	case conn != nil:
 		return conn, true, nil
 	}
-	// Connections are not idle for long enough to be probed.
-	d := net.Dialer{Timeout: dialTimeout, Deadline: deadline, KeepAlive: -1}
-	opened, err := d.DialContext(ctx, "tcp", host)
-	if err != nil {
-		return nil, false, &DialError{host, err}
+	if !x.await(o.done) {
+		return nil, false, &DialError{x.host, cmp.Or(context.Cause(x.ctx), errNoTime)}
 	}
-	conn = opened.(*net.TCPConn)
 	c.mu.Lock()
-	closed = c.closed
-	if !closed {
-		c.conn = conn
+	defer c.mu.Unlock()
+	c.opening = nil
+	if o.err == nil && c.closed {
+		o.err = errClosed
+	}
+	if o.err != nil {
+		return nil, false, &DialError{x.host, o.err}
+	}
+	return o.conn, false, nil
+}
+
+// await waits for a channel until the deadline, and looks at it once more then.
+func (x *call) await(done <-chan struct{}) bool {
+	timer := time.NewTimer(time.Until(x.deadline))
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-x.ctx.Done():
+	case <-timer.C:
+	}
+	select {
+	case <-done:
+		return true
+	default:
+		return false
 	}
+}
+
+// open opens the connection.
+func (c *Conn) open(o *opening, host string) {
+	conn, err := c.engine.dial(host)
+	c.mu.Lock()
+	o.err = err
+	if err == nil {
+		o.conn = conn
+		if c.closed || !c.engine.enter(c) {
+			_ = conn.Close()
+			o.err = errClosed
+		} else {
+			c.conn = conn
+		}
+	}
+	opened := o.opened
+	close(o.done)
+	failed := o.err != nil
 	c.mu.Unlock()
-	if closed || !c.engine.enter(c) {
-		_ = conn.Close()
-		return nil, false, &DialError{host, errClosed}
+	if opened != nil && !failed {
+		opened()
+	}
+}
+
+// isFresh reports whether the connection is open and has carried nothing.
+func (c *Conn) isFresh() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil && !c.used
+}
+
+// whenOpened has a function called when the attempt succeeds that a call has given
+// up on. It reports false if there is none under way.
+func (c *Conn) whenOpened(f func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.opening
+	if o == nil || c.conn != nil || c.closed {
+		return false
+	}
+	c.opening = nil
+	select {
+	case <-o.done:
+		return false
+	default:
 	}
-	return conn, false, nil
+	o.opened = f
+	return true
 }
 
 // call is an exchange on a connection.
@@ -169,7 +250,7 @@
 	if err := context.Cause(x.ctx); err != nil {
 		return &DialError{x.host, err}
 	}
-	conn, reused, err := x.conn.connect(x.ctx, x.host, x.deadline)
+	conn, reused, err := x.connect()
 	if err != nil {
 		return err
 	}
@@ -230,7 +311,7 @@
 			x.err = errStale
 			return true
 		}
-		x.sent = true
+		x.sent, x.conn.used = true, true
 		n, err := ignoreInterrupts(syscall.Write, int(fd), x.out)
 		switch {
 		case errors.Is(err, syscall.EAGAIN):
--- a/internal/wire/httpclient/conn_test.go
+++ b/internal/wire/httpclient/conn_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 const (
@@ -80,6 +81,14 @@
 	assert.Equal(t, calls, frozenCalls)
 }
 
+func connect(t *testing.T, c *Conn, host string) *net.TCPConn {
+	now := time.Now()
+	x := call{conn: c, ctx: context.Background(), host: host, began: now, deadline: now.Add(time.Minute)}
+	conn, _, err := x.connect()
+	assert.NilError(t, err)
+	return conn
+}
+
 // connection returns a connection that has sent a request, and its other end.
 func connection(t *testing.T, began, deadline time.Time) (*call, *net.TCPConn, net.Conn) {
 	engine, err := NewEngine()
@@ -89,8 +98,7 @@
 	assert.NilError(t, err)
 	defer l.Close()
 	c := engine.NewConn(maxCall)
-	conn, _, err := c.connect(context.Background(), l.Addr().String(), time.Now().Add(time.Minute))
-	assert.NilError(t, err)
+	conn := connect(t, c, l.Addr().String())
 	other, err := l.Accept()
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = other.Close() })
@@ -153,8 +161,7 @@
 	defer engine.Stop()
 	c := engine.NewConn(maxCall)
 	host := strings.TrimPrefix(server.URL, "http://")
-	_, _, err = c.connect(context.Background(), host, time.Now().Add(time.Minute))
-	assert.NilError(t, err)
+	connect(t, c, host)
 	late := time.Now().Add(-time.Millisecond)
 	err = c.exchange(context.Background(), host, []byte("POST / HTTP/1.1\r\n\r\n"), late, late, false)
 	assert.Assert(t, IsDial(err), "%v", err)
@@ -281,3 +288,55 @@
 		assert.Assert(t, IsDial(err), "%v", bad)
 	}
 }
+
+// A process that is slow gave up on connections that were as good as open, and began
+// to open others.
+func TestAConnectionThatIsOpenedTooLateIsKept(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	engine, err := NewEngine()
+	assert.NilError(t, err)
+	defer engine.Stop()
+	release := make(chan struct{})
+	dials := 0
+	engine.dial = func(host string) (*net.TCPConn, error) {
+		dials++
+		<-release
+		return dial(host)
+	}
+	c := New(engine)
+	host := strings.TrimPrefix(server.URL, "http://")
+	request := func(timeout time.Duration) error {
+		_, _, err := c.Call(context.Background(), &Request{Method: http.MethodGet, Host: host, Target: "/", Timeout: timeout})
+		return err
+	}
+	err = request(20 * time.Millisecond)
+	assert.Assert(t, IsDial(err), "%v", err)
+	close(release)
+	kept := func(poll.LogT) poll.Result {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.pools[host].Len() == 0 {
+			return poll.Continue("no connection is kept")
+		}
+		return poll.Success()
+	}
+	poll.WaitOn(t, kept, poll.WithTimeout(30*time.Second), poll.WithDelay(time.Millisecond))
+	assert.NilError(t, request(time.Minute))
+	assert.Equal(t, dials, 1)
+}
+
+func TestAConnectionThatCannotBeOpenedSaysSo(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	host := l.Addr().String()
+	assert.NilError(t, l.Close())
+	engine, err := NewEngine()
+	assert.NilError(t, err)
+	defer engine.Stop()
+	for range 2 {
+		_, _, err = New(engine).Call(context.Background(), &Request{Method: http.MethodGet, Host: host, Target: "/", Timeout: time.Minute})
+		assert.Assert(t, IsDial(err), "%v", err)
+		assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+	}
+}
--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -66,6 +67,7 @@
 type Engine struct {
 	// limits holds what nbhttp's parser asks of its engine.
 	limits *nbhttp.Engine
+	dial   func(host string) (*net.TCPConn, error)
 
 	mu      sync.Mutex
 	open    map[*Conn]struct{}
@@ -75,7 +77,17 @@
 // NewEngine returns a running engine.
 func NewEngine() (*Engine, error) {
 	limits := &nbhttp.Engine{Config: nbhttp.Config{ReadLimit: nbhttp.DefaultHTTPReadLimit}}
-	return &Engine{limits: limits, open: make(map[*Conn]struct{})}, nil
+	return &Engine{limits: limits, dial: dial, open: make(map[*Conn]struct{})}, nil
+}
+
+func dial(host string) (*net.TCPConn, error) {
+	// Connections are not idle for long enough to be probed.
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	conn, err := d.Dial("tcp", host)
+	if err != nil {
+		return nil, err
+	}
+	return conn.(*net.TCPConn), nil
 }
 
 // Stop closes all connections.
@@ -190,6 +202,16 @@
 		c.put(host, conn)
 		return
 	}
+	// A connection that was opened too late for its call is as good as others.
+	if IsDial(err) {
+		if conn.whenOpened(func() { c.add(host, conn) }) {
+			return
+		}
+		if conn.isFresh() {
+			c.add(host, conn)
+			return
+		}
+	}
 	conn.Close()
 	var late *TimeoutError
 	if errors.As(err, &late) && late.Late <= ownDelay {
@@ -233,6 +255,14 @@
 	c.pools[host].Put(now, conn)
 }
 
+// add keeps a connection that has carried nothing.
+func (c *Client) add(host string, conn *Conn) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pools[host].Add(now, conn)
+}
+
 func (c *Client) doubt(host string, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
