wire/httpclient: count the connection of a withheld call in its test

A connection that was opened for a call that was then withheld is kept for the next one since, so the calls that follow open none. The test counted openings of the calls that left only. It now counts those of all its calls, and what the server saw: one connection in all, which is stricter.

--- a/internal/wire/httpclient/hooks_test.go
+++ b/internal/wire/httpclient/hooks_test.go
@@ -52,8 +52,9 @@
 		return err
 	}
 	var connecting, asked atomic.Int64
-	allow := &httpclient.Hooks{Connecting: func() { connecting.Add(1) }, Leave: func() error { asked.Add(1); return nil }}
-	deny := &httpclient.Hooks{Leave: func() error { asked.Add(1); return errWithheld }}
+	count := func() { connecting.Add(1) }
+	allow := &httpclient.Hooks{Connecting: count, Leave: func() error { asked.Add(1); return nil }}
+	deny := &httpclient.Hooks{Connecting: count, Leave: func() error { asked.Add(1); return errWithheld }}
 	withheld := func() {
 		t.Helper()
 		err := call(deny)
@@ -64,7 +65,8 @@
 	assert.Equal(t, asked.Load(), int64(1))
 	assert.NilError(t, call(allow))
 	assert.NilError(t, call(allow))
-	assert.Equal(t, connecting.Load(), int64(1), "a connection is used again")
+	assert.Equal(t, connecting.Load(), int64(1), "a connection is used again, also that of a call that was withheld")
+	assert.Equal(t, s.connections.Load(), int64(1))
 	assert.Equal(t, asked.Load(), int64(3))
 	withheld()
 	assert.Equal(t, s.calls.Load(), int64(2))
