--- a/internal/jobs/cell/overload_test.go
+++ b/internal/jobs/cell/overload_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
 )
 
 func TestADelayOfTheOwnerHoldsForAWhile(t *testing.T) {
