jobs/cell: watch tails as often while the owner is slow

Cause: a slow owner stretched the waits at workers whose tails it must watch and let ends gather there, and its limit on calls held them back as well. At a delay of 300 ms such a worker was heard each 3.4 s, against the 4 s within which a task must be slowed.

Such a worker is now called 0.5 s after its last answer whatever the owner's delay and limit, and the wait there is 0.5 s as without a delay.

Before, with the bound of half the time that the users allow: TestALimitedOwnerStillWatchesTasksThatServeBesideOthers: limited_test.go:79: at 21.68s nothing had been seen of it for 2.01s

--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -64,7 +64,7 @@
 	for i := range due {
 		at := (from + i) % len(due)
 		w := due[at]
-		if w.holding || now.Before(w.nextHold) || now.Before(w.restUntil) {
+		if w.holding || now.Before(w.nextHold) || now.Before(w.restUntil) && !c.unwatched(now, w) {
 			continue
 		}
 		unstored := c.endsUnstored(w)
@@ -116,7 +116,7 @@
 func (c *Cell) holdWaitAt(now time.Time, w *worker) time.Duration {
 	wait := holdWait
 	if w.mixed() {
-		wait = min(wait, c.slowed(now, holdWaitBeside))
+		wait = min(wait, holdWaitBeside)
 	}
 	if c.lossy(now, w) {
 		wait = min(wait, c.slowed(now, holdWaitLossy))
@@ -124,6 +124,16 @@
 	return wait
 }
 
+// watchShare is the part of the time that a standing task may miss its target after
+// which a worker with tasks that fill beside it is called, also by a slow owner. As
+// much passes until it answers, and then a task must be slowed.
+const watchShare = 0.125
+
+// unwatched reports whether a worker whose tails must be watched was not heard for long.
+func (c *Cell) unwatched(now time.Time, w *worker) bool {
+	return w.mixed() && float64(now.Sub(w.clockAt)) >= watchShare*float64(c.cfg.HarmAfter)
+}
+
 // slowed makes a time between calls longer by the owner's own delay: twice as long
 // for an owner that just counts as slow. A call more would make all others later.
 func (c *Cell) slowed(now time.Time, d time.Duration) time.Duration {
--- a/internal/jobs/cell/limited_test.go
+++ b/internal/jobs/cell/limited_test.go
@@ -13,8 +13,16 @@
 )
 
 // Tasks that fill must be held back before they harm a task that serves for as long
-// as the users allow, also by an owner whose calls are limited.
+// as the users allow, also by an owner whose calls are limited. Half of that time is
+// for the order, and for figures that are behind.
 func TestALimitedOwnerStillWatchesTasksThatServeBesideOthers(t *testing.T) {
+	for _, delay := range []time.Duration{150 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) { watchBeside(t, delay) })
+	}
+}
+
+func watchBeside(t *testing.T, delay time.Duration) {
+	t.Helper()
 	const harmAfter, others = 4 * time.Second, 400
 	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2, HarmAfter: harmAfter})
 	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{
@@ -47,7 +55,7 @@
 		assert.NilError(t, err)
 		c.Stored(now, number)
 		if d > 10*time.Second {
-			c.SetOwnerDelay(now, 150*time.Millisecond)
+			c.SetOwnerDelay(now, delay)
 		}
 		for _, o := range c.Step(now).Orders {
 			mixed := o.Worker.ID == "i-mixed"
@@ -68,7 +76,7 @@
 				}
 				if mixed && o.Kind == cell.OrderHold {
 					at := now.Sub(benchStart)
-					assert.Check(t, d < 20*time.Second || at-seen < harmAfter, "at %v nothing had been seen of it for %v", at, at-seen)
+					assert.Check(t, d < 20*time.Second || at-seen < harmAfter/2, "at %v nothing had been seen of it for %v", at, at-seen)
 					seen = at
 				}
 			})
--- a/internal/jobs/cell/overload.go
+++ b/internal/jobs/cell/overload.go
@@ -114,9 +114,9 @@
 func (c *Cell) mayStart() bool { return !c.limited() || c.budget.has(c.budget.starts) }
 
 // mayCall reports whether the owner can carry a call to a worker. Leases are
-// renewed in any case.
+// renewed and tails watched in any case.
 func (c *Cell) mayCall(now time.Time, w *worker) bool {
-	return !c.limited() || w.renews(now) || c.budget.has(c.budget.calls)
+	return !c.limited() || w.renews(now) || c.unwatched(now, w) || c.budget.has(c.budget.calls)
 }
 
 // renews reports whether the leases of runs at a worker end soon.
