jobs/cell: set no clock of a worker back by a late answer

Once relays carry orders, the answer to a hold that was given up is used when it comes, up to some 5 s later. It set the worker's clock to what it was then, as if that were now. Until the next answer, starts at the worker had leases that were as much too short, or were rejected as late, and holds renewed nothing.

The lease of a start was never too long, so no task could run twice by it.

A late answer now sets the clock only for a life that has not answered before.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -150,6 +150,8 @@
 	born time.Time
 	// beside is set for a question beside a call that waits.
 	beside bool
+	// late is set for a call that was given up before its answer came.
+	late bool
 }
 
 // Withdrawn reports whether an order must not be sent any more, as its run is to
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -216,6 +216,7 @@
 
 // HeldLate takes over the answer to a hold order that was given up before.
 func (c *Cell) HeldLate(now time.Time, o Order, report bamboofall.HoldReport) {
+	o.late = true
 	if c.workers[o.worker.info.ID] == o.worker {
 		c.heard(now, o, report)
 	}
@@ -348,7 +349,8 @@
 	}
 	w.missed = 0
 	c.noteAnswer(now, o)
-	if s.Clock > 0 {
+	// A late answer tells what the clock was when it was given.
+	if s.Clock > 0 && !(o.late && w.synced) {
 		w.clock, w.clockAt = s.Clock, now
 	}
 	return true
