jobs/cell: let answers that failed on the way count little for the owner's delay

The owner's delay takes in the mean time of answers. Late answers, and those to orders that were taken back from a relay and sent another way, count from the first decision, so some that took seconds made a mean above the limit: the owner counted as slow, halved its rate of calls and asked nothing, though all other answers took 5 ms.

TestLateAnswersOfARelayDoNotSlowTheOwner failed before: late_answers_test.go:28: assertion failed: c.ownerSlow(now) is true: 3 late answers among 50 that took 5 ms

An answer now counts for the time limit of an order at most. An owner all of whose answers are late still counts as slow.

--- a/internal/jobs/cell/overload.go
+++ b/internal/jobs/cell/overload.go
@@ -12,6 +12,9 @@
 	// make a mean. The delay is told about as often.
 	answersFor   = 250 * time.Millisecond
 	leastAnswers = 8
+	// answerMost is what an answer counts for at most, the time limit of an order:
+	// those that took longer failed on the way at first.
+	answerMost = 400 * time.Millisecond
 )
 
 // ownerDelay is how late the owner itself carries out and takes in.
@@ -38,7 +41,7 @@
 func (c *Cell) noteAnswer(now time.Time, o Order) {
 	c.budget.done++
 	if o.Hold.Wait == 0 {
-		c.owner.sum += now.Sub(o.sent)
+		c.owner.sum += min(now.Sub(o.sent), answerMost)
 		c.owner.answers++
 	}
 }
