jobs/cell: begin the tasks of a worker again that no carrier reaches

Calls that fail at a carrier say nothing of the worker, so they never counted. A worker behind a relay that gives results but sends nothing (too many orders wait, they wait too long, it cannot read them) kept its way, was never silent, and each hold that failed on the way was taken to have renewed its leases. Its runs lapsed unseen and their tasks were never begun again.

Once carriers have failed for as long as a lease since the last answer, the worker counts as silent. Runs that may be done still wait for the end of their leases and UnseenEnds, and one answer makes the worker usable again.

--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -242,11 +242,9 @@
 
 func (c *Cell) holdFailed(now time.Time, w *worker, err error) {
 	w.nextHold = now.Add(c.slowed(now, holdRetry))
-	if failedOnTheWay(err) {
-		c.noteWithheld(now, err)
-		return
+	if !failedOnTheWay(err) {
+		c.counters.HoldFailures++
 	}
-	c.counters.HoldFailures++
 	var rejected *bamboofall.RejectedError
 	if errors.As(err, &rejected) {
 		c.rejected(now, w, rejected)
@@ -262,6 +260,19 @@
 	return errors.As(err, &carrier) || errors.As(err, &withheld)
 }
 
+// outOfReach reports whether calls to a worker have failed at carriers for as long as
+// a lease: then nothing keeps its runs, whoever is at fault.
+func (c *Cell) outOfReach(now time.Time, w *worker, err error) bool {
+	var carrier *bamboofall.CarrierError
+	if !errors.As(err, &carrier) {
+		return false
+	}
+	if w.astraySince.IsZero() {
+		w.astraySince = now
+	}
+	return now.Sub(w.astraySince) >= c.cfg.Lease
+}
+
 // noteWithheld notes that the owner held back an order as it was late or may not
 // act. The next would be held back as well.
 func (c *Cell) noteWithheld(now time.Time, err error) {
@@ -275,7 +286,9 @@
 func (c *Cell) unheard(now time.Time, w *worker, err error) {
 	if failedOnTheWay(err) {
 		c.noteWithheld(now, err)
-		return
+		if !c.outOfReach(now, w, err) {
+			return
+		}
 	}
 	slow := c.ownerSlow(now)
 	if w.failures == 0 || slow && w.listed {
@@ -348,6 +361,7 @@
 		c.note(Note{Event: "worker answers again", Worker: w.info.ID})
 	}
 	w.missed = 0
+	w.astraySince = time.Time{}
 	c.noteAnswer(now, o)
 	// A late answer tells what the clock was when it was given.
 	if s.Clock > 0 && !(o.late && w.synced) {
