entry/front: hold an acknowledgement back for longer than its call lasts

TestABatchIsNotAcknowledged let its relay answer when the context of the request ended. That is the owner's own deadline, which goes with the request, so the answer came as the owner gave up, and was taken in or not.

The relay now does not answer before the test ends. What is asserted is the same.

--- a/internal/entry/front/relay_test.go
+++ b/internal/entry/front/relay_test.go
@@ -233,11 +233,13 @@
 	first := f.waitForOwner(-1)
 	passed := f.fronts[1-first].relay
 	var muted atomic.Bool
-	f.startRelay(first, carrier(func(ctx context.Context, r *jobpb.CarryRequest) {
+	f.startRelay(first, carrier(func(_ context.Context, r *jobpb.CarryRequest) {
 		passed.take(now(), netip.MustParseAddrPort(r.GetOwner()), r)
 		starts := slices.ContainsFunc(r.GetOrders(), func(o *jobpb.WorkerOrder) bool { return o.GetKind() == jobpb.OrderKind_ORDER_KIND_START })
 		if starts && muted.CompareAndSwap(false, true) {
-			<-ctx.Done()
+			// The context of the request ends with the owner's call, so an answer
+			// then could still be taken in.
+			<-t.Context().Done()
 		}
 	}))
 	for n := range 20 {
