--- /dev/null
+++ b/internal/jobs/cell/limited_test.go
@@ -0,0 +1,79 @@
+package cell_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+)
+
+// Tasks that fill must be held back before they harm a task that serves for as long
+// as the users allow, also by an owner whose calls are limited.
+func TestALimitedOwnerStillWatchesTasksThatServeBesideOthers(t *testing.T) {
+	const harmAfter, others = 4 * time.Second, 400
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2, HarmAfter: harmAfter})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{
+		{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+		{Name: "m", Service: "m", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+	}})
+	room := bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30}
+	announce := func(id, service string) {
+		c.SetWorker(benchStart, bamboofall.Worker{
+			WorkerRef: bamboofall.WorkerRef{ID: id, Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: benchStart, Service: service, Room: room,
+		})
+	}
+	for n := range others {
+		announce(fmt.Sprintf("i-%03d", n), "s")
+	}
+	announce("i-mixed", "m")
+	submit(c, "0000000000000001", "q", bamboofall.Step{Count: others, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true, MaxPerWorker: 1})
+	submit(c, "0000000000000002", "m", bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true, Image: "serve", TailTarget: time.Second})
+	submit(c, "0000000000000003", "m", bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Hour, Fills: true, Image: "fill"})
+	running := make(map[string][]bamboofall.Placed)
+	answers := make(map[time.Duration][]func(now time.Time))
+	seen := time.Duration(0)
+	for d := time.Duration(0); d < 40*time.Second; d += 10 * time.Millisecond {
+		now := benchStart.Add(d)
+		for _, f := range answers[d] {
+			f(now)
+		}
+		delete(answers, d)
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+		if d > 10*time.Second {
+			c.SetOwnerDelay(now, 150*time.Millisecond)
+		}
+		for _, o := range c.Step(now).Orders {
+			mixed := o.Worker.ID == "i-mixed"
+			took := 50 * time.Millisecond
+			if mixed {
+				took += o.Hold.Wait // nothing ends there
+			}
+			answers[d+took] = append(answers[d+took], func(now time.Time) {
+				sight := bamboofall.Sighting{Clock: now.Sub(benchStart) + time.Second, Born: benchStart}
+				switch o.Kind {
+				case cell.OrderStart:
+					running[o.Worker.ID] = append(running[o.Worker.ID], bamboofall.Placed{Task: o.Start.Task, Run: o.Start.Run, Percent: 100})
+					c.Started(now, o, sight, nil)
+				case cell.OrderHold:
+					c.Held(now, o, bamboofall.HoldReport{Sighting: sight, Running: running[o.Worker.ID]}, nil)
+				case cell.OrderPace:
+					c.Paced(now, o, sight, nil)
+				}
+				if mixed && o.Kind == cell.OrderHold {
+					at := now.Sub(benchStart)
+					assert.Check(t, d < 20*time.Second || at-seen < harmAfter, "at %v nothing had been seen of it for %v", at, at-seen)
+					seen = at
+				}
+			})
+		}
+	}
+	assert.Equal(t, len(running["i-mixed"]), 2)
+	assert.Assert(t, seen > 35*time.Second)
+}
