--- /dev/null
+++ b/internal/jobs/cell/again_test.go
@@ -0,0 +1,324 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+)
+
+// silence plays a cell with two workers of which the first answers until a second
+// after its first task was started there, and again once it is back. It tells then
+// that its finite task was done. It returns when tasks of each job were started.
+func silence(t *testing.T, back time.Duration, steps ...bamboofall.Step) (starts map[bamboofall.JobID][]time.Duration, c *cell.Cell) {
+	t.Helper()
+	starts = make(map[bamboofall.JobID][]time.Duration)
+	c = cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, testWorker(1))
+	for i, s := range steps {
+		submit(c, fmt.Sprintf("%016x", i+1), "q", s)
+	}
+	last := bamboofall.JobID(fmt.Sprintf("%016x", len(steps)))
+	running := make(map[string][]bamboofall.Placed)
+	for d := time.Duration(0); d < 20*time.Second; d += 50 * time.Millisecond {
+		now := benchStart.Add(d)
+		if d == 500*time.Millisecond {
+			c.SetWorker(now, testWorker(2))
+		}
+		for _, o := range c.Step(now).Orders {
+			id := o.Worker.ID
+			seen := bamboofall.Sighting{Clock: d + time.Second, Born: benchStart}
+			silent := id == "i-1" && d > time.Second && d < back
+			switch {
+			case o.Kind == cell.OrderStart:
+				starts[o.Start.Task.Job] = append(starts[o.Start.Task.Job], d)
+				percent := 10
+				if o.Start.Task.Job != last {
+					percent = 100
+				}
+				running[id] = append(running[id], bamboofall.Placed{Task: o.Start.Task, Run: o.Start.Run, Percent: percent})
+				c.Started(now, o, seen, nil)
+			case o.Kind == cell.OrderHold && silent:
+				c.Held(now, o, bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: "hold"})
+			case o.Kind == cell.OrderHold && id == "i-1" && d >= back:
+				// Its task ended while it was out of reach, the others lapsed.
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+					{Number: 1, Task: bamboofall.TaskName{Job: last}, Run: 1, Cause: bamboofall.EndDone},
+				}}, nil)
+			case o.Kind == cell.OrderHold:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Running: running[id]}, nil)
+			}
+		}
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+	}
+	return starts, c
+}
+
+var (
+	finiteStep   = bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: 2 * time.Second}
+	standingStep = bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true}
+)
+
+// A worker that is cut off may have ended its only task well, and tells of it when
+// it is back. The task must not be begun again before that.
+func TestATaskThatMayHaveEndedUnseenWaitsForItsWorker(t *testing.T) {
+	starts, c := silence(t, 9*time.Second, finiteStep)
+	assert.Equal(t, len(starts["0000000000000001"]), 1, "%v", starts)
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// Nor if a task that stays lapses beside it: that one is begun again after the
+// lease, but the other may have been done before.
+func TestATaskBesideOneThatStaysWaitsForItsWorker(t *testing.T) {
+	starts, c := silence(t, 9*time.Second, standingStep, finiteStep)
+	assert.Equal(t, len(starts["0000000000000002"]), 1, "%v", starts)
+	state, _ := c.Lookup("0000000000000002")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+	stays := starts["0000000000000001"]
+	assert.Equal(t, len(stays), 2, "%v", starts)
+	assert.Assert(t, stays[1] > 5*time.Second && stays[1] < 8*time.Second, "%v", starts)
+}
+
+// A worker that stays silent for longer than any cut is not waited for.
+func TestATaskOfAWorkerThatStaysSilentIsBegunAgain(t *testing.T) {
+	starts, _ := silence(t, time.Hour, standingStep, finiteStep)
+	again := starts["0000000000000002"]
+	assert.Equal(t, len(again), 2, "%v", starts)
+	bound := time.Second + cell.LeaseBound(5*time.Second) + cell.UnseenEnds
+	assert.Assert(t, again[1] >= bound-time.Second && again[1] <= bound+time.Second, "%v", starts)
+}
+
+// oneTask returns a cell with a worker at which the only task of a job has been
+// ordered, the start order, and a function that steps the cell, stores what it
+// flushes, and returns its orders.
+func oneTask(t *testing.T) (c *cell.Cell, start cell.Order, step func(now time.Time) []cell.Order) {
+	t.Helper()
+	c = cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	c.SetWorker(benchStart, testWorker(1))
+	submit(c, "0000000000000001", "q", finiteStep)
+	step = func(now time.Time) []cell.Order {
+		out := c.Step(now)
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+		return out.Orders
+	}
+	for i := 0; i < 5 && start.Kind == 0; i++ {
+		for _, o := range step(benchStart) {
+			if o.Kind == cell.OrderStart {
+				start = o
+				continue
+			}
+			c.Held(benchStart, o, bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: time.Second, Born: benchStart}}, nil)
+		}
+	}
+	assert.Equal(t, start.Kind, cell.OrderStart)
+	return c, start, step
+}
+
+// fullPage returns as many ends as a worker lists at a time, of a task that is not
+// known.
+func fullPage(first uint64) (ends []bamboofall.End) {
+	for n := range uint64(cell.EndsListed) {
+		ends = append(ends, bamboofall.End{Number: first + n, Task: bamboofall.TaskName{Job: "00000000000000ff", Index: int(n)}, Run: 1, Cause: bamboofall.EndStopped})
+	}
+	return ends
+}
+
+// Workers list only so many ends at a time. A run that is neither running nor in a
+// full list may have ended as done, which is told with the next.
+func TestARunWhoseEndIsOnALaterPageIsNotLost(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, seen, nil)
+	done := bamboofall.End{Number: cell.EndsListed + 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone}
+	starts := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for _, o := range step(now) {
+			switch {
+			case o.Kind == cell.OrderStart:
+				starts++
+			case o.Hold.Seen == 0:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: fullPage(1)}, nil)
+			default:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{done}}, nil)
+			}
+		}
+	}
+	assert.Equal(t, starts, 0)
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// The same for a new owner.
+func TestEndsOnLaterPagesAreWaitedForAfterAHandOver(t *testing.T) {
+	next, announce := handOver(t, finiteStep, testWorker(1))
+	announce(next)
+	starts := 0
+	for d := time.Duration(0); d < 3*time.Second; d += 100 * time.Millisecond {
+		now := benchStart.Add(d)
+		seen := bamboofall.Sighting{Clock: time.Second + d, Born: benchStart}
+		for _, o := range next.Step(now).Orders {
+			switch {
+			case o.Kind == cell.OrderStart:
+				starts++
+			case o.Hold.Seen == 0:
+				next.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: fullPage(1)}, nil)
+			default:
+				next.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+					{Number: cell.EndsListed + 1, Task: bamboofall.TaskName{Job: "0000000000000001"}, Run: 1, Cause: bamboofall.EndDone},
+				}}, nil)
+			}
+		}
+		_, number, err := next.Flush()
+		assert.NilError(t, err)
+		next.Stored(now, number)
+	}
+	assert.Equal(t, starts, 0)
+	state, _ := next.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// A worker rejects a run as old that has ended there, for an order can arrive
+// twice. What became of it is in the worker's list.
+func TestAStartRejectedAsOldMayHaveBeenDone(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart.Add(300 * time.Millisecond)
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, bamboofall.Sighting{}, &bamboofall.RejectedError{Call: "start", Cause: bamboofall.RejectOld, Sighting: seen})
+	starts := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for _, o := range step(now) {
+			switch o.Kind {
+			case cell.OrderStart:
+				starts++
+			case cell.OrderHold:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+					{Number: 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone},
+				}}, nil)
+			}
+		}
+	}
+	assert.Equal(t, starts, 0)
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// If it lists nothing, the task is begun again.
+func TestAStartRejectedAsOldIsBegunAgainOnceTheWorkerHasTold(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, bamboofall.Sighting{}, &bamboofall.RejectedError{Call: "start", Cause: bamboofall.RejectOld, Sighting: seen})
+	starts := 0
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for _, o := range step(now) {
+			switch o.Kind {
+			case cell.OrderStart:
+				starts++
+				assert.Assert(t, o.Start.Run > start.Start.Run)
+			case cell.OrderStop:
+				c.Stopped(now, o, seen, nil)
+			case cell.OrderHold:
+				c.Held(now, o, bamboofall.HoldReport{Sighting: seen}, nil)
+			}
+		}
+	}
+	assert.Equal(t, starts, 1)
+}
+
+// Workers keep their names when they start again. An order that was sent to the
+// former life can start a run in the new one, which must not be begun elsewhere.
+func TestAStartThatANewLifeCarriesOutIsKept(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		t.Run(fmt.Sprintf("answered %v", answered), func(t *testing.T) {
+			c, start, step := oneTask(t)
+			c.SetWorker(benchStart, testWorker(2))
+			now := benchStart.Add(100 * time.Millisecond)
+			for _, o := range step(now) {
+				c.Held(now, o, bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: time.Second, Born: benchStart}}, nil)
+			}
+			reborn := testWorker(1)
+			reborn.Born = now
+			seen := bamboofall.Sighting{Clock: time.Millisecond, Born: now}
+			if answered {
+				c.Started(now, start, seen, nil)
+			} else {
+				c.SetWorker(now, reborn)
+			}
+			starts, stops := 0, 0
+			for range 20 {
+				now = now.Add(50 * time.Millisecond)
+				for _, o := range step(now) {
+					here := bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: now.Sub(reborn.Born), Born: reborn.Born}}
+					switch {
+					case o.Kind == cell.OrderStart:
+						starts++
+					case o.Kind == cell.OrderStop:
+						stops++
+					case o.Worker.ID == "i-2":
+						c.Held(now, o, bamboofall.HoldReport{Sighting: bamboofall.Sighting{Clock: time.Second, Born: benchStart}}, nil)
+					default:
+						here.Running = []bamboofall.Placed{{Task: start.Start.Task, Run: start.Start.Run, Percent: 50}}
+						c.Held(now, o, here, nil)
+					}
+				}
+			}
+			assert.Equal(t, starts, 0)
+			assert.Equal(t, stops, 0)
+		})
+	}
+}
+
+// An answer may come after its call was given up. The ends that it lists are told
+// only once if the worker starts again.
+func TestEndsInALateAnswerAreTakenIn(t *testing.T) {
+	c, start, step := oneTask(t)
+	now := benchStart
+	seen := bamboofall.Sighting{Clock: time.Second, Born: benchStart}
+	c.Started(now, start, seen, nil)
+	var hold cell.Order
+	for hold.Kind == 0 {
+		now = now.Add(50 * time.Millisecond)
+		for _, o := range step(now) {
+			hold = o
+		}
+	}
+	c.Held(now, hold, bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: "hold"})
+	c.HeldLate(now, hold, bamboofall.HoldReport{Sighting: seen, Ends: []bamboofall.End{
+		{Number: 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone},
+	}})
+	reborn := testWorker(1)
+	reborn.Born = now
+	c.SetWorker(now, reborn)
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		for _, o := range step(now) {
+			assert.Assert(t, o.Kind != cell.OrderStart)
+		}
+	}
+	state, _ := c.Lookup("0000000000000001")
+	assert.Equal(t, state, bamboofall.JobCompleted)
+}
+
+// A copy may run beside a run that may have ended.
+func TestATaskThatAllowsCopiesIsBegunAgainAfterTheLease(t *testing.T) {
+	step := finiteStep
+	step.Speculative = true
+	starts, _ := silence(t, 9*time.Second, step)
+	assert.Equal(t, len(starts["0000000000000001"]), 2, "%v", starts)
+	assert.Assert(t, starts["0000000000000001"][1] < 8*time.Second, "%v", starts)
+}
