--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -277,10 +277,10 @@
 	if !errors.As(err, &carrier) {
 		return false
 	}
-	if w.astraySince.IsZero() {
-		w.astraySince = now
+	if w.unreachedSince.IsZero() {
+		w.unreachedSince = now
 	}
-	return now.Sub(w.astraySince) >= c.cfg.Lease
+	return now.Sub(w.unreachedSince) >= c.cfg.Lease
 }
 
 // noteWithheld notes that the owner held back an order as it was late or may not
@@ -375,7 +375,7 @@
 		c.note(Note{Event: "worker answers again", Worker: w.info.ID})
 	}
 	w.missed = 0
-	w.astraySince = time.Time{}
+	w.unreachedSince = time.Time{}
 	c.budget.done++
 	// A late answer tells what the clock was when it was given.
 	if s.Clock > 0 && !(o.late && w.synced) {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -77,8 +77,8 @@
 	failures          int
 	// missed is how many calls have failed in a row while the owner was slow.
 	missed int
-	// astraySince is when a call first failed at a carrier since the last answer.
-	astraySince time.Time
+	// unreachedSince is when a call first failed at a carrier since the last answer.
+	unreachedSince time.Time
 	// silentSince is when the first of these calls failed.
 	silentSince time.Time
 	// seen is the last end that is stored, got the last that was taken in.
