entry/front: use the cell's bound for a slow owner

The owner reported itself slow, and yielded, by a constant of its own with the value of the cell's. One constant serves both; behaviour is the same.

--- a/internal/entry/front/delay.go
+++ b/internal/entry/front/delay.go
@@ -8,6 +8,8 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+
+	"bamboofall.example/bamboofall/internal/jobs/cell"
 )
 
 const (
@@ -20,9 +22,6 @@
 	// answersLeast is the number of workers that must have been called in a window
 	// for the time of the faster calls to tell of the owner and not of them.
 	answersLeast = 8
-	// slowOwner is the delay above which the owner is reported as slow, as in the
-	// cell.
-	slowOwner = 100 * time.Millisecond
 	// slowEvery is the time between lines about a slow owner.
 	slowEvery = 2 * time.Second
 )
@@ -164,7 +163,7 @@
 	scope.Gauge("ownerRing").Update(float64(len(o.events.Items())))
 	scope.Gauge("ownerOrdersUnderWay").Update(float64(o.underWay.Load()))
 	scope.Gauge("ownerOrdersWaiting").Update(float64(o.sender.waiting()))
-	if o.delay < slowOwner || at.Sub(o.slowNoted) < slowEvery {
+	if o.delay < cell.SlowOwner || at.Sub(o.slowNoted) < slowEvery {
 		return
 	}
 	o.slowNoted = at
--- a/internal/entry/front/delay_test.go
+++ b/internal/entry/front/delay_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"bamboofall.example/bamboofall/internal/jobs/cell"
 	"bamboofall.example/bamboofall/internal/state/lease"
 )
 
@@ -19,15 +20,15 @@
 	d := newDelays(m)
 	late := func() time.Duration {
 		for range 10 {
-			d.waited(waitEvent, slowOwner*6/5)
+			d.waited(waitEvent, cell.SlowOwner*6/5)
 		}
 		d.waited(waitOrder, time.Millisecond)
 		return d.close()
 	}
-	assert.Assert(t, late() < slowOwner)
-	assert.Assert(t, late() < slowOwner)
-	assert.Assert(t, late() >= slowOwner, "three in a row do")
-	assert.Assert(t, d.close() < slowOwner, "it is over as soon as nothing waits")
+	assert.Assert(t, late() < cell.SlowOwner)
+	assert.Assert(t, late() < cell.SlowOwner)
+	assert.Assert(t, late() >= cell.SlowOwner, "three in a row do")
+	assert.Assert(t, d.close() < cell.SlowOwner, "it is over as soon as nothing waits")
 }
 
 // Neither a worker that is silent nor a data centre that is cut off makes an owner
@@ -48,11 +49,11 @@
 		}
 		return longest
 	}
-	assert.Assert(t, delay(20, 5) < slowOwner)
-	assert.Assert(t, delay(20, 40) < slowOwner, "two of three data centres are cut off")
+	assert.Assert(t, delay(20, 5) < cell.SlowOwner)
+	assert.Assert(t, delay(20, 40) < cell.SlowOwner, "two of three data centres are cut off")
 	assert.Equal(t, delay(0, answersLeast-1), time.Duration(0), "few workers were called")
-	assert.Assert(t, delay(0, 40) >= slowOwner)
-	assert.Assert(t, delay(2, 40) >= slowOwner)
+	assert.Assert(t, delay(0, 40) >= cell.SlowOwner)
+	assert.Assert(t, delay(2, 40) >= cell.SlowOwner)
 
 	d := newDelays(newMetrics("a"))
 	for range 5 {
@@ -64,7 +65,7 @@
 	for range 5 {
 		d.close()
 	}
-	assert.Assert(t, d.close() < slowOwner, "nothing is told any more")
+	assert.Assert(t, d.close() < cell.SlowOwner, "nothing is told any more")
 }
 
 // An operator must see whether the owner is slow, or the workers are.
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -212,7 +212,7 @@
 	f := o.front
 	strongest, _ := f.strongestPeer(at)
 	f.leaseMu.Lock()
-	yield := f.lease.Yield(at, o.delay >= slowOwner, strongest)
+	yield := f.lease.Yield(at, o.delay >= cell.SlowOwner, strongest)
 	f.leaseMu.Unlock()
 	if !yield {
 		return
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -137,7 +137,7 @@
 // slowed makes a time between calls longer by the owner's own delay: twice as long
 // for an owner that just counts as slow. A call more would make all others later.
 func (c *Cell) slowed(now time.Time, d time.Duration) time.Duration {
-	factor := 1 + float64(c.ownerDelayAt(now))/float64(slowOwner)
+	factor := 1 + float64(c.ownerDelayAt(now))/float64(SlowOwner)
 	return time.Duration(min(factor, slowMost) * float64(d))
 }
 
--- a/internal/jobs/cell/overload.go
+++ b/internal/jobs/cell/overload.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// slowOwner is the delay above which an owner counts as slow: a quarter of the
+	// SlowOwner is the delay above which an owner counts as slow: a quarter of the
 	// time limit of an order, so that answers still come in time for most.
-	slowOwner = 100 * time.Millisecond
+	SlowOwner = 100 * time.Millisecond
 	// ownerDelayFor is how long a delay that was told holds without a new one.
 	ownerDelayFor = 2 * time.Second
 )
@@ -33,7 +33,7 @@
 }
 
 // ownerSlow reports whether late answers may be the owner's own doing.
-func (c *Cell) ownerSlow(now time.Time) bool { return c.ownerDelayAt(now) >= slowOwner }
+func (c *Cell) ownerSlow(now time.Time) bool { return c.ownerDelayAt(now) >= SlowOwner }
 
 // slowFailures is how many calls in a row must fail before a worker counts as silent
 // to an owner that is slow.
@@ -45,7 +45,7 @@
 	// thousand, one with a whole one some thousands.
 	firstRate, leastRate, mostRate = 2000, 200, 20_000
 	// callBurst is how many calls may be made at once, in seconds of the rate: half
-	// of slowOwner.
+	// of SlowOwner.
 	callBurst = 0.05
 	// rateEvery is the time between changes of the rate. The delay is told about as
 	// often.
--- a/internal/jobs/cell/overload_test.go
+++ b/internal/jobs/cell/overload_test.go
@@ -12,11 +12,11 @@
 	c := New(Config{})
 	now := time.Unix(1000, 0)
 	assert.Assert(t, !c.ownerSlow(now))
-	c.SetOwnerDelay(now, slowOwner)
+	c.SetOwnerDelay(now, SlowOwner)
 	assert.Assert(t, c.ownerSlow(now))
 	assert.Assert(t, c.ownerSlow(now.Add(ownerDelayFor)))
 	assert.Assert(t, !c.ownerSlow(now.Add(ownerDelayFor+time.Millisecond)), "nothing was told since")
-	c.SetOwnerDelay(now, slowOwner-time.Millisecond)
+	c.SetOwnerDelay(now, SlowOwner-time.Millisecond)
 	assert.Assert(t, !c.ownerSlow(now))
 }
 
@@ -37,11 +37,11 @@
 	c.refill(now)
 	assert.Equal(t, window(0, 0, false), float64(firstRate), "no call had to wait")
 	assert.Equal(t, window(0, 0, true), rateUp*float64(firstRate))
-	assert.Equal(t, window(slowOwner, 1, true), rateDown*rateUp*float64(firstRate))
+	assert.Equal(t, window(SlowOwner, 1, true), rateDown*rateUp*float64(firstRate))
 	const carried = 1000
-	assert.Equal(t, window(slowOwner, carried/4, true), max(rateSpare*carried, rateDown*rateDown*rateUp*float64(firstRate)))
+	assert.Equal(t, window(SlowOwner, carried/4, true), max(rateSpare*carried, rateDown*rateDown*rateUp*float64(firstRate)))
 	for range 20 {
-		window(slowOwner, 0, true)
+		window(SlowOwner, 0, true)
 	}
 	assert.Equal(t, c.budget.rate, float64(leastRate))
 }
