entry/front: test that an owner that cannot restore the cell is replaced

What callers see: a job is accepted, as it is stored in the inbox, and never begins. Each lookup takes the caller's whole time and ends with 503 noOwner.

An owner renews its claim in a loop of its own, from before its restore on. So one that cannot read the cell, the inbox or the list of workers keeps the cell for as long as its renewals succeed, though all other entry VMs reach the whole store. The bound is that of a standing task, due 6 s after its last run and at most 3 s late.

--- /dev/null
+++ b/internal/entry/front/unserving_owner_test.go
@@ -0,0 +1,118 @@
+package front
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/poll"
+
+	"bamboofall.example/bamboofall/platform"
+)
+
+// runKnownRed enables the tests that KNOWN-RED.txt lists.
+var runKnownRed = flag.Bool("red", false, "run the tests that are known to fail")
+
+func skipKnownRed(t *testing.T) {
+	t.Helper()
+	if !*runKnownRed {
+		t.Skip("known to fail, see KNOWN-RED.txt; run with -red")
+	}
+}
+
+// maxServiceGap is how long a task may wait while there is capacity for it: a standing
+// task is due 6 s after its last run, and may be 3 s late.
+const maxServiceGap = 9 * time.Second
+
+// newClusterWithStoreFault starts a cluster in which entry VM 0 claims the cell. Its
+// calls to the store are handled by fault if that returns true.
+func newClusterWithStoreFault(t *testing.T, entries, workers int, fault func(w http.ResponseWriter, r *http.Request) bool) *testCluster {
+	t.Helper()
+	f := newTestCluster(t, 0, workers, 50*time.Millisecond)
+	store := httptest.NewServer(f.store)
+	t.Cleanup(store.Close)
+	faulty := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !fault(w, r) {
+			f.store.ServeHTTP(w, r)
+		}
+	}))
+	t.Cleanup(faulty.Close)
+	f.startEntry(0, strings.TrimPrefix(faulty.URL, "http://"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.entries[0].owner.Load() == nil {
+			return poll.Continue("not claimed")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(time.Millisecond))
+	for i := 1; i < entries; i++ {
+		f.startEntry(i, strings.TrimPrefix(store.URL, "http://"))
+	}
+	return f
+}
+
+// refuseCall responds to a call of the store with status 503.
+func refuseCall(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// dropCall does not respond until the caller gives up.
+func dropCall(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+// assertServedWithin submits a job at an entry VM until it is accepted, and fails the
+// test unless the job is completed by the end of the limit.
+func (f *testCluster) assertServedWithin(at int, job string, limit time.Duration) {
+	f.t.Helper()
+	began := time.Now()
+	submitted := false
+	seen := "nothing"
+	for time.Since(began) < limit {
+		status, body := 0, ""
+		if !submitted {
+			status, body = f.request(at, http.MethodPost, "/q/"+job, twoStepJob)
+			submitted = status == http.StatusOK
+		} else {
+			status, body = f.request(at, http.MethodGet, "/q/"+job, "")
+			if status == http.StatusOK && strings.Contains(body, `"completed"`) && time.Since(began) <= limit {
+				return
+			}
+		}
+		seen = fmt.Sprintf("status %d, body %s", status, body)
+		time.Sleep(50 * time.Millisecond)
+	}
+	owner, _ := f.entries[at].currentOwner()
+	f.t.Fatalf("not completed after %v: submitted %t, last response %s, owner of epoch %d is %s",
+		time.Since(began).Round(10*time.Millisecond), submitted, seen, owner.Epoch, owner.Process)
+}
+
+// An owner whose restore does not end renewed its claim for ever.
+func TestOwnerThatCannotRestoreIsReplaced(t *testing.T) {
+	skipKnownRed(t)
+	for _, c := range []struct {
+		name, topic string
+		fault       http.HandlerFunc
+	}{
+		{"reads of the cell are refused", topicCells, refuseCall},
+		{"reads of the inbox are refused", topicInbox, refuseCall},
+		{"reads of the workers get no response", platform.TopicWorkers, dropCall},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newClusterWithStoreFault(t, 3, 3, func(w http.ResponseWriter, r *http.Request) bool {
+				if r.URL.Path != "/v1/log-newest" || r.URL.Query().Get("topic") != c.topic {
+					return false
+				}
+				c.fault(w, r)
+				return true
+			})
+			f.assertServedWithin(1, id(1), maxServiceGap)
+		})
+	}
+}
