entry/front: test that an owner that cannot store its changes is replaced

What callers see: a job is accepted and stays queued.

The store refuses an owner's appends to the cell's partition while its renewals succeed, and the other entry VMs reach the whole store. The owner retries the append, starts nothing new, and keeps the cell.

--- a/internal/entry/front/unserving_owner_test.go
+++ b/internal/entry/front/unserving_owner_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"bamboofall.example/bamboofall/platform"
@@ -116,3 +118,20 @@
 		})
 	}
 }
+
+// An owner that could renew its claim but not store its changes kept the cell.
+func TestOwnerThatCannotAppendToCellIsReplaced(t *testing.T) {
+	skipKnownRed(t)
+	var failing atomic.Bool
+	f := newClusterWithStoreFault(t, 3, 3, func(w http.ResponseWriter, r *http.Request) bool {
+		if !failing.Load() || r.URL.Path != "/v1/log-append" || r.URL.Query().Get("topic") != topicCells {
+			return false
+		}
+		refuseCall(w, r)
+		return true
+	})
+	f.assertServedWithin(1, id(1), maxServiceGap)
+	failing.Store(true)
+	f.assertServedWithin(1, id(2), maxServiceGap)
+	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
+}
