entry/front: test that an owner whose loop stands still is replaced

What callers see: a submission takes 0.9 s, the timeout of the call to the owner, is accepted by the inbox and never begins. Each lookup takes 2.85 s and ends with 503 noOwner.

An event that does not end blocks the owner's loop. Renewals are made by a goroutine of their own, so the owner keeps the cell.

It is in KNOWN-RED.txt.

--- a/internal/entry/front/unserving_owner_test.go
+++ b/internal/entry/front/unserving_owner_test.go
@@ -135,3 +135,18 @@
 	f.assertServedWithin(1, id(2), maxServiceGap)
 	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
 }
+
+// An owner whose loop handled no events went on to renew its claim.
+func TestOwnerWithBlockedLoopIsReplaced(t *testing.T) {
+	skipKnownRed(t)
+	f := newTestCluster(t, 3, 3, 50*time.Millisecond)
+	first := f.waitForOwner(-1)
+	other := (first + 1) % 3
+	f.assertServedWithin(other, id(1), maxServiceGap)
+	blocked := make(chan struct{})
+	t.Cleanup(func() { close(blocked) })
+	o := f.entries[first].owner.Load()
+	o.push(t.Context(), func(time.Time) { <-blocked })
+	f.assertServedWithin(other, id(2), maxServiceGap)
+	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
+}
