entry/front: test that jobs complete while only the owner reaches no worker

What callers see: a job is accepted and stays queued.

The owner cannot connect to any worker, and the other entry VMs reach them all. The owner takes the workers for silent. It calls them itself, as relays serve only those beyond its capacity, and keeps the cell.

--- a/internal/entry/front/unserving_owner_test.go
+++ b/internal/entry/front/unserving_owner_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/platform"
 )
 
@@ -150,3 +152,63 @@
 	f.assertServedWithin(other, id(2), maxServiceGap)
 	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
 }
+
+// partitionedWorkers are workers to which no connection can be established while cut
+// returns true.
+type partitionedWorkers struct {
+	bamboofall.TaskWorkers
+	cut func() bool
+}
+
+// connect waits for the timeout of an order if the workers are unreachable.
+func (p *partitionedWorkers) connect(ctx context.Context, call string) error {
+	if !p.cut() {
+		return nil
+	}
+	sleep(ctx, platform.OrderTimeout)
+	return &bamboofall.NotDoneError{Call: call, Reason: "connect: timeout"}
+}
+
+func (p *partitionedWorkers) Start(ctx context.Context, w bamboofall.WorkerRef, o bamboofall.StartOrder) (bamboofall.ResponseMeta, error) {
+	if err := p.connect(ctx, "start"); err != nil {
+		return bamboofall.ResponseMeta{}, err
+	}
+	return p.TaskWorkers.Start(ctx, w, o)
+}
+
+func (p *partitionedWorkers) Stop(ctx context.Context, w bamboofall.WorkerRef, task bamboofall.TaskName, run uint32, token bamboofall.Token) (bamboofall.ResponseMeta, error) {
+	if err := p.connect(ctx, "stop"); err != nil {
+		return bamboofall.ResponseMeta{}, err
+	}
+	return p.TaskWorkers.Stop(ctx, w, task, run, token)
+}
+
+func (p *partitionedWorkers) Hold(ctx context.Context, w bamboofall.WorkerRef, o bamboofall.HoldOrder) (bamboofall.HoldReport, error) {
+	if err := p.connect(ctx, "hold"); err != nil {
+		return bamboofall.HoldReport{}, err
+	}
+	return p.TaskWorkers.Hold(ctx, w, o)
+}
+
+func (p *partitionedWorkers) Pace(ctx context.Context, w bamboofall.WorkerRef, task bamboofall.TaskName, run uint32, percent int, token bamboofall.Token) (bamboofall.ResponseMeta, error) {
+	if err := p.connect(ctx, "pace"); err != nil {
+		return bamboofall.ResponseMeta{}, err
+	}
+	return p.TaskWorkers.Pace(ctx, w, task, run, percent, token)
+}
+
+// An owner that reached no worker kept the cell, and sent nothing via the entry VMs that
+// reached them all.
+func TestJobsCompleteWhileOnlyOwnerReachesNoWorker(t *testing.T) {
+	skipKnownRed(t)
+	var cut atomic.Pointer[Front]
+	f := newTestCluster(t, 3, 3, 50*time.Millisecond, func(f *Front) {
+		f.workers = &partitionedWorkers{f.workers, func() bool { return cut.Load() == f }}
+	})
+	first := f.waitForOwner(-1)
+	other := (first + 1) % 3
+	f.assertServedWithin(other, id(1), maxServiceGap)
+	cut.Store(f.entries[first].Front)
+	f.assertServedWithin(other, id(2), maxServiceGap)
+	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
+}
