state/lease: test that a weak owner yields to a strong VM that returns

What callers see: a weak owner serves little for up to a minute, though a VM four times as strong is back.

A cell is yielded at most once a minute. If the VM that it was yielded to stops and a weak one takes over, the strong one is not given the cell until the minute has passed, although no yield to it has failed. The bound is the time in which a system whose machines are back has to serve again, 15 s. A VM that is announced and does not claim is another case, for which TestCellIsYieldedAtMostOncePerInterval stays as it is.

It is in KNOWN-RED.txt.

--- a/internal/state/lease/slow_owner_test.go
+++ b/internal/state/lease/slow_owner_test.go
@@ -62,3 +62,28 @@
 		assert.Equal(t, f.owner(), uint32(800), "seed %d: slow for 14 of %v", seed, maxRecoveryTime)
 	}
 }
+
+// The interval between yields kept a weak owner for a minute although strong VMs were
+// back.
+func TestSlowWeakOwnerYieldsAgainWhenStrongVMReturns(t *testing.T) {
+	skipKnownRed(t)
+	for seed := range uint64(seeds) {
+		f, strong := newFleetWithWeakOwner(t, seed)
+		f.strongest = 800
+		f.advanceWithSlowOwner(maxRecoveryTime, 0, maxRecoveryTime)
+		assert.Equal(t, f.owner(), uint32(800), "seed %d: first yield", seed)
+
+		strong.down = true
+		f.strongest = 192
+		f.advance(5 * time.Second)
+		assert.Equal(t, f.owner(), uint32(192), "seed %d: strong VM stopped", seed)
+
+		restarted := &vm{capacity: strong.capacity, startAt: f.now, nextPoll: f.now}
+		restarted.lease = New(at(f.now), timing, "restarted", address, 0.5)
+		restarted.lease.SetCapacity(restarted.capacity)
+		f.vms = append(f.vms, restarted)
+		f.strongest = 800
+		f.advanceWithSlowOwner(maxRecoveryTime, 0, maxRecoveryTime)
+		assert.Equal(t, f.owner(), uint32(800), "seed %d: strong VM back for %v", seed, maxRecoveryTime)
+	}
+}
