--- a/internal/jobs/sim/owner.go
+++ b/internal/jobs/sim/owner.go
@@ -186,7 +186,11 @@
 		if w.machine == m && w.cell != nil {
 			if w.now.Sub(m.delaySampledAt) >= delayInterval {
 				m.delaySampledAt = w.now
-				w.cell.SetOwnerDelay(w.now, m.sampleDelay())
+				delay := m.sampleDelay()
+				w.cell.SetOwnerDelay(w.now, delay)
+				if w.cfg.OnOwnerDelay != nil {
+					w.cfg.OnOwnerDelay(w.now, w.cell, delay)
+				}
 			}
 			w.step()
 		}
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -41,6 +41,9 @@
 	// Owner is the capacity of each owner's VM. If it is nil, the owner's work
 	// takes no time.
 	Owner *OwnerVM
+	// OnOwnerDelay, if set, is called when an owner with an OwnerVM has measured its
+	// own delay.
+	OnOwnerDelay func(now time.Time, owner *cell.Cell, delay time.Duration)
 }
 
 // Service is the service to which all workers belong.
