state/lease, jobs/cell: let an overloaded owner yield, not only a slow one

Cause: an owner yielded once its own delay had been 0.1 s for 4 s on end. The limit on its calls uses the same 0.1 s: it lowers the rate whenever the delay reaches that, so the delay hovers just below, and one good window of 0.25 s began the 4 s anew. In the model an overloaded owner is slow for 5.8 to 21.4 of 40 s, and for 2.8 s on end at most. The limit hid the overload from the handover.

An owner now counts as overloaded when it is slow or calls wait for the limit, and yields when it has been that for 4 s longer than not.

--- a/internal/entry/front/delay.go
+++ b/internal/entry/front/delay.go
@@ -161,7 +161,7 @@
 	o.delayUpdatedAt = at
 	o.delay = o.delays.closeWindow()
 	o.cell.SetOwnerDelay(at, o.delay)
-	o.yieldIfSlow(at)
+	o.yieldIfOverloaded(at)
 	scope := o.front.metrics.Scope
 	scope.Gauge("ownerDelaySeconds").Update(o.delay.Seconds())
 	scope.Gauge("ownerRing").Update(float64(len(o.events.Items())))
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -207,16 +207,16 @@
 	}
 }
 
-// yieldIfSlow starts to release the cell if this owner is slow and a much stronger VM is
-// known.
-func (o *owner) yieldIfSlow(at time.Time) {
+// yieldIfOverloaded starts to release the cell if this owner is overloaded and a much
+// stronger VM is known.
+func (o *owner) yieldIfOverloaded(at time.Time) {
 	if o.isReleasing() {
 		return
 	}
 	f := o.front
 	strongest, _ := f.strongestPeer(at)
 	f.leaseMu.Lock()
-	yield := f.lease.Yield(at, o.delay >= cell.SlowOwnerDelay, strongest)
+	yield := f.lease.Yield(at, o.cell.Overloaded(at), strongest)
 	f.leaseMu.Unlock()
 	if !yield {
 		return
--- a/internal/jobs/cell/overload.go
+++ b/internal/jobs/cell/overload.go
@@ -66,8 +66,9 @@
 	// refilledAt is when the buckets were last filled, rateChangedAt when the rate was
 	// last adjusted.
 	refilledAt, rateChangedAt time.Time
-	// limited is set when a call had to wait since rateChangedAt.
-	limited bool
+	// limited is set when a call had to wait since rateChangedAt, wasLimited if one had
+	// to in the interval before.
+	limited, wasLimited bool
 	// answered counts the calls answered since rateChangedAt.
 	answered float64
 }
@@ -87,7 +88,7 @@
 		case b.limited:
 			b.rate = min(maxRate, rateGrowth*b.rate)
 		}
-		b.rateChangedAt, b.limited, b.answered = now, false, 0
+		b.rateChangedAt, b.wasLimited, b.limited, b.answered = now, b.limited, false, 0
 	}
 	burst := max(1, b.rate*burstSeconds/2)
 	gain := b.rate * now.Sub(b.refilledAt).Seconds() / 2
@@ -108,6 +109,13 @@
 	return left >= 1
 }
 
+// Overloaded reports whether the owner is slow or holds back calls so as not to become
+// slow. The limit on calls keeps the delay of an overloaded owner below SlowOwnerDelay
+// most of the time, so the delay alone does not show the overload.
+func (c *Cell) Overloaded(now time.Time) bool {
+	return c.ownerSlow(now) || c.budget.limited || c.budget.wasLimited
+}
+
 // callsLimited reports whether calls are limited: the owner's delay is reported.
 func (c *Cell) callsLimited() bool { return !c.owner.reportedAt.IsZero() }
 
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -47,8 +47,9 @@
 	// owner. The delay of other VMs is proportional to the capacity that they
 	// lack.
 	MaxClaimDelay, MaxFirstClaimDelay time.Duration
-	// SlowBeforeYield is how long an owner must have been slow before it yields
-	// the cell. MinYieldInterval is the minimum time between two yields of a cell.
+	// SlowBeforeYield is how much longer an owner must have been slow than not slow
+	// before it yields the cell. MinYieldInterval is the minimum time between two
+	// yields of a cell.
 	SlowBeforeYield, MinYieldInterval time.Duration
 }
 
@@ -98,7 +99,7 @@
 	// strongest other VM that the owner heard of recently, in thousandths of a
 	// processor. Zero is unknown.
 	Capacity, StrongestOther uint32
-	// Yielded is set if the cell was released in favour of a stronger VM.
+	// Yielded is set if the cell was released because another VM can serve it better.
 	Yielded bool
 }
 
@@ -134,9 +135,14 @@
 	ownEpoch uint64
 	// stopClaims is set once this process is shutting down.
 	stopClaims bool
-	// yieldedAt is when a record with Yielded was last read. Since slowSince this
-	// owner has been slow; it is zero while the owner is not.
-	yieldedAt, slowSince time.Time
+	// yieldedAt is when a record with Yielded was last read.
+	yieldedAt time.Time
+	// slowFor grows while this owner is slow and shrinks while it is not, from zero to
+	// Timing.SlowBeforeYield. It was updated at slowCheckedAt, when the owner was slow
+	// or not as wasSlow says.
+	slowFor       time.Duration
+	slowCheckedAt time.Time
+	wasSlow       bool
 }
 
 // New returns the view of a process that starts now and has read nothing. The
@@ -217,17 +223,29 @@
 // must be called regularly with whether the owner is slow now and with the
 // capacity of the strongest other VM heard of recently, or zero.
 func (l *Lease) Yield(now time.Time, slow bool, strongest uint32) bool {
-	if !slow || l.ownEpoch == 0 {
-		l.slowSince = time.Time{}
+	l.updateSlowFor(now, slow)
+	if !slow || l.ownEpoch == 0 || l.slowFor < l.timing.SlowBeforeYield {
 		return false
 	}
-	if l.slowSince.IsZero() {
-		l.slowSince = now
-	}
-	if l.capacity == 0 || strongest < yieldCapacityFactor*l.capacity || now.Sub(l.slowSince) < l.timing.SlowBeforeYield {
+	if l.capacity == 0 || strongest < yieldCapacityFactor*l.capacity {
 		return false
 	}
-	return l.yieldedAt.IsZero() || now.Sub(l.yieldedAt) >= l.timing.MinYieldInterval
+	return !l.yieldedRecently(now)
+}
+
+func (l *Lease) updateSlowFor(now time.Time, slow bool) {
+	if !l.slowCheckedAt.IsZero() {
+		elapsed := now.Sub(l.slowCheckedAt)
+		if !l.wasSlow {
+			elapsed = -elapsed
+		}
+		l.slowFor = min(max(0, l.slowFor+elapsed), l.timing.SlowBeforeYield)
+	}
+	l.slowCheckedAt, l.wasSlow = now, slow
+}
+
+func (l *Lease) yieldedRecently(now time.Time) bool {
+	return !l.yieldedAt.IsZero() && now.Sub(l.yieldedAt) < l.timing.MinYieldInterval
 }
 
 // Claimed records that a claim, sent at a time, succeeded.
@@ -237,7 +255,7 @@
 		l.formerSeenAt = l.newestSeenAt
 	}
 	l.newestRecord, l.hasRecord, l.newestSeenAt = r, true, sent
-	l.slowSince = time.Time{}
+	l.slowFor, l.slowCheckedAt = 0, time.Time{}
 	l.partitionEnd = max(l.partitionEnd, end)
 	l.ownEpoch, l.confirmedAt = r.Epoch, sent
 }
