entry/front: let an owner that cannot follow the inbox or the workers yield

What callers see: jobs that another entry VM accepted through the inbox do not start, and new workers get no work, for as long as only the owner's reads of the topic fail.

--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -128,6 +128,8 @@
 		o.group.Go(func() error { return o.followInbox(ctx, offsets.inbox) })
 		o.ready.Store(true)
 		o.progress.done(dutyRestore)
+		o.progress.restart(dutyInbox, time.Now())
+		o.progress.restart(dutyWorkers, time.Now())
 		return o.loop(ctx)
 	})
 	return o.group.Wait()
@@ -352,7 +354,7 @@
 func (o *owner) followWorkers(ctx context.Context, from int64) error {
 	return o.front.follow(ctx, platform.TopicWorkers, from, workersLongPoll, func(r bamboofall.StoredRecord) {
 		o.push(ctx, func(at time.Time) { o.applyWorkerRecord(at, r) })
-	}, nil)
+	}, func(int64) { o.progress.restart(dutyWorkers, time.Now()) })
 }
 
 // applyWorkerRecord adds or updates a worker, or removes it if the record is empty.
@@ -378,6 +380,7 @@
 	return o.front.follow(ctx, topicInbox, from, inboxLongPoll, func(r bamboofall.StoredRecord) {
 		o.push(ctx, func(at time.Time) { o.applyInboxRecord(at, r) })
 	}, func(int64) {
+		o.progress.restart(dutyInbox, time.Now())
 		o.push(ctx, func(at time.Time) { o.inboxReadAt = at })
 	})
 }
--- a/internal/entry/front/progress.go
+++ b/internal/entry/front/progress.go
@@ -15,6 +15,9 @@
 	dutyDecide
 	// dutyStore is to store the cell's changes.
 	dutyStore
+	// dutyInbox and dutyWorkers are to follow the inbox and the list of workers.
+	dutyInbox
+	dutyWorkers
 	// dutyCall is to get answers from workers.
 	dutyCall
 	dutyCount
@@ -23,7 +26,7 @@
 // String returns the name of the duty in log lines.
 func (d duty) String() string {
 	return [dutyCount]string{
-		dutyRestore: "restore", dutyDecide: "decide", dutyStore: "store", dutyCall: "call",
+		dutyRestore: "restore", dutyDecide: "decide", dutyStore: "store", dutyInbox: "inbox", dutyWorkers: "workers", dutyCall: "call",
 	}[d]
 }
 
--- a/internal/entry/front/unserving_owner_test.go
+++ b/internal/entry/front/unserving_owner_test.go
@@ -201,3 +201,31 @@
 	f.assertServedWithin(other, id(2), maxServiceGap)
 	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
 }
+
+// An owner that could not follow the inbox or the list of workers kept the cell: what
+// other entry VMs accepted on its behalf, and new workers, stayed unknown to it.
+func TestOwnerThatCannotReadNewRecordsIsReplaced(t *testing.T) {
+	for _, topic := range []string{topicInbox, platform.TopicWorkers} {
+		t.Run(topic, func(t *testing.T) {
+			t.Parallel()
+			var failing atomic.Bool
+			f := newClusterWithStoreFault(t, 2, 1, func(w http.ResponseWriter, r *http.Request) bool {
+				if !failing.Load() || r.URL.Path != "/v1/log-read" || r.URL.Query().Get("topic") != topic {
+					return false
+				}
+				refuseCall(w, r)
+				return true
+			})
+			f.assertServedWithin(1, id(1), maxServiceGap)
+			failing.Store(true)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if f.ownerIndex() == 1 {
+					return poll.Success()
+				}
+				return poll.Continue("entry VM 1 does not own the cell")
+			}, poll.WithTimeout(maxServiceGap), poll.WithDelay(20*time.Millisecond))
+			f.assertServedWithin(1, id(2), maxServiceGap)
+			assert.DeepEqual(t, f.audit.Violations(), []string(nil))
+		})
+	}
+}
