state/lease, entry/front: keep the strongest known capacity in a claim

What callers see: after two owners were lost within a second or two, a weak VM may own the cell beside strong ones.

Cause: until other VMs have announced themselves to a new owner, its records say that no stronger VM is known.

A claim now carries what the last owner knew, and its own capacity, until another VM has announced itself. TestClaimCarriesStrongestKnownCapacity failed before (0 instead of 800).

--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -98,7 +98,7 @@
 	if !claim || f.config.Load() == nil || f.owner.Load() != nil {
 		return
 	}
-	record.StrongestOther, _ = f.strongestPeer(now())
+	record = f.withStrongestPeer(record)
 	stored, err := encodeOwnerRecord(record)
 	if err != nil {
 		f.log.Event("claim failed", logrus.Fields{"error": err.Error()})
@@ -130,6 +130,15 @@
 	f.owners.Go(func() { f.runOwner(o) })
 }
 
+// withStrongestPeer returns a record with the capacity of the strongest other VM, if any
+// has announced itself.
+func (f *Front) withStrongestPeer(record lease.Record) lease.Record {
+	if capacity, known := f.strongestPeer(now()); known {
+		record.StrongestOther = capacity
+	}
+	return record
+}
+
 // runOwner runs an owner until it stops.
 func (f *Front) runOwner(o *owner) {
 	err := o.run()
@@ -175,8 +184,7 @@
 	// Since renewingSince no other VM can have claimed the cell.
 	var renewingSince, renewedAt time.Time
 	for ctx.Err() == nil && !o.isReleasing() {
-		record := o.record
-		record.StrongestOther, _ = o.front.strongestPeer(now())
+		record := o.front.withStrongestPeer(o.record)
 		var fenced *bamboofall.FencedError
 		err := o.appendOwnerRecord(ctx, record)
 		if errors.As(err, &fenced) {
@@ -273,8 +281,7 @@
 // release appends a record that marks the cell as free, so that other VMs claim it
 // without waiting for the expiry.
 func (o *owner) release(ctx context.Context) error {
-	released := o.record
-	released.StrongestOther, _ = o.front.strongestPeer(now())
+	released := o.front.withStrongestPeer(o.record)
 	released.Released, released.Yielded = true, isClosed(o.yielding)
 	for range releaseAttempts {
 		var fenced *bamboofall.FencedError
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -210,8 +210,9 @@
 }
 
 // Claim reports whether the cell should be claimed now. It returns the record
-// to append and the offset at which the partition must end for the append to be
-// valid. The caller must have read the partition without errors up to now.
+// to append, with the strongest VM that was known to the last owner, and the offset
+// at which the partition must end for the append to be valid. The caller must have
+// read the partition without errors up to now.
 func (l *Lease) Claim(now time.Time) (Record, int64, bool) {
 	if l.stopClaims || l.ownEpoch != 0 || l.newestSeenAt.IsZero() {
 		return Record{}, 0, false
@@ -225,7 +226,14 @@
 	if now.Sub(l.newestSeenAt) < wait+l.claimDelay() {
 		return Record{}, 0, false
 	}
-	return Record{Epoch: l.newestRecord.Epoch + 1, Address: l.address, Process: l.process, Capacity: l.capacity}, l.partitionEnd, true
+	r := Record{
+		Epoch: l.newestRecord.Epoch + 1, Address: l.address, Process: l.process,
+		Capacity: l.capacity, StrongestOther: l.newestRecord.StrongestOther,
+	}
+	if l.newestRecord.Process != l.process {
+		r.StrongestOther = max(r.StrongestOther, l.newestRecord.Capacity)
+	}
+	return r, l.partitionEnd, true
 }
 
 // claimDelay returns how long this process lets others claim first: stronger VMs, and
--- a/internal/state/lease/stall_test.go
+++ b/internal/state/lease/stall_test.go
@@ -57,3 +57,19 @@
 	assert.Assert(t, claimedAfter(weakest) < claimedAfter(a), "%v, %v", claimedAfter(weakest), claimedAfter(a))
 	assert.Assert(t, claimedAfter(a) < 2*time.Second, "alone, the process claims the cell again")
 }
+
+// A new owner has heard of no other VM yet. If its VM is weak and stops, the others must
+// still know that there are stronger ones.
+func TestClaimCarriesStrongestKnownCapacity(t *testing.T) {
+	for _, former := range []Record{
+		{Epoch: 4, Address: address, Process: "a", Capacity: 800, StrongestOther: 192},
+		{Epoch: 4, Address: address, Process: "a", Capacity: 192, StrongestOther: 800},
+	} {
+		l := New(start, timing, "b", address, 0)
+		l.SetCapacity(192)
+		l.Observe(start, former, 9)
+		r, _, claim := l.Claim(at(time.Minute))
+		assert.Assert(t, claim)
+		assert.Equal(t, r.StrongestOther, uint32(800))
+	}
+}
