internal/wire/httpclient: tell late stops apart in stopped-process test

The server had not stopped the process within the call's 50 ms, so no response had been sent before the deadline and the client was right to time out.

Each call now carries its number and deadline. The server waits until all threads of the process have stopped, writes the response, and records whether that was before the deadline. Such calls must succeed, and 20 of them are required as before. A call whose stop or response was late may time out but must not fail in another way. The first call is delayed past its deadline, so each run covers that case.

--- a/internal/wire/httpclient/conn_test.go
+++ b/internal/wire/httpclient/conn_test.go
@@ -10,11 +10,14 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -22,63 +25,169 @@
 const (
 	// stoppedCallerVariable makes this test binary a client of the URL that it holds.
 	stoppedCallerVariable = "BAMBOOFALL_STOPPED_CALLER"
+	// stoppedCalls is the number of calls that get their response in time while the
+	// caller is stopped, and maxStoppedCallerCalls the limit on all calls.
 	stoppedCalls          = 20
+	maxStoppedCallerCalls = 10 * stoppedCalls
 	stoppedCallTimeout    = 50 * time.Millisecond
+	// headerCall is the number of a call, and headerDeadline its deadline in Unix
+	// nanoseconds.
+	headerCall     = "X-Call"
+	headerDeadline = "X-Deadline"
+	stoppedAnswer  = "answer"
+
+	outcomeAnswered = "answered"
+	outcomeNotSent  = "not sent"
+	outcomeTimedOut = "timed out"
 )
 
 func TestMain(m *testing.M) {
 	if url := os.Getenv(stoppedCallerVariable); url != "" {
-		callAll(url)
+		callUntilGone(url)
 		return
 	}
 	os.Exit(m.Run())
 }
 
-func callAll(url string) {
+// callUntilGone makes calls until the server responds with status 410, and prints the
+// outcome of each.
+func callUntilGone(url string) {
 	engine, err := NewEngine()
 	if err != nil {
 		panic(err)
 	}
+	defer engine.Stop()
 	c := New(engine)
-	for range stoppedCalls {
-		ctx, cancel := context.WithTimeout(context.Background(), stoppedCallTimeout)
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	for n := range maxStoppedCallerCalls {
+		status, outcome := callStopped(c, url, n)
+		if status == http.StatusGone {
+			return
+		}
+		fmt.Printf("%d %s\n", n, outcome)
+	}
+}
+
+func callStopped(c *Client, url string, n int) (status int, outcome string) {
+	ctx, cancel := context.WithTimeout(context.Background(), stoppedCallTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		panic(err)
+	}
+	deadline, _ := ctx.Deadline()
+	req.Header.Set(headerCall, strconv.Itoa(n))
+	req.Header.Set(headerDeadline, strconv.FormatInt(deadline.UnixNano(), 10))
+	res, err := c.Do(req)
+	var timeout *TimeoutError
+	switch {
+	case err == nil:
+		body, err := io.ReadAll(res.Body)
 		if err != nil {
 			panic(err)
 		}
-		if _, err := c.Do(req); err != nil {
-			fmt.Println("call failed:", err)
+		if string(body) == stoppedAnswer {
+			return res.StatusCode, outcomeAnswered
+		}
+		return res.StatusCode, fmt.Sprintf("body %q", body)
+	case IsNotSent(err):
+		return 0, outcomeNotSent
+	case errors.As(err, &timeout):
+		return 0, outcomeTimedOut
+	}
+	return 0, err.Error()
+}
+
+// stoppingServer responds to each call of a child process while the process is stopped.
+// It responds with status 410 once stoppedCalls responses were in time.
+type stoppingServer struct {
+	t       *testing.T
+	process *os.Process
+
+	mu sync.Mutex
+	// inTime holds, for each call that arrived, whether the process was stopped and the
+	// response written before the call's deadline.
+	inTime map[int]bool
+	count  int
+}
+
+func (s *stoppingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, err := strconv.Atoi(r.Header.Get(headerCall))
+	assert.Check(s.t, err)
+	nanos, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	assert.Check(s.t, err)
+	deadline := time.Unix(0, nanos)
+	if s.count == stoppedCalls {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	if n == 0 {
+		// Delays the first call, as a busy machine may delay any.
+		time.Sleep(time.Until(deadline) + stoppedCallTimeout/5)
+	}
+	s.inTime[n] = false
+	if !time.Now().Before(deadline) {
+		_, _ = io.WriteString(w, stoppedAnswer)
+		return
+	}
+	assert.Check(s.t, s.process.Signal(syscall.SIGSTOP))
+	assert.Check(s.t, waitStopped(s.process.Pid))
+	_, _ = io.WriteString(w, stoppedAnswer)
+	assert.Check(s.t, http.NewResponseController(w).Flush())
+	if time.Now().Before(deadline) {
+		s.inTime[n] = true
+		s.count++
+	}
+	time.Sleep(2 * stoppedCallTimeout)
+	assert.Check(s.t, s.process.Signal(syscall.SIGCONT))
+}
+
+// waitStopped waits until all threads of a child process have stopped.
+func waitStopped(pid int) error {
+	for {
+		err := unix.Waitid(unix.P_PID, pid, nil, unix.WSTOPPED, nil)
+		if !errors.Is(err, unix.EINTR) {
+			return err
 		}
-		cancel()
 	}
-	engine.Stop()
-	fmt.Println("called")
 }
 
 // A process that is stopped with SIGSTOP while a response arrives wakes up with both
 // the response and an expired deadline. The response must win.
 func TestStoppedProcessAcceptsResponseThatArrivedBeforeDeadline(t *testing.T) {
 	caller := exec.Command(os.Args[0])
-	started := make(chan struct{})
-	calls := 0
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		<-started
-		calls++
-		assert.Check(t, caller.Process.Signal(syscall.SIGSTOP))
-		_, _ = io.WriteString(w, "answer")
-		assert.Check(t, http.NewResponseController(w).Flush())
-		time.Sleep(2 * stoppedCallTimeout)
-		assert.Check(t, caller.Process.Signal(syscall.SIGCONT))
-	}))
+	stopping := &stoppingServer{t: t, inTime: make(map[int]bool)}
+	stopping.mu.Lock()
+	server := httptest.NewServer(stopping)
 	defer server.Close()
 	caller.Env = append(os.Environ(), stoppedCallerVariable+"="+server.URL)
 	var out strings.Builder
 	caller.Stdout = &out
 	assert.NilError(t, caller.Start())
-	close(started)
+	stopping.process = caller.Process
+	stopping.mu.Unlock()
 	assert.NilError(t, caller.Wait())
-	assert.Equal(t, out.String(), "called\n")
-	assert.Equal(t, calls, stoppedCalls)
+
+	stopping.mu.Lock()
+	defer stopping.mu.Unlock()
+	answered := 0
+	for line := range strings.Lines(out.String()) {
+		call, outcome, _ := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
+		n, err := strconv.Atoi(call)
+		assert.NilError(t, err, "%s", line)
+		inTime, arrived := stopping.inTime[n]
+		switch {
+		case inTime:
+			assert.Equal(t, outcome, outcomeAnswered, "call %d", n)
+			answered++
+		case arrived:
+			assert.Assert(t, outcome == outcomeAnswered || outcome == outcomeTimedOut, "call %d, response too late: %s", n, outcome)
+		default:
+			assert.Assert(t, outcome == outcomeNotSent || outcome == outcomeTimedOut, "call %d did not arrive: %s", n, outcome)
+		}
+	}
+	assert.Equal(t, answered, stoppedCalls, "%s", out.String())
 }
 
 // connect opens a connection without sending a request.
