--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -90,31 +89,6 @@
 	return f
 }
 
-// freePorts returns the first of n consecutive unused ports.
-func freePorts(t *testing.T, n int) int {
-	t.Helper()
-	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		first := l.Addr().(*net.TCPAddr).Port
-		assert.NilError(t, l.Close())
-		free := true
-		for i := range n {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+i))
-			if err != nil {
-				free = false
-				break
-			}
-			assert.NilError(t, l.Close())
-		}
-		if free {
-			return first
-		}
-	}
-	t.Fatal("no free ports")
-	return 0
-}
-
 func (f *testCluster) startEntry(i int, store string) {
 	port := freePorts(f.t, 5)
 	path := filepath.Join(f.t.TempDir(), "node.toml")
