internal/entry/front: repeat unanswered owner records unchanged

If the answer to a renewal got lost, the owner sent the next record, with other contents, under the same sequence number. The store answers a repeated sequence number with its first answer and stores nothing.

- a release after such a renewal was answered as stored, but never was.
The other VMs waited for the lease to expire instead of claiming the cell at once, and for a yield they never read that it was one.
- the answer to the repeat confirmed the owner as of the repeat, though other VMs had read the record when the first attempt stored it, up to 1.5 s before.
A successor computes the end of the former owner's leases from the time at which it read that record, so it could start tasks again up to 1.5 s before the leases of a partitioned former owner ended.

The owner now keeps an append with an unknown outcome, repeats it as it was, and only then appends the new record under the next sequence number. A repeat confirms the owner as of the first attempt. An append that was certainly not done is replaced, as before.

Before the change TestReleaseAfterUnansweredRenewalIsStored failed for a lost answer ("newest.Released" is false) and TestRepeatedRenewalConfirmsFirstAttempt with "confirmed 12.471µs after the last record was read".

--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -60,8 +60,10 @@
 	// renewalSequence is the producer sequence number of the next append to the owners
 	// topic.
 	renewalSequence uint64
-	delays          *delayMonitor
-	sender          *orderSender
+	// unanswered is the append to the owners topic whose outcome is unknown, or nil.
+	unanswered *ownerAppend
+	delays     *delayMonitor
+	sender     *orderSender
 	// yielding is closed when the owner decides to release the cell to a stronger VM.
 	yielding chan struct{}
 	// inFlight is the number of orders without a result.
--- /dev/null
+++ b/internal/entry/front/ownerappend_test.go
@@ -0,0 +1,98 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall/internal/state/lease"
+	"bamboofall.example/bamboofall/internal/wire/httpclient"
+	"bamboofall.example/bamboofall/platform"
+	"bamboofall.example/bamboofall/platform/standin"
+)
+
+// claimedOwner is an owner that has claimed the cell and does not run. The next appends
+// to the owners topic suffer the given faults.
+type claimedOwner struct {
+	*owner
+	faults chan standin.Fault
+}
+
+func newClaimedOwner(t *testing.T) *claimedOwner {
+	c := &claimedOwner{faults: make(chan standin.Fault, 8)}
+	store := standin.NewStore()
+	store.SetFault(func(r *http.Request) standin.Fault {
+		if r.URL.Path == "/v1/log-append" && r.URL.Query().Get("topic") == topicOwners {
+			select {
+			case fault := <-c.faults:
+				return fault
+			default:
+			}
+		}
+		return standin.FaultNone
+	})
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	path := filepath.Join(t.TempDir(), "node.toml")
+	text := standin.Settings("entry-0", "127.0.0.1", strings.TrimPrefix(server.URL, "http://"), freePorts(t, 5))
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	set, err := platform.ReadSettings(path)
+	assert.NilError(t, err)
+	engine, err := httpclient.NewEngine()
+	assert.NilError(t, err)
+	t.Cleanup(engine.Stop)
+	f := New(path, set, engine, NewLog(&logBuffer{}, set.VM))
+	record := lease.Record{Epoch: 1, Address: set.Peers, Process: "entry-0"}
+	f.lease.Claimed(now(), record, 0)
+	c.owner = newOwner(context.Background(), f, record, time.Time{}, 7)
+	return c
+}
+
+// newestOwnerRecord returns the newest record of the owners topic.
+func (c *claimedOwner) newestOwnerRecord(t *testing.T) lease.Record {
+	page, err := c.front.store.Read(t.Context(), topicOwners, cellPartition, 0, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, len(page.Records) > 0)
+	record, err := decodeOwnerRecord(page.Records[len(page.Records)-1])
+	assert.NilError(t, err)
+	return record
+}
+
+// The store answers a repeated sequence number without storing the record. A release
+// that repeats the sequence number of an unanswered renewal would get lost.
+func TestReleaseAfterUnansweredRenewalIsStored(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.FaultLost, standin.FaultLate, standin.FaultRefused} {
+		c := newClaimedOwner(t)
+		assert.NilError(t, c.appendOwnerRecord(t.Context(), c.record))
+		c.faults <- fault
+		assert.Assert(t, c.appendOwnerRecord(t.Context(), c.record) != nil)
+		assert.ErrorIs(t, c.release(t.Context()), errReleased)
+		if fault == standin.FaultLate {
+			time.Sleep(1200 * time.Millisecond) // until the delayed append is executed
+		}
+		assert.Assert(t, c.newestOwnerRecord(t).Released, "fault %d", fault)
+	}
+}
+
+// A successor takes the time at which it read the last record for the last time at which
+// this owner can have been confirmed. The answer to a repeated append must not confirm
+// the owner later than that.
+func TestRepeatedRenewalConfirmsFirstAttempt(t *testing.T) {
+	c := newClaimedOwner(t)
+	c.faults <- standin.FaultLost
+	assert.Assert(t, c.appendOwnerRecord(t.Context(), c.record) != nil)
+	c.newestOwnerRecord(t)
+	readAt := now()
+	c.faults <- standin.FaultNone
+	c.faults <- standin.FaultRefused
+	_ = c.appendOwnerRecord(t.Context(), c.record)
+	confirmedAt := c.front.confirmedAt()
+	assert.Assert(t, !confirmedAt.After(readAt), "confirmed %v after the last record was read", confirmedAt.Sub(readAt))
+}
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -247,25 +247,51 @@
 	return errReleased
 }
 
+// ownerAppend is an append of an encoded owner record. firstSentAt is when it was first
+// sent.
+type ownerAppend struct {
+	stored      bamboofall.StoreRecord
+	firstSentAt time.Time
+}
+
 // appendOwnerRecord makes one attempt to append a record of this owner to the owners
-// topic.
+// topic. If the outcome of the previous append is unknown, that append is repeated
+// first: the store would answer another record with the same sequence number as if it
+// were a repeat, without storing it.
 func (o *owner) appendOwnerRecord(ctx context.Context, record lease.Record) error {
-	f := o.front
 	stored, err := encodeOwnerRecord(record)
 	if err != nil {
 		return err
 	}
-	sent := now()
-	_, err = f.store.Append(ctx, bamboofall.StoreAppend{
-		Topic: topicOwners, Partition: cellPartition, Records: []bamboofall.StoreRecord{stored}, ExpectedEnd: -1,
-		Producer: producerName, Epoch: record.Epoch, Sequence: o.renewalSequence,
+	if o.unanswered != nil {
+		if err := o.sendOwnerAppend(ctx, o.unanswered); err != nil {
+			return err
+		}
+	}
+	return o.sendOwnerAppend(ctx, &ownerAppend{stored, now()})
+}
+
+// sendOwnerAppend makes one attempt at an append.
+func (o *owner) sendOwnerAppend(ctx context.Context, a *ownerAppend) error {
+	f := o.front
+	_, err := f.store.Append(ctx, bamboofall.StoreAppend{
+		Topic: topicOwners, Partition: cellPartition, Records: []bamboofall.StoreRecord{a.stored}, ExpectedEnd: -1,
+		Producer: producerName, Epoch: o.record.Epoch, Sequence: o.renewalSequence,
 	})
-	if err != nil {
+	var notDone *bamboofall.NotDoneError
+	switch {
+	case err == nil:
+	case errors.As(err, &notDone):
+		return err
+	default:
+		o.unanswered = a
 		return err
 	}
+	o.unanswered = nil
 	o.renewalSequence++
 	f.leaseMu.Lock()
-	f.lease.Confirmed(record.Epoch, sent)
+	// The first attempt may have stored the record, and other VMs may have read it then.
+	f.lease.Confirmed(o.record.Epoch, a.firstSentAt)
 	f.leaseMu.Unlock()
 	return nil
 }
