internal/jobs/dispatch: remove the state of unused relays

The tracker kept a queue and counts for every address that had ever been a relay, so an owner that keeps the cell for long grew with the VMs that come and go, and looked through all of them each time it collected the ready relays.

AbandonOverdue now removes relays without queued, in-flight or abandoned orders and without unacknowledged batches, once their last result no longer makes them count as alive. What is removed equals the state of a new relay.

Found in review. TestStateOfRelaysThatAreGoneIsRemoved failed before the change: 3 relays were left instead of 0.

--- a/internal/jobs/dispatch/tracker.go
+++ b/internal/jobs/dispatch/tracker.go
@@ -229,7 +229,7 @@
 }
 
 // AbandonOverdue abandons the orders whose results are overdue, and returns them. Late
-// results are still matched to them.
+// results are still matched to them. It also removes the state of unused relays.
 func (t *Tracker[T]) AbandonOverdue(now time.Time) []T {
 	var overdue []T
 	for _, id := range slices.Sorted(maps.Keys(t.inFlight)) {
@@ -242,9 +242,22 @@
 	maps.DeleteFunc(t.abandoned, func(_ uint64, o *trackedOrder[T]) bool {
 		return now.Sub(o.sentAt) > o.workerWait+t.orderTimeout+lateResultRetention
 	})
+	t.removeUnusedRelays(now)
 	return overdue
 }
 
+// removeUnusedRelays removes the relays that have no orders or batches and whose last
+// result is too old to matter.
+func (t *Tracker[T]) removeUnusedRelays(now time.Time) {
+	abandoned := make(map[netip.AddrPort]bool)
+	for _, o := range t.abandoned {
+		abandoned[o.relay] = true
+	}
+	maps.DeleteFunc(t.relays, func(relay netip.AddrPort, r *relayState[T]) bool {
+		return len(r.queued) == 0 && r.unackedBatches == 0 && r.inFlight == 0 && !abandoned[relay] && !t.Alive(now, relay)
+	})
+}
+
 func (t *Tracker[T]) abandon(o *trackedOrder[T]) {
 	t.removeInFlight(o)
 	t.abandoned[o.id] = o
--- a/internal/jobs/dispatch/tracker_test.go
+++ b/internal/jobs/dispatch/tracker_test.go
@@ -151,3 +151,27 @@
 	_, status := tracker.Result(at(1), 1)
 	assert.Equal(t, status, ResultUnwanted)
 }
+
+// An owner that keeps the cell for long must not keep the state of VMs that are gone.
+func TestStateOfRelaysThatAreGoneIsRemoved(t *testing.T) {
+	tracker := NewTracker[string](orderTimeout)
+	const answers, silent, leaves = 1, 2, 3
+	for _, relay := range []int{answers, silent, leaves} {
+		assert.Assert(t, tracker.Add(address(relay), "a", 0))
+	}
+	batch, _ := tracker.Batch(at(0), address(answers), sendAll)
+	tracker.BatchAcknowledged(address(answers))
+	_, status := tracker.Result(at(100), batch[0].ID)
+	assert.Equal(t, status, ResultExpected)
+	lost, _ := tracker.Batch(at(0), address(silent), sendAll)
+	tracker.BatchAcknowledged(address(silent))
+	tracker.RemoveOrders(address(leaves))
+
+	tracker.AbandonOverdue(at(100))
+	assert.Assert(t, tracker.Alive(at(100), address(answers)))
+	tracker.AbandonOverdue(at(5000))
+	_, status = tracker.Result(at(5000), lost[0].ID)
+	assert.Equal(t, status, ResultLate)
+	tracker.AbandonOverdue(at(20_000))
+	assert.Equal(t, len(tracker.relays), 0)
+}
