internal/jobs/suspicion: extend the pause after a failed probe

A suspect worker gets one task each 2 s after its pause. The wait for the next probe was kept in the same field as the pause, and failures during a pause do not count. So a probe that failed within 2 s, as runs do at a worker where everything fails at once, did not start a longer pause: such a worker was given, and failed, a task every 2 s for as long as it was bad, and used up attempts of these tasks.

The pause and the earliest time of the next probe are now separate. A failure after the pause has ended starts the next pause, which is twice as long, up to 12 s. Failures during a pause are of runs from before it, and are ignored as before.

Found in review.

--- a/internal/jobs/suspicion/suspicion.go
+++ b/internal/jobs/suspicion/suspicion.go
@@ -40,14 +40,15 @@
 type Worker struct {
 	// consecutiveFailures is the number of failures since the last success.
 	consecutiveFailures int
-	// pause is the length of the latest pause, and pausedUntil the time before
-	// which the worker gets no tasks.
-	pause       time.Duration
-	pausedUntil time.Time
+	// pause is the length of the latest pause, and pausedUntil the time at which it
+	// ends. nextProbeAt is the earliest time of the next task after the pause.
+	pause                    time.Duration
+	pausedUntil, nextProbeAt time.Time
 }
 
 // RecordFailure records a failure that is not the fault of the job. A stalled run makes
-// the worker suspect at once. RecordFailure reports whether a new pause begins.
+// the worker suspect at once. RecordFailure reports whether a new pause begins, which is
+// not the case during a pause: the run was started before it.
 func (w *Worker) RecordFailure(now time.Time, stalled bool) bool {
 	w.consecutiveFailures++
 	if w.consecutiveFailures < suspectAfterFailures && !stalled {
@@ -69,14 +70,16 @@
 func (w *Worker) Failures() int { return w.consecutiveFailures }
 
 // Available reports whether the worker may be given a task.
-func (w *Worker) Available(now time.Time) bool { return !now.Before(w.pausedUntil) }
+func (w *Worker) Available(now time.Time) bool {
+	return !now.Before(w.pausedUntil) && !now.Before(w.nextProbeAt)
+}
 
 // RecordAssignment records that the worker was given a task. If it is suspect, the next
 // task has to wait for probeInterval. The worker need not be empty by then, since it may
 // run standing tasks, which do not end by themselves.
 func (w *Worker) RecordAssignment(now time.Time) {
 	if w.consecutiveFailures >= suspectAfterFailures {
-		w.pausedUntil = now.Add(probeInterval)
+		w.nextProbeAt = now.Add(probeInterval)
 	}
 }
 
--- a/internal/jobs/suspicion/suspicion_test.go
+++ b/internal/jobs/suspicion/suspicion_test.go
@@ -45,6 +45,19 @@
 	assert.Assert(t, w.Available(at))
 }
 
+// At a worker where runs fail at once, each probe fails before the next one is due.
+func TestFailureWithinProbeIntervalExtendsPause(t *testing.T) {
+	var w Worker
+	w.RecordFailure(start, true)
+	assert.Assert(t, !w.RecordFailure(start.Add(time.Second), false), "a run from before the pause failed")
+	at := start.Add(initialPause)
+	w.RecordAssignment(at)
+	at = at.Add(probeInterval / 4)
+	assert.Assert(t, w.RecordFailure(at, false))
+	assert.Assert(t, !w.Available(at.Add(2*initialPause-time.Millisecond)))
+	assert.Assert(t, w.Available(at.Add(2*initialPause)))
+}
+
 func TestPauseNeverExceedsMaxPause(t *testing.T) {
 	var w Worker
 	at := start
