internal/wire/httpclient: unregister connections before a reconnect

A call that found its idle connection closed by the server closed it and dialed again. If that dial failed, the Conn stayed in the engine's set of open connections, with its read buffers, until the process stopped: its Close unregisters only an open connection. So an owner kept one Conn for each pooled connection to a worker that left. Calls were not affected.

Found in review. TestFailedReconnectLeavesNoConnection failed before the change: one connection was left instead of none.

--- a/internal/wire/httpclient/conn.go
+++ b/internal/wire/httpclient/conn.go
@@ -121,6 +121,7 @@
 	c.conn = nil
 	c.mu.Unlock()
 	if conn != nil {
+		c.engine.unregister(c)
 		_ = conn.Close()
 	}
 }
--- a/internal/wire/httpclient/conn_test.go
+++ b/internal/wire/httpclient/conn_test.go
@@ -451,3 +451,24 @@
 		assert.ErrorIs(t, err, syscall.ECONNREFUSED)
 	}
 }
+
+// A process that calls VMs that come and go must not keep a connection for each of them.
+func TestFailedReconnectLeavesNoConnection(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	engine, err := NewEngine()
+	assert.NilError(t, err)
+	defer engine.Stop()
+	c := New(engine)
+	request := func() error {
+		_, _, err := c.Call(context.Background(), &Request{
+			Method: http.MethodGet, Host: strings.TrimPrefix(server.URL, "http://"), Target: "/", Timeout: time.Minute,
+		})
+		return err
+	}
+	assert.NilError(t, request())
+	server.Close()
+	assert.ErrorIs(t, request(), syscall.ECONNREFUSED)
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	assert.Equal(t, len(engine.conns), 0)
+}
