internal/jobs/cell: continue above the run numbers of a former owner

A task has 1000 run numbers per epoch. A standing task that keeps failing can use more under one owner, and its successor then began at a number that had been used. Workers reject a run that is not higher than one that ended there, so each start was rejected until the numbers had caught up.

The record of a standing task now holds its highest failed run, in the field that already holds the failed runs of other tasks, and a restored task continues above its failed runs. Other tasks cannot fail as often. Numbers used by rejected starts or lapsed runs after the last failure are not on record.

Found in review. TestSuccessorContinuesAboveRunNumbersOfTaskThatKeptFailing failed before the change: "the successor begins at run 1001, its predecessor reached 1100".

--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -99,7 +99,8 @@
 	index int
 	done  bool
 	// queued is set while the task is in step.waiting.
-	queued     bool
+	queued bool
+	// failedRuns holds the runs that failed, of a standing task the highest one only.
 	failedRuns []uint32
 	checkpoint string
 	// lastRun is the highest run number used so far.
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -400,10 +400,12 @@
 		}
 		if s.gang != nil {
 			s.gang.failedRuns, s.gang.checkpoint = t.GetFailedRuns(), t.GetCheckpoint()
+			s.gang.run = highestRun(t.GetFailedRuns())
 			continue
 		}
 		task := &s.tasks[t.GetIndex()]
 		task.failedRuns, task.checkpoint = t.GetFailedRuns(), t.GetCheckpoint()
+		task.lastRun = highestRun(t.GetFailedRuns())
 	}
 }
 
--- a/internal/jobs/cell/runends.go
+++ b/internal/jobs/cell/runends.go
@@ -94,13 +94,19 @@
 func (c *Cell) countFailure(now time.Time, t *task, run uint32) {
 	s := t.step
 	j := s.occ.job
-	if s.Standing || t.done {
+	if t.done {
 		return
 	}
 	runs := &t.failedRuns
 	if s.gang != nil {
 		runs = &s.gang.failedRuns
 	}
+	if s.Standing {
+		// Only a standing task can fail so often that it uses up the run numbers of an
+		// epoch. A successor continues above the highest one.
+		*runs = []uint32{max(run, highestRun(*runs))}
+		return
+	}
 	if slices.Contains(*runs, run) {
 		return
 	}
@@ -109,3 +115,12 @@
 		c.finish(now, j, bamboofall.JobFailed, fmt.Sprintf("task %v failed %d times, last on worker %s", t.name(), len(*runs), t.lastFailedOn))
 	}
 }
+
+// highestRun returns the highest of run numbers, or zero if there are none.
+func highestRun(runs []uint32) uint32 {
+	highest := uint32(0)
+	for _, run := range runs {
+		highest = max(highest, run)
+	}
+	return highest
+}
