internal/request/idempotency: expire keys behind one that still runs

Expired keys were removed in the order of their Begin calls until one was found that still ran, or that had been begun again. All later keys stayed until that one could go. A request whose outcome never arrives would keep all keys, and after 200,000 of them new requests are refused.

The queue now holds each key with the time at which it was begun. Entries of keys that were begun again later are dropped, and a key that still runs is queued again for another retention period.

Found in review. TestKeysExpireDespiteOlderKeyInUse failed before the change: 3 keys were left instead of 2.

--- a/internal/request/idempotency/idempotency.go
+++ b/internal/request/idempotency/idempotency.go
@@ -73,14 +73,21 @@
 	waiting []uint64
 }
 
+// begunKey is a key and the time at which it was begun.
+type begunKey struct {
+	key     Key
+	begunAt time.Time
+}
+
 // Store holds the keys of one shard. Use New.
 type Store struct {
 	// historyStart is when the store was created. Requests before that are
 	// unknown.
 	historyStart time.Time
 	entries      map[Key]*entry
-	// byBegunAt holds the keys in the order of their Begin calls.
-	byBegunAt []Key
+	// byBegunAt holds the keys in the order of begunAt. A key that was begun again is
+	// in it twice.
+	byBegunAt []begunKey
 	// storedBytes is the total size of the stored answers.
 	storedBytes int
 }
@@ -113,7 +120,7 @@
 		return StoreFull, nil
 	}
 	s.entries[k] = &entry{contentHash: contentHash, begunAt: now, running: true}
-	s.byBegunAt = append(s.byBegunAt, k)
+	s.byBegunAt = append(s.byBegunAt, begunKey{k, now})
 	return Proceed, nil
 }
 
@@ -153,22 +160,24 @@
 	return waiting
 }
 
-// expire removes keys older than Retention. A key that was begun again is in
-// byBegunAt twice and expires by the later time.
+// expire removes keys older than Retention. A key that is still running is kept for
+// another Retention.
 func (s *Store) expire(now time.Time) {
-	for len(s.byBegunAt) > 0 {
-		k := s.byBegunAt[0]
-		e := s.entries[k]
-		if e != nil && (e.running || now.Sub(e.begunAt) < Retention) {
-			return
-		}
+	for len(s.byBegunAt) > 0 && now.Sub(s.byBegunAt[0].begunAt) >= Retention {
+		oldest := s.byBegunAt[0]
 		s.byBegunAt = s.byBegunAt[1:]
-		if e == nil {
-			continue
+		e := s.entries[oldest.key]
+		switch {
+		case e == nil || !e.begunAt.Equal(oldest.begunAt):
+			// The request was not run, and may have been begun again later.
+		case e.running:
+			e.begunAt = now
+			s.byBegunAt = append(s.byBegunAt, begunKey{oldest.key, now})
+		default:
+			if e.answer != nil {
+				s.storedBytes -= len(e.answer.Body)
+			}
+			delete(s.entries, oldest.key)
 		}
-		if e.answer != nil {
-			s.storedBytes -= len(e.answer.Body)
-		}
-		delete(s.entries, k)
 	}
 }
--- a/internal/request/idempotency/idempotency_test.go
+++ b/internal/request/idempotency/idempotency_test.go
@@ -33,3 +33,30 @@
 	_, _ = store.Begin(afterRetention, idempotency.Key{Key: "other"}, 1, 9, false, afterRetention)
 	assert.Equal(t, store.Len(), 1, "a home that moved by configuration has no history either")
 }
+
+// One request without an outcome must not keep all later keys until the store is full.
+func TestKeysExpireDespiteOlderKeyInUse(t *testing.T) {
+	start := time.Unix(1000, 0)
+	key := func(name string) idempotency.Key { return idempotency.Key{Service: "ledger", Trade: "pier", Key: name} }
+	for _, c := range []struct {
+		name   string
+		oldest func(s *idempotency.Store)
+	}{
+		{"still running", func(*idempotency.Store) {}},
+		{"begun again", func(s *idempotency.Store) {
+			s.Settle(key("oldest"), bamboofall.OutcomeNotRun, nil)
+			s.Begin(start.Add(2*time.Second), key("oldest"), 1, 3, true, time.Time{})
+		}},
+	} {
+		store := idempotency.New(start)
+		store.Begin(start, key("oldest"), 1, 1, true, time.Time{})
+		store.Begin(start.Add(time.Second), key("settled"), 1, 2, true, time.Time{})
+		store.Settle(key("settled"), bamboofall.OutcomeAnswered, nil)
+		c.oldest(store)
+		at := start.Add(time.Second + idempotency.Retention)
+		store.Begin(at, key("new"), 1, 4, true, time.Time{})
+		assert.Equal(t, store.Len(), 2, c.name)
+		d, _ := store.Begin(at, key("oldest"), 1, 5, false, time.Time{})
+		assert.Equal(t, d, idempotency.InProgress, c.name)
+	}
+}
