internal/entry/daemon: report results of peer calls that timed out

So the result was dropped at random, and the node waited for it for good: it fetched the state of that stream from no other peer.

The call now has a context of its own, and its result is passed on until the daemon stops. The same holds for heartbeats; their results were not seen to be dropped.

Found in review.

--- a/internal/entry/daemon/peers.go
+++ b/internal/entry/daemon/peers.go
@@ -120,7 +120,7 @@
 }
 
 func (d *Daemon) doHeartbeat(ctx context.Context, a node.Heartbeat) {
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Timing.Suspect)
+	callCtx, cancel := context.WithTimeout(ctx, d.settings.Timing.Suspect)
 	defer cancel()
 	m := &peerpb.HeartbeatRequest{
 		Vm: string(a.Self.VM), Incarnation: a.Self.Incarnation, DataCentre: string(a.Self.DataCentre),
@@ -130,7 +130,7 @@
 		m.Shards = append(m.Shards, &peerpb.OwnedShard{Shard: uint32(s.Shard), Token: uint64(s.Token)})
 	}
 	sent := time.Now()
-	res, err := d.peer(a.Address).Heartbeat(ctx, connect.NewRequest(m))
+	res, err := d.peer(a.Address).Heartbeat(callCtx, connect.NewRequest(m))
 	done := node.HeartbeatDone{Peer: a.Peer, Address: a.Address, Sent: sent, Err: err}
 	if err != nil {
 		done.ConnectionRefused = errors.Is(err, syscall.ECONNREFUSED)
@@ -147,10 +147,10 @@
 }
 
 func (d *Daemon) doFetch(ctx context.Context, a node.FetchSnapshot) {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	done := node.SnapshotFetched{Stream: a.Stream}
-	res, err := d.peer(a.Address).Snapshot(ctx, connect.NewRequest(&peerpb.SnapshotRequest{Stream: a.Stream}))
+	res, err := d.peer(a.Address).Snapshot(callCtx, connect.NewRequest(&peerpb.SnapshotRequest{Stream: a.Stream}))
 	if err != nil {
 		done.Err = err
 	} else {
