internal/batch/scheduler: ignore expired reservations in preemption

Placement ignores a reservation that has expired; the choice of victims did not. So if an urgent task did not start in time, or its reservation was for a worker where it did not start, another urgent task found no worker to evict tasks from, or evicted more of them than it needed.

Both now use the same sum of the reservations in force.

Found in review.

--- a/internal/batch/scheduler/place.go
+++ b/internal/batch/scheduler/place.go
@@ -158,12 +158,7 @@
 		if w.shard != shard || !s.acceptsTasks(now, w) {
 			continue
 		}
-		free := s.freeResources(w)
-		for id, h := range w.urgentReservations {
-			if id != t.ID && now.Before(h.until) {
-				free = free.Sub(h.size)
-			}
-		}
+		free := s.freeResources(w).Sub(w.reservedForUrgent(now, t.ID))
 		if t.Run.Class() != bamboofall.ClassUrgent {
 			free.MilliProcessors -= w.capacity.MilliProcessors * urgentReservePercent / 100
 			free.MemoryBytes -= w.capacity.MemoryBytes * urgentReservePercent / 100
--- a/internal/batch/scheduler/preempt.go
+++ b/internal/batch/scheduler/preempt.go
@@ -22,7 +22,7 @@
 		if w.shard != shard || !s.acceptsTasks(now, w) || s.predictedInflation(now, w, t.Run.Submit.GetJob()) > s.maxInflation(now, t) {
 			continue
 		}
-		victims, ok := s.victims(w, t, size)
+		victims, ok := s.victims(now, w, t, size)
 		if ok && (target == nil || len(victims) < len(targetVictims)) {
 			target, targetVictims = w, victims
 		}
@@ -44,7 +44,7 @@
 // victims returns the tasks of lower classes to evict from a worker so that size fits.
 // It prefers tasks that are already being evicted, then large ones. It returns false if
 // evicting all such tasks is not enough.
-func (s *Scheduler) victims(w *worker, t *ledger.Task, size bamboofall.Resources) ([]*ledger.Task, bool) {
+func (s *Scheduler) victims(now time.Time, w *worker, t *ledger.Task, size bamboofall.Resources) ([]*ledger.Task, bool) {
 	var candidates []*ledger.Task
 	for _, v := range s.openTasksAt(w.vm.ID) {
 		if v.Run.Class() > t.Run.Class() && !v.Run.Submit.GetStanding() {
@@ -58,12 +58,7 @@
 		}
 		return candidates[i].Granted.MilliProcessors > candidates[j].Granted.MilliProcessors
 	})
-	free := s.freeResources(w)
-	for id, h := range w.urgentReservations {
-		if id != t.ID {
-			free = free.Sub(h.size)
-		}
-	}
+	free := s.freeResources(w).Sub(w.reservedForUrgent(now, t.ID))
 	for n, v := range candidates {
 		free = free.Add(v.Granted)
 		if size.Fits(free) {
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -107,6 +107,18 @@
 	until time.Time
 }
 
+// reservedForUrgent returns the resources that are reserved for urgent tasks other than
+// the given one.
+func (w *worker) reservedForUrgent(now time.Time, except bamboofall.TaskID) bamboofall.Resources {
+	var reserved bamboofall.Resources
+	for id, r := range w.urgentReservations {
+		if id != except && now.Before(r.until) {
+			reserved = reserved.Add(r.size)
+		}
+	}
+	return reserved
+}
+
 // startSync starts a sync with a worker if one is due.
 func (s *Scheduler) startSync(now time.Time, w *worker) {
 	if !w.syncStartedAt.IsZero() && now.Sub(w.syncStartedAt) < syncTimeout || now.Before(w.nextSyncAt) {
