internal/jobs/cell: excuse workers of a single task that fails everywhere

Failures of a job that also failed at another worker do not count against a worker. To see that, the other tasks of the job were looked at, and the failed task itself after its last worker had been overwritten. So a job with a single task was never seen to fail elsewhere: a standing task that always fails made one worker after the other suspect, and sound workers got no tasks for 3 to 12 s at a time.

The task's former worker is now compared before it is replaced.

--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -82,7 +82,11 @@
 // learnFailure counts a failure against the worker, unless the job has also failed
 // elsewhere.
 func (c *Cell) learnFailure(now time.Time, w *worker, t *task) {
+	previous := t.lastFailedOn
 	t.lastFailedOn = w.info.ID
+	if previous != "" && previous != w.info.ID {
+		return
+	}
 	for _, s := range t.step.occ.steps {
 		for i := range s.tasks {
 			other := &s.tasks[i]
