internal/operator/history: skip overlong lines of a log

`history` stopped with "token too long" at a line of more than 1 MB, and printed nothing of a log that holds one.

Such a line now counts as unparsed, like one without a JSON record, and the rest of the log is read.

TestReadSkipsOverlongLine failed before the change: "read log: bufio.Scanner: token too long".

--- a/internal/operator/history/history.go
+++ b/internal/operator/history/history.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -13,7 +14,7 @@
 	"time"
 )
 
-// maxLine bounds the length of a log line, in bytes. Read fails at a longer one.
+// maxLine bounds the length of a log line, in bytes. Longer ones are not parsed.
 const maxLine = 1 << 20
 
 // Line is a log line about a job.
@@ -32,7 +33,7 @@
 // History holds the log lines about a job.
 type History struct {
 	Lines []Line
-	// UnparsedLines is the number of lines without a JSON record.
+	// UnparsedLines is the number of lines without a JSON record, and of overlong ones.
 	UnparsedLines int
 }
 
@@ -57,27 +58,48 @@
 // Read adds the lines about a job from a log. It skips text before the JSON record of
 // a line, because log collectors prepend a time and a name.
 func (h *History) Read(r io.Reader, job string) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 64<<10), maxLine)
-	for scanner.Scan() {
-		text := scanner.Bytes()
-		if len(bytes.TrimSpace(text)) == 0 {
-			continue
+	reader := bufio.NewReaderSize(r, 64<<10)
+	for {
+		text, err := readLine(reader)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("read log: %w", err)
 		}
-		start := bytes.IndexByte(text, '{')
-		var record logRecord
-		if start < 0 || json.Unmarshal(text[start:], &record) != nil {
-			h.UnparsedLines++
-			continue
+		h.addLine(text, job)
+		if err != nil {
+			return nil
 		}
-		if record.Job == job {
-			h.Lines = append(h.Lines, record.toLine())
+	}
+}
+
+// readLine returns the next line, of an overlong one only the beginning. The error is
+// io.EOF if it is the last line, which may be empty.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		if len(line) <= maxLine {
+			line = append(line, part...)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
 		}
 	}
-	if err := scanner.Err(); err != nil {
-		return fmt.Errorf("read log: %w", err)
+}
+
+// addLine adds a line of a log if it is about a job.
+func (h *History) addLine(text []byte, job string) {
+	if len(bytes.TrimSpace(text)) == 0 {
+		return
+	}
+	start := bytes.IndexByte(text, '{')
+	var record logRecord
+	if start < 0 || len(text) > maxLine || json.Unmarshal(text[start:], &record) != nil {
+		h.UnparsedLines++
+		return
+	}
+	if record.Job == job {
+		h.Lines = append(h.Lines, record.toLine())
 	}
-	return nil
 }
 
 // toLine converts a record to a line. A record of a call has its outcome as detail.
--- a/internal/operator/history/history_test.go
+++ b/internal/operator/history/history_test.go
@@ -24,6 +24,16 @@
 	golden.Assert(t, out.String(), "history.golden")
 }
 
+// One overlong line must not hide the rest of a log.
+func TestReadSkipsOverlongLine(t *testing.T) {
+	const line = `{"job":"a","msg":"m","time":"2026-01-01T00:00:00Z"}`
+	overlong := `{"job":"a","detail":"` + strings.Repeat("x", 3<<20) + `"}`
+	var h History
+	assert.NilError(t, h.Read(strings.NewReader(line+"\n"+overlong+"\n"+line), "a"))
+	assert.Equal(t, len(h.Lines), 2)
+	assert.Equal(t, h.UnparsedLines, 1)
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add(`x {"job":"a","msg":"m","time":"2026-01-01T00:00:00Z"}`)
 	f.Fuzz(func(t *testing.T, text string) {
