internal/dev/session: end the wait for daemons when one fails

If an entry daemon ended with an error after the objects were published, `dev` waited 30 s for it and then said that it did not become ready; the error of the daemon, such as a port in use, was not shown.

waitReady now also waits for errors of daemons, as publish does.

Found in review. TestWaitForDaemonsEndsWithErrorOfDaemon failed before the change: "entry VM entry-01 did not become ready".

--- a/internal/dev/session/session.go
+++ b/internal/dev/session/session.go
@@ -186,6 +186,8 @@
 				break
 			}
 			select {
+			case err := <-s.errs:
+				return err
 			case <-ctx.Done():
 				return fmt.Errorf("entry VM %s did not become ready: %w", e.VM, ctx.Err())
 			case <-time.After(50 * time.Millisecond):
--- a/internal/dev/session/session_test.go
+++ b/internal/dev/session/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -52,6 +53,18 @@
 	assert.Equal(t, sum.Config.Revision, uint64(1))
 }
 
+// A daemon that failed to start must end the wait for it, with its error.
+func TestWaitForDaemonsEndsWithErrorOfDaemon(t *testing.T) {
+	s, err := Start(smallDeployment(t), io.Discard)
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	failed := errors.New("address already in use")
+	s.errs <- failed
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.ErrorIs(t, s.waitReady(ctx, 1), failed)
+}
+
 // BenchmarkEntryVMLatency compares a call through an entry VM with a direct
 // call to an instance. The instance's work takes only about a microsecond, so
 // the difference is the latency that the entry VM adds.
