internal/entry/daemon: count a timed-out attempt once

The result of an attempt that times out is reported twice, the second time when its slot can be released. Both were counted, so attemptFailures showed twice as many time-outs as there were, relative to other failures.

Only the first report is counted now.

Found in review. TestTimedOutAttemptIsCountedOnce failed before the change: 2 instead of 1.

--- a/internal/entry/daemon/sender.go
+++ b/internal/entry/daemon/sender.go
@@ -134,12 +134,19 @@
 		case <-maxWait.C:
 		}
 		conn.Close()
-		d.sendDone(a, router.SendResult{Status: router.SendTimeout})
+		// The attempt was counted when it timed out.
+		d.reportSent(a, router.SendResult{Status: router.SendTimeout})
 	}
 }
 
+// sendDone counts the result of an attempt and reports it.
 func (d *Daemon) sendDone(a router.Send, res router.SendResult) {
 	d.metrics.recordFailedAttempt(a, res)
+	d.reportSent(a, res)
+}
+
+// reportSent passes the result of an attempt to the request loop.
+func (d *Daemon) reportSent(a router.Send, res router.SendResult) {
 	d.pushToRequestLoop(func(now time.Time, r *router.Router) []router.Action { return r.Sent(now, a.Attempt, res) })
 }
 
