internal/jobs/pressure: correct how much the prior weighs

The comment gave the weight of the prior, 0.03 in squared shares, as that of about five observations of a tenth of a worker. An observation adds the square of the share, 0.01, so it is three. The constant is now written that way; its value is the same, and so are all decisions.

--- a/internal/jobs/pressure/pressure.go
+++ b/internal/jobs/pressure/pressure.go
@@ -29,9 +29,9 @@
 	// serving image.
 	bestEffortPrior = 1.5
 	servingPrior    = 0.2
-	// priorWeight is the weight of the prior, in squared shares: about five
+	// priorWeight is the weight of the prior, in squared shares: that of three
 	// observations of a tenth of a worker.
-	priorWeight = 0.03
+	priorWeight = 3 * 0.1 * 0.1
 	// decay is the factor by which the weight of earlier observations shrinks with
 	// each new one.
 	decay = 0.998
