internal/entry/front: bound the size of appends to the cell's partition

The owner stored all changes since the last flush in one append. The store accepts at most 2 MB a call, and a VM with a link of 10 Mbit/s cannot send that within the 1.5 s of a call. Changes accumulate while the store is away, or while appends are slow. An append that is too large is refused, or times out, each time that it is repeated; the owner stores nothing more and answers no submission, but renews its ownership, so nobody takes over.

A flush is now divided into appends of at most 256 KB, and counts as stored after the last of them. As an owner may be replaced between two of them, deletions are last: the steps of an ended job are deleted only after its end is stored.

TestFlushLargerThanStoreAcceptsIsStored failed before the change: of 1000 jobs with 4 MB in all none was stored within 10 s by a store that refuses calls of more than 2 MB. A single record above the platform's limit of 256 KB is not handled.

--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +38,10 @@
 	// inboxMaxAge is the maximum age of the last complete read of the inbox at which
 	// the owner may report a job as unknown.
 	inboxMaxAge = 1200 * time.Millisecond
+	// maxAppendBytes bounds the records of an append, unless it has only one. The
+	// platform accepts 2 MB, and a VM with a slow link must be able to send them within
+	// the timeout of a call.
+	maxAppendBytes = 256 << 10
 	// epochKey is the key of the record whose append fences the cell's partition
 	// against earlier owners.
 	epochKey = "e"
@@ -319,7 +325,7 @@
 // storeRecords appends a flush to the cell's partition, and then calls the waiters of
 // stored flushes in the loop.
 func (o *owner) storeRecords(records []bamboofall.StoreRecord, flush uint64) {
-	err := o.appendWithRetry(o.ctx, records)
+	err := o.appendFlush(o.ctx, records)
 	o.push(o.ctx, func(at time.Time) {
 		o.appending = false
 		if err != nil {
@@ -339,6 +345,44 @@
 	})
 }
 
+// appendFlush appends the records of a flush to the cell's partition.
+func (o *owner) appendFlush(ctx context.Context, records []bamboofall.StoreRecord) error {
+	for _, batch := range appendBatches(records, maxAppendBytes) {
+		if err := o.appendWithRetry(ctx, batch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// appendBatches divides records into appends of at most maxBytes each. Deletions are
+// last: an owner that is replaced between two appends must not leave the progress of a
+// job whose steps are deleted.
+func appendBatches(records []bamboofall.StoreRecord, maxBytes int) [][]bamboofall.StoreRecord {
+	ordered := slices.Clone(records)
+	slices.SortStableFunc(ordered, func(a, b bamboofall.StoreRecord) int {
+		return cmp.Compare(deletionRank(a), deletionRank(b))
+	})
+	var batches [][]bamboofall.StoreRecord
+	first, size := 0, 0
+	for i, r := range ordered {
+		n := len(r.Key) + len(r.Value)
+		if i > first && size+n > maxBytes {
+			batches = append(batches, ordered[first:i])
+			first, size = i, 0
+		}
+		size += n
+	}
+	return append(batches, ordered[first:])
+}
+
+func deletionRank(r bamboofall.StoreRecord) int {
+	if len(r.Value) == 0 {
+		return 1
+	}
+	return 0
+}
+
 func (o *owner) setConfiguration(conf *bamboofall.Configuration) {
 	o.push(o.ctx, func(time.Time) { o.cell.SetConfiguration(conf) })
 }
--- a/internal/entry/front/ownerappend_test.go
+++ b/internal/entry/front/ownerappend_test.go
@@ -12,12 +12,16 @@
 
 	"gotest.tools/v3/assert"
 
+	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
 	"bamboofall.example/bamboofall/platform"
 	"bamboofall.example/bamboofall/platform/standin"
 )
 
+// storeRequestBytes is the size of the largest append that the store accepts.
+const storeRequestBytes = 2 << 20
+
 // claimedOwner is an owner that has claimed the cell and does not run. The next appends
 // to the owners topic suffer the given faults.
 type claimedOwner struct {
@@ -29,6 +33,9 @@
 	c := &claimedOwner{faults: make(chan standin.Fault, 8)}
 	store := standin.NewStore()
 	store.SetFault(func(r *http.Request) standin.Fault {
+		if r.ContentLength > storeRequestBytes {
+			return standin.FaultRefused
+		}
 		if r.URL.Path == "/v1/log-append" && r.URL.Query().Get("topic") == topicOwners {
 			select {
 			case fault := <-c.faults:
@@ -96,3 +103,43 @@
 	confirmedAt := c.front.confirmedAt()
 	assert.Assert(t, !confirmedAt.After(readAt), "confirmed %v after the last record was read", confirmedAt.Sub(readAt))
 }
+
+// Changes accumulate while the store is away. An owner whose appends are too large is
+// refused each time and stores nothing more, though it renews its ownership.
+func TestFlushLargerThanStoreAcceptsIsStored(t *testing.T) {
+	c := newClaimedOwner(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	c.ctx = ctx
+	const jobs = 1000
+	var records []bamboofall.StoreRecord
+	for i := range jobs {
+		records = append(records, bamboofall.StoreRecord{Key: "j" + id(i), Value: make([]byte, 4000)})
+	}
+	stored := make(chan struct{})
+	go func() {
+		c.storeRecords(records, 1)
+		close(stored)
+	}()
+	select {
+	case <-stored:
+	case <-ctx.Done():
+	}
+	newest, _, err := c.front.store.Newest(t.Context(), topicCells, cellPartition)
+	assert.NilError(t, err)
+	assert.Equal(t, len(newest), jobs)
+}
+
+// The steps of a job must not be deleted before the end of the job is stored.
+func TestDeletionsAreStoredLast(t *testing.T) {
+	records := []bamboofall.StoreRecord{{Key: "ja"}, {Key: "jb", Value: []byte("12345")}, {Key: "pa", Value: []byte("1")}, {Key: "pc", Value: []byte("1")}}
+	var got [][]string
+	for _, batch := range appendBatches(records, 8) {
+		var keys []string
+		for _, r := range batch {
+			keys = append(keys, r.Key)
+		}
+		got = append(got, keys)
+	}
+	assert.DeepEqual(t, got, [][]string{{"jb"}, {"pa", "pc", "ja"}})
+}
