--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +39,10 @@
 	// inboxMaxAge is the maximum age of the last complete read of the inbox at which
 	// the owner may report a job as unknown.
 	inboxMaxAge = 1200 * time.Millisecond
+	// maxAppendBytes bounds the records of an append, unless it has only one. The
+	// platform accepts 2 MB, and a VM with a slow link must be able to send them within
+	// the timeout of a call.
+	maxAppendBytes = 256 << 10
 	// epochKey is the key of the record whose append fences the cell's partition
 	// against earlier owners.
 	epochKey = "e"
@@ -61,9 +67,11 @@
 	// renewalSequence is the producer sequence number of the next append to the owners
 	// topic.
 	renewalSequence uint64
-	delays          *delayMonitor
-	sender          *orderSender
-	progress        *progress
+	// unanswered is the append to the owners topic whose outcome is unknown, or nil.
+	unanswered *ownerAppend
+	delays     *delayMonitor
+	sender     *orderSender
+	progress   *progress
 	// yielding is closed when the owner decides to release the cell to another VM.
 	yielding  chan struct{}
 	yieldOnce sync.Once
@@ -325,7 +333,7 @@
 // storeRecords appends a flush to the cell's partition, and then calls the waiters of
 // stored flushes in the loop.
 func (o *owner) storeRecords(records []bamboofall.StoreRecord, flush uint64) {
-	err := o.appendWithRetry(o.ctx, records)
+	err := o.appendFlush(o.ctx, records)
 	o.progress.done(dutyStore)
 	o.push(o.ctx, func(at time.Time) {
 		o.appending = false
@@ -346,6 +354,44 @@
 	})
 }
 
+// appendFlush appends the records of a flush to the cell's partition.
+func (o *owner) appendFlush(ctx context.Context, records []bamboofall.StoreRecord) error {
+	for _, batch := range appendBatches(records, maxAppendBytes) {
+		if err := o.appendWithRetry(ctx, batch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// appendBatches divides records into appends of at most maxBytes each. Deletions are
+// last: an owner that is replaced between two appends must not leave the progress of a
+// job whose steps are deleted.
+func appendBatches(records []bamboofall.StoreRecord, maxBytes int) [][]bamboofall.StoreRecord {
+	ordered := slices.Clone(records)
+	slices.SortStableFunc(ordered, func(a, b bamboofall.StoreRecord) int {
+		return cmp.Compare(deletionRank(a), deletionRank(b))
+	})
+	var batches [][]bamboofall.StoreRecord
+	first, size := 0, 0
+	for i, r := range ordered {
+		n := len(r.Key) + len(r.Value)
+		if i > first && size+n > maxBytes {
+			batches = append(batches, ordered[first:i])
+			first, size = i, 0
+		}
+		size += n
+	}
+	return append(batches, ordered[first:])
+}
+
+func deletionRank(r bamboofall.StoreRecord) int {
+	if len(r.Value) == 0 {
+		return 1
+	}
+	return 0
+}
+
 func (o *owner) setConfiguration(conf *bamboofall.Configuration) {
 	o.push(o.ctx, func(time.Time) { o.cell.SetConfiguration(conf) })
 }
