internal/entry/metricset: write gauges and counters before histograms

What operators saw: the scrapes that were saved with the incident of an owner without service hold the first 4000 bytes of each. Lines were sorted by name over all kinds, and a histogram takes 14 lines, so 12 of the 13 scrapes of the owner end within ownerOrderWait, and the first, before any job, within ownerTickLate. The gauges ownerOrdersUnderWay, ownerOrdersWaiting and ownerRing are in the first only, and all counters from relayBatches to tasksStarted in none.

Gauges now come first, then counters, then histograms, each sorted by name.

--- a/internal/entry/metricset/metricset.go
+++ b/internal/entry/metricset/metricset.go
@@ -48,23 +48,26 @@
 	}
 }
 
-// Write writes all metrics as sorted lines. Lines formats a histogram.
+// Write writes all metrics as sorted lines: gauges, then counters, then histograms, so that
+// a reader that takes only the beginning gets the state. Lines formats a histogram.
 func (s *Set) Write(w io.Writer, lines func(tally.HistogramSnapshot) []string) error {
 	snapshot := s.Scope.Snapshot()
-	var out []string
-	for _, c := range snapshot.Counters() {
-		out = append(out, fmt.Sprintf("%s%s %d", c.Name(), FormatTags(c.Tags()), c.Value()))
-	}
+	var gauges, counters, histograms []string
 	for _, g := range snapshot.Gauges() {
-		out = append(out, fmt.Sprintf("%s%s %g", g.Name(), FormatTags(g.Tags()), g.Value()))
+		gauges = append(gauges, fmt.Sprintf("%s%s %g", g.Name(), FormatTags(g.Tags()), g.Value()))
+	}
+	for _, c := range snapshot.Counters() {
+		counters = append(counters, fmt.Sprintf("%s%s %d", c.Name(), FormatTags(c.Tags()), c.Value()))
 	}
 	for _, h := range snapshot.Histograms() {
-		out = append(out, lines(h)...)
+		histograms = append(histograms, lines(h)...)
 	}
-	sort.Strings(out)
-	for _, line := range out {
-		if _, err := fmt.Fprintln(w, line); err != nil {
-			return fmt.Errorf("write metrics: %w", err)
+	for _, group := range [...][]string{gauges, counters, histograms} {
+		sort.Strings(group)
+		for _, line := range group {
+			if _, err := fmt.Fprintln(w, line); err != nil {
+				return fmt.Errorf("write metrics: %w", err)
+			}
 		}
 	}
 	return nil
