internal/jobs/cell: summarize workers and standing tasks in a status

Neither logs nor metrics told how many standing tasks should run and do, for how long one has been down, or what keeps it from the workers: the waiting line describes only the most urgent step, and none that waits for an unknown run.

The summary now counts known and unlisted workers and standing tasks, and carries the longest time without a run, with and without a worker that has room.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -87,8 +87,9 @@
 	// holdCursor is the index of the first worker to call, so that no worker is passed
 	// over repeatedly while calls are limited.
 	holdCursor int
-	// lastSummary is when the last summary was logged.
+	// lastSummary is when the last summary was logged, with the status of that time.
 	lastSummary time.Time
+	status      Status
 	runTimes    runTimeModel
 	// meanWork is the mean processor time of a job, by queue.
 	meanWork map[string]time.Duration
@@ -265,15 +266,11 @@
 // summarize logs the capacity of the workers and its use.
 func (c *Cell) summarize(now time.Time) {
 	var room, used, bestEffort, bestEffortUse, standing int64
-	usable, serving, silent, waiting := 0, 0, 0, 0
+	serving, waiting := 0, 0
 	for _, w := range c.workerList {
-		if w.silent() {
-			silent++
-		}
 		if !w.usable() {
 			continue
 		}
-		usable++
 		room += w.info.Room.MilliProcessors
 		used += w.used.MilliProcessors
 		bestEffort += w.bestEffortCPU
@@ -287,14 +284,19 @@
 		waiting += len(s.waiting)
 	}
 	c.noteObstacles(now)
+	c.updateStatus(now)
+	status := c.status
 	known, open := c.Jobs()
 	if full := c.pressure.ImagesAbove(maxExpectedTail); len(full) > 0 {
 		c.note(Note{Event: "images without fills", Detail: fmt.Sprintf(
 			"%d images are predicted above %v of their tail-latency target without best-effort tasks, the first: %v", len(full), maxExpectedTail, full[:min(len(full), maxLoggedNames)])})
 	}
 	c.note(Note{Event: "summary", Detail: fmt.Sprintf(
-		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, best-effort %d using %d; jobs %d known %d open; tasks waiting %d",
-		usable, serving, silent, room, used, standing, bestEffort, bestEffortUse, known, open, waiting)})
+		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, best-effort %d using %d; jobs %d known %d open; tasks waiting %d; "+
+			"workers known %d unlisted %d; standing tasks %d running %d, longest down %v, with room %v; recovering %t",
+		status.Usable, serving, status.Silent, room, used, standing, bestEffort, bestEffortUse, known, open, waiting,
+		status.Known, status.Unlisted, status.Standing, status.StandingRunning,
+		status.LongestDown.Round(time.Millisecond), status.LongestDownWithRoom.Round(time.Millisecond), status.Recovering)})
 }
 
 func (c *Cell) note(n Note) { c.out.Notes = append(c.out.Notes, n) }
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -109,6 +109,9 @@
 	restarts int
 	// lastFailedOn is the ID of the worker where the task last failed.
 	lastFailedOn string
+	// downSince is the first summary in a row at which a standing task did not run, or
+	// zero if it ran at the last one.
+	downSince time.Time
 }
 
 func (t *task) name() bamboofall.TaskName {
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -90,10 +90,18 @@
 		return
 	}
 	t := first.waiting[0]
+	c.note(Note{Event: "waiting", Job: first.occ.job.ID, Task: t.name().String(), Detail: fmt.Sprintf(
+		"waiting %v for %d milliprocessors and %d MB, the most urgent of %d steps; workers: %s",
+		now.Sub(first.readyAt).Round(time.Millisecond), first.Size.MilliProcessors, first.Size.MemoryBytes>>20, len(c.ready), c.describeObstacles(now, t))})
+}
+
+// describeObstacles returns the number of workers by what prevents a task from starting
+// there.
+func (c *Cell) describeObstacles(now time.Time, t *task) string {
 	count := make(map[obstacle]int)
 	for _, w := range c.workerList {
 		o := c.obstacleAt(now, t, w)
-		if o == noObstacle && first.BestEffort && c.worstTailWith(now, w, first) > tierOf(now, first).limit() {
+		if o == noObstacle && t.step.BestEffort && c.worstTailWith(now, w, t.step) > tierOf(now, t.step).limit() {
 			o = obstacleTail
 		}
 		count[o]++
@@ -102,7 +110,5 @@
 	for _, reason := range slices.Sorted(maps.Keys(count)) {
 		parts = append(parts, fmt.Sprintf("%s %d", reason, count[reason]))
 	}
-	c.note(Note{Event: "waiting", Job: first.occ.job.ID, Task: t.name().String(), Detail: fmt.Sprintf(
-		"waiting %v for %d milliprocessors and %d MB, the most urgent of %d steps; workers: %s",
-		now.Sub(first.readyAt).Round(time.Millisecond), first.Size.MilliProcessors, first.Size.MemoryBytes>>20, len(c.ready), strings.Join(parts, ", "))})
+	return strings.Join(parts, ", ")
 }
