internal/entry/front: export and log the status of the owner

What operators saw: in the incident of an owner without service nobody could tell from metrics who owned the cell, whether it was restored, or whether its loop and its appends made progress; the claimed, owner and restored lines were gone from the last 47 KB of the owner's log, which hold five seconds of a busy one.

Each entry VM now exports the epoch, owner capacity and age of the last owner record that it has read. The owner adds whether the cell is restored, the ages of its last confirmed renewal, step and stored append, the age of an append in flight, the VMs that it hears of, its relays, workers by state and by route, and standing tasks. Both are computed outside of the owner's loop, from what the loop publishes once a second, so an owner whose loop is blocked or whose restore does not end is visible. Failed appends are counted by topic.

--- a/internal/entry/front/announce.go
+++ b/internal/entry/front/announce.go
@@ -138,12 +138,20 @@
 // draining, in thousandths of a core. It is known only on the owner, after others have
 // announced themselves.
 func (f *Front) strongestPeer(now time.Time) (capacity uint32, known bool) {
-	f.announcements.mu.Lock()
-	defer f.announcements.mu.Unlock()
-	for _, a := range f.announcements.byAddress {
+	capacity, peers := f.announcements.strongest(now)
+	return capacity, peers > 0
+}
+
+// strongest returns the largest capacity of the VMs with a valid announcement that are
+// not draining, and their number.
+func (t *announcementTable) strongest(now time.Time) (capacity uint32, vms int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.byAddress {
 		if !a.Leaving && now.Sub(a.receivedAt) <= dispatch.AnnouncementTTL {
-			capacity, known = max(capacity, a.Capacity), true
+			capacity = max(capacity, a.Capacity)
+			vms++
 		}
 	}
-	return capacity, known
+	return capacity, vms
 }
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -149,6 +149,7 @@
 	group.Go(func() error { return f.followConfiguration(inner) })
 	group.Go(func() error { return f.followOwner(inner) })
 	group.Go(func() error { return f.announceLoop(inner) })
+	group.Go(func() error { return f.logStatusLoop(inner) })
 	group.Go(func() error {
 		defer cancel()
 		return f.handleSignals(inner, signals)
--- a/internal/entry/front/metrics.go
+++ b/internal/entry/front/metrics.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -18,10 +20,13 @@
 // metrics holds the metrics of an entry VM.
 type metrics struct {
 	*metricset.Set
+	statusMu sync.Mutex
+	// statusNames are the names of the gauges that updateStatus has set.
+	statusNames map[string]bool
 }
 
 func newMetrics(dataCentre string) *metrics {
-	return &metrics{metricset.New(map[string]string{"dataCentre": dataCentre})}
+	return &metrics{Set: metricset.New(map[string]string{"dataCentre": dataCentre}), statusNames: make(map[string]bool)}
 }
 
 func (m *metrics) recordLatency(name string, d time.Duration) {
@@ -41,12 +46,29 @@
 	}
 }
 
+// updateStatus exports a status as gauges. Gauges that the status does not have become
+// NaN, as zero would be the value of something that has just happened.
+func (m *metrics) updateStatus(status map[string]float64) {
+	m.statusMu.Lock()
+	defer m.statusMu.Unlock()
+	for name := range m.statusNames {
+		if _, known := status[name]; !known {
+			m.Scope.Gauge(name).Update(math.NaN())
+		}
+	}
+	for name, value := range status {
+		m.statusNames[name] = true
+		m.Scope.Gauge(name).Update(value)
+	}
+}
+
 func (f *Front) serveMetrics(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/metrics" {
 		http.NotFound(w, r)
 		return
 	}
 	f.metrics.SetTotal("logLinesLeftOut", nil, f.log.Dropped())
+	f.metrics.updateStatus(f.status(now()))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	// An error means that the reader has disconnected.
 	_ = f.metrics.Write(w, formatHistogram)
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -66,6 +66,7 @@
 	yielding chan struct{}
 	// inFlight is the number of orders without a result.
 	inFlight atomic.Int64
+	progress ownerProgress
 
 	// The fields below are used by the owner's loop only.
 	dispatcher *relayDispatcher
@@ -104,6 +105,7 @@
 			RemoteFactor:      f.settings.Bounds.RemoteFactor, MaxTailViolation: f.settings.Bounds.MaxTailViolation,
 		}),
 	}
+	o.progress.claimedAt = now()
 	o.dispatcher = newRelayDispatcher(o)
 	o.sender = newOrderSender(o.execute)
 	return o
@@ -123,6 +125,7 @@
 		o.front.metrics.recordLatency("takeOver", now().Sub(began))
 		o.group.Go(func() error { return o.followWorkers(ctx, offsets.workers) })
 		o.group.Go(func() error { return o.followInbox(ctx, offsets.inbox) })
+		o.progress.restoredAt.set(now())
 		o.ready.Store(true)
 		return o.loop(ctx)
 	})
@@ -197,6 +200,8 @@
 // have the same sequence number, so the store appends the records once.
 func (o *owner) appendWithRetry(ctx context.Context, records []bamboofall.StoreRecord) error {
 	first := true
+	o.progress.storingSince.set(now())
+	defer o.progress.storingSince.set(time.Time{})
 	for {
 		began := now()
 		_, err := o.front.store.Append(ctx, bamboofall.StoreAppend{
@@ -207,10 +212,12 @@
 		switch {
 		case err == nil:
 			o.front.metrics.recordLatency("storeAppend", now().Sub(began))
+			o.progress.storedAt.set(now())
 			o.cellSequence++
 			return nil
 		case errors.As(err, &fenced):
 			if fenced.Sequence && !first && fenced.Expected == o.cellSequence+1 {
+				o.progress.storedAt.set(now())
 				o.cellSequence++ // an earlier attempt succeeded
 				return nil
 			}
@@ -218,6 +225,7 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		}
+		o.front.metrics.Increment("appendsFailed", map[string]string{"topic": topicCells})
 		if first {
 			o.front.log.Event("append failed", logrus.Fields{"epoch": o.record.Epoch, "records": len(records), "error": err.Error()})
 		}
@@ -230,6 +238,7 @@
 func (o *owner) loop(ctx context.Context) error {
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
+	o.progress.steppedAt.set(now())
 	for {
 		select {
 		case <-ctx.Done():
@@ -279,6 +288,7 @@
 // step lets the cell decide, sends its orders and starts to store its changes unless an
 // append is in flight.
 func (o *owner) step(at time.Time) error {
+	o.progress.steppedAt.set(at)
 	o.updateDelay(at)
 	o.cell.SetClaimConfirmed(o.front.confirmedAt())
 	began := time.Now()
@@ -299,6 +309,7 @@
 		o.metricsUpdatedAt = at
 		o.front.metrics.updateCellCounters(o.cell.Counters())
 		o.dispatcher.updateMetrics(o.front.metrics)
+		o.updateProgress()
 	}
 	if o.appending {
 		return nil
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -261,6 +261,7 @@
 		Producer: producerName, Epoch: record.Epoch, Sequence: o.renewalSequence,
 	})
 	if err != nil {
+		f.metrics.Increment("appendsFailed", map[string]string{"topic": topicOwners})
 		return err
 	}
 	o.renewalSequence++
--- a/internal/jobs/dispatch/table.go
+++ b/internal/jobs/dispatch/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"net/netip"
 	"slices"
@@ -192,6 +193,32 @@
 	return workers
 }
 
+// Routes yields each worker and whether a relay calls it.
+func (t *RoutingTable) Routes() iter.Seq2[string, bool] {
+	return func(yield func(string, bool) bool) {
+		for id, w := range t.workers {
+			if !yield(id, w.sender != nil && w.sender != &t.owner) {
+				return
+			}
+		}
+	}
+}
+
+// Relays returns the number of relays that may get orders, and of those that are
+// suspended.
+func (t *RoutingTable) Relays() (active, suspended int) {
+	for _, r := range t.relays {
+		switch {
+		case r.Leaving:
+		case r.suspendedUntil.IsZero():
+			active++
+		default:
+			suspended++
+		}
+	}
+	return active, suspended
+}
+
 // Assign brings the assignment up to date and returns the changes of relays that
 // only the passing of time has caused. A worker is moved only if its relay is
 // unavailable or overloaded.
--- a/internal/jobs/dispatch/table_test.go
+++ b/internal/jobs/dispatch/table_test.go
@@ -198,3 +198,27 @@
 		assert.DeepEqual(t, relaysByWorker(table), first, compareAddresses)
 	}
 }
+
+func TestRoutesAndRelaysAreCounted(t *testing.T) {
+	tab := table(vm(0, "a", 400), 100, "a", "b")
+	for n := 1; n <= 3; n++ {
+		tab.HandleAnnouncement(at(0), vm(n, "b", 800))
+	}
+	tab.Assign(at(0))
+	relayed := 0
+	for id, r := range tab.Routes() {
+		_, want := tab.RelayOf(id)
+		assert.Equal(t, r, want, id)
+		if r {
+			relayed++
+		}
+	}
+	assert.Equal(t, relayed, 200-400*WorkersPerCore/capacityPerCore)
+	tab.Suspend(at(10), address(1))
+	leaving := vm(2, "b", 800)
+	leaving.Leaving = true
+	tab.HandleAnnouncement(at(10), leaving)
+	active, suspended := tab.Relays()
+	assert.Equal(t, active, 1)
+	assert.Equal(t, suspended, 1)
+}
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -177,6 +177,15 @@
 	return l.newestRecord, l.hasRecord && !l.newestRecord.Released
 }
 
+// RecordSeenAt returns when the newest record was last read or appended, or zero if there
+// is none.
+func (l *Lease) RecordSeenAt() time.Time {
+	if !l.hasRecord {
+		return time.Time{}
+	}
+	return l.newestSeenAt
+}
+
 // Claim reports whether the cell should be claimed now. It returns the record
 // to append and the offset at which the partition must end for the append to be
 // valid. The caller must have read the partition without errors up to now.
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -109,3 +109,13 @@
 	_, _, claim = old.Claim(later.Add(timing.MaxStagger))
 	assert.Assert(t, claim, "old processes claim if no recent one does")
 }
+
+func TestRecordSeenAtIsWhenTheNewestRecordWasRead(t *testing.T) {
+	l := New(start, timing, "b", address, 0)
+	l.ObserveEnd(start, 0)
+	assert.Assert(t, l.RecordSeenAt().IsZero(), "the partition is empty")
+	l.Observe(at(time.Second), Record{Epoch: 2, Address: address, Process: "a"}, 1)
+	l.Observe(at(2*time.Second), Record{Epoch: 1, Address: address, Process: "c"}, 2)
+	l.ObserveEnd(at(3*time.Second), 2)
+	assert.Equal(t, l.RecordSeenAt(), at(time.Second))
+}
