--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -125,8 +125,8 @@
 	var rejected *bamboofall.RejectedError
 	switch {
 	case err == nil, errors.As(err, &rejected):
-		o.progress.done(dutyCall)
+		o.duties.done(dutyCall)
 	case !errors.As(err, &withheld):
-		o.progress.callFailed(time.Now())
+		o.duties.callFailed(time.Now())
 	}
 }
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -71,12 +71,13 @@
 	unanswered *ownerAppend
 	delays     *delayMonitor
 	sender     *orderSender
-	progress   *progress
+	duties     *progress
 	// yielding is closed when the owner decides to release the cell to another VM.
 	yielding  chan struct{}
 	yieldOnce sync.Once
 	// inFlight is the number of orders without a result.
 	inFlight atomic.Int64
+	progress ownerProgress
 
 	// The fields below are used by the owner's loop only.
 	dispatcher *relayDispatcher
@@ -108,13 +109,14 @@
 	o := &owner{
 		front: f, record: record, events: ring.New[func(time.Time)](eventQueueSize),
 		group: group, ctx: ctx, renewalSequence: sequence, cellSequence: sequence, delays: newDelayMonitor(f.metrics),
-		progress: newProgress(time.Now()), yielding: make(chan struct{}),
+		duties: newProgress(time.Now()), yielding: make(chan struct{}),
 		cell: cell.New(cell.Config{
 			Token: bamboofall.Token(record.Epoch), Lease: f.workerLease(), FormerLeasesEnd: formerLeasesEnd,
 			EndedJobRetention: f.settings.Bounds.EndedJobRetention + 10*time.Second,
 			RemoteFactor:      f.settings.Bounds.RemoteFactor, MaxTailViolation: f.settings.Bounds.MaxTailViolation,
 		}),
 	}
+	o.progress.claimedAt = now()
 	o.dispatcher = newRelayDispatcher(o)
 	o.sender = newOrderSender(o.execute)
 	return o
@@ -134,10 +136,11 @@
 		o.front.metrics.recordLatency("takeOver", now().Sub(began))
 		o.group.Go(func() error { return o.followWorkers(ctx, offsets.workers) })
 		o.group.Go(func() error { return o.followInbox(ctx, offsets.inbox) })
+		o.progress.restoredAt.set(now())
 		o.ready.Store(true)
-		o.progress.done(dutyRestore)
-		o.progress.restart(dutyInbox, time.Now())
-		o.progress.restart(dutyWorkers, time.Now())
+		o.duties.done(dutyRestore)
+		o.duties.restart(dutyInbox, time.Now())
+		o.duties.restart(dutyWorkers, time.Now())
 		return o.loop(ctx)
 	})
 	return o.group.Wait()
@@ -211,6 +214,8 @@
 // have the same sequence number, so the store appends the records once.
 func (o *owner) appendWithRetry(ctx context.Context, records []bamboofall.StoreRecord) error {
 	first := true
+	o.progress.storingSince.set(now())
+	defer o.progress.storingSince.set(time.Time{})
 	for {
 		began := now()
 		_, err := o.front.store.Append(ctx, bamboofall.StoreAppend{
@@ -221,10 +226,12 @@
 		switch {
 		case err == nil:
 			o.front.metrics.recordLatency("storeAppend", now().Sub(began))
+			o.progress.storedAt.set(now())
 			o.cellSequence++
 			return nil
 		case errors.As(err, &fenced):
 			if fenced.Sequence && !first && fenced.Expected == o.cellSequence+1 {
+				o.progress.storedAt.set(now())
 				o.cellSequence++ // an earlier attempt succeeded
 				return nil
 			}
@@ -232,6 +239,7 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		}
+		o.front.metrics.Increment("appendsFailed", map[string]string{"topic": topicCells})
 		if first {
 			o.front.log.Event("append failed", logrus.Fields{"epoch": o.record.Epoch, "records": len(records), "error": err.Error()})
 		}
@@ -244,6 +252,7 @@
 func (o *owner) loop(ctx context.Context) error {
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
+	o.progress.steppedAt.set(now())
 	for {
 		select {
 		case <-ctx.Done():
@@ -293,7 +302,8 @@
 // step lets the cell decide, sends its orders and starts to store its changes unless an
 // append is in flight.
 func (o *owner) step(at time.Time) error {
-	o.progress.restart(dutyDecide, time.Now())
+	o.duties.restart(dutyDecide, time.Now())
+	o.progress.steppedAt.set(at)
 	o.updateDelay(at)
 	o.cell.SetClaimConfirmed(o.front.confirmedAt())
 	began := time.Now()
@@ -314,6 +324,7 @@
 		o.metricsUpdatedAt = at
 		o.front.metrics.updateCellCounters(o.cell.Counters())
 		o.dispatcher.updateMetrics(o.front.metrics)
+		o.updateProgress()
 	}
 	if o.appending {
 		return nil
@@ -324,7 +335,7 @@
 	}
 	if len(records) > 0 {
 		o.appending = true
-		o.progress.restart(dutyStore, time.Now())
+		o.duties.restart(dutyStore, time.Now())
 		go o.storeRecords(records, flush)
 	}
 	return nil
@@ -334,7 +345,7 @@
 // stored flushes in the loop.
 func (o *owner) storeRecords(records []bamboofall.StoreRecord, flush uint64) {
 	err := o.appendFlush(o.ctx, records)
-	o.progress.done(dutyStore)
+	o.duties.done(dutyStore)
 	o.push(o.ctx, func(at time.Time) {
 		o.appending = false
 		if err != nil {
@@ -400,7 +411,7 @@
 func (o *owner) followWorkers(ctx context.Context, from int64) error {
 	return o.front.follow(ctx, platform.TopicWorkers, from, workersLongPoll, func(r bamboofall.StoredRecord) {
 		o.push(ctx, func(at time.Time) { o.applyWorkerRecord(at, r) })
-	}, func(int64) { o.progress.restart(dutyWorkers, time.Now()) })
+	}, func(int64) { o.duties.restart(dutyWorkers, time.Now()) })
 }
 
 // applyWorkerRecord adds or updates a worker, or removes it if the record is empty.
@@ -426,7 +437,7 @@
 	return o.front.follow(ctx, topicInbox, from, inboxLongPoll, func(r bamboofall.StoredRecord) {
 		o.push(ctx, func(at time.Time) { o.applyInboxRecord(at, r) })
 	}, func(int64) {
-		o.progress.restart(dutyInbox, time.Now())
+		o.duties.restart(dutyInbox, time.Now())
 		o.push(ctx, func(at time.Time) { o.inboxReadAt = at })
 	})
 }
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -246,7 +246,7 @@
 // although its renewals have succeeded since renewingSince. Both times are of Go's
 // monotonic clock.
 func (o *owner) yieldIfStalled(at, renewingSince time.Time) {
-	stalled, since, found := o.progress.oldest(at)
+	stalled, since, found := o.duties.oldest(at)
 	if !found || o.isReleasing() {
 		return
 	}
@@ -324,6 +324,9 @@
 		Topic: topicOwners, Partition: cellPartition, Records: []bamboofall.StoreRecord{a.stored}, ExpectedEnd: -1,
 		Producer: producerName, Epoch: o.record.Epoch, Sequence: o.renewalSequence,
 	})
+	if err != nil {
+		f.metrics.Increment("appendsFailed", map[string]string{"topic": topicOwners})
+	}
 	var notDone *bamboofall.NotDoneError
 	switch {
 	case err == nil:
