entry/front: track stalls by the state that the status shows

The detection of stalls and the status of the owner kept the same times twice. The gauges and the yield now read the same fields; no behaviour changes.

--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -105,7 +105,7 @@
 
 // applyResult passes the result of an order to the cell.
 func (o *owner) applyResult(at time.Time, order cell.Order, report bamboofall.HoldReport, err error) {
-	o.recordReached(err)
+	o.recordReached(at, err)
 	switch order.Kind {
 	case cell.OrderStart:
 		o.cell.StartAnswered(at, order, report.ResponseMeta, err)
@@ -120,13 +120,13 @@
 
 // recordReached records whether a worker answered. An order that this VM withheld says
 // nothing about its connection to workers.
-func (o *owner) recordReached(err error) {
+func (o *owner) recordReached(at time.Time, err error) {
 	var withheld *bamboofall.WithheldError
 	var rejected *bamboofall.RejectedError
 	switch {
 	case err == nil, errors.As(err, &rejected):
-		o.duties.done(dutyCall)
+		o.progress.workerAnswered()
 	case !errors.As(err, &withheld):
-		o.duties.callFailed(time.Now())
+		o.progress.callFailed(at)
 	}
 }
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -71,7 +71,6 @@
 	unanswered *ownerAppend
 	delays     *delayMonitor
 	sender     *orderSender
-	duties     *progress
 	// yielding is closed when the owner decides to release the cell to another VM.
 	yielding  chan struct{}
 	yieldOnce sync.Once
@@ -109,7 +108,7 @@
 	o := &owner{
 		front: f, record: record, events: ring.New[func(time.Time)](eventQueueSize),
 		group: group, ctx: ctx, renewalSequence: sequence, cellSequence: sequence, delays: newDelayMonitor(f.metrics),
-		duties: newProgress(time.Now()), yielding: make(chan struct{}),
+		yielding: make(chan struct{}),
 		cell: cell.New(cell.Config{
 			Token: bamboofall.Token(record.Epoch), Lease: f.workerLease(), FormerLeasesEnd: formerLeasesEnd,
 			EndedJobRetention: f.settings.Bounds.EndedJobRetention + 10*time.Second,
@@ -138,9 +137,8 @@
 		o.group.Go(func() error { return o.followInbox(ctx, offsets.inbox) })
 		o.progress.restoredAt.set(now())
 		o.ready.Store(true)
-		o.duties.done(dutyRestore)
-		o.duties.restart(dutyInbox, time.Now())
-		o.duties.restart(dutyWorkers, time.Now())
+		o.progress.inboxReadAt.set(now())
+		o.progress.workersReadAt.set(now())
 		return o.loop(ctx)
 	})
 	return o.group.Wait()
@@ -302,7 +300,6 @@
 // step lets the cell decide, sends its orders and starts to store its changes unless an
 // append is in flight.
 func (o *owner) step(at time.Time) error {
-	o.duties.restart(dutyDecide, time.Now())
 	o.progress.steppedAt.set(at)
 	o.updateDelay(at)
 	o.cell.SetClaimConfirmed(o.front.confirmedAt())
@@ -335,7 +332,6 @@
 	}
 	if len(records) > 0 {
 		o.appending = true
-		o.duties.restart(dutyStore, time.Now())
 		go o.storeRecords(records, flush)
 	}
 	return nil
@@ -345,7 +341,6 @@
 // stored flushes in the loop.
 func (o *owner) storeRecords(records []bamboofall.StoreRecord, flush uint64) {
 	err := o.appendFlush(o.ctx, records)
-	o.duties.done(dutyStore)
 	o.push(o.ctx, func(at time.Time) {
 		o.appending = false
 		if err != nil {
@@ -411,7 +406,7 @@
 func (o *owner) followWorkers(ctx context.Context, from int64) error {
 	return o.front.follow(ctx, platform.TopicWorkers, from, workersLongPoll, func(r bamboofall.StoredRecord) {
 		o.push(ctx, func(at time.Time) { o.applyWorkerRecord(at, r) })
-	}, func(int64) { o.duties.restart(dutyWorkers, time.Now()) })
+	}, func(int64) { o.progress.workersReadAt.set(now()) })
 }
 
 // applyWorkerRecord adds or updates a worker, or removes it if the record is empty.
@@ -437,7 +432,7 @@
 	return o.front.follow(ctx, topicInbox, from, inboxLongPoll, func(r bamboofall.StoredRecord) {
 		o.push(ctx, func(at time.Time) { o.applyInboxRecord(at, r) })
 	}, func(int64) {
-		o.duties.restart(dutyInbox, time.Now())
+		o.progress.inboxReadAt.set(now())
 		o.push(ctx, func(at time.Time) { o.inboxReadAt = at })
 	})
 }
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -181,7 +181,7 @@
 // then releases it.
 func (o *owner) renewLoop(ctx context.Context) error {
 	timing := lease.DefaultTiming()
-	// Since renewingSince no other VM can have claimed the cell.
+	// Since renewingSince, renewals have kept other VMs from claiming the cell.
 	var renewingSince, renewedAt time.Time
 	for ctx.Err() == nil && !o.isReleasing() {
 		record := o.front.withStrongestPeer(o.record)
@@ -194,7 +194,7 @@
 			o.waitForRenewal(ctx, storeRetryDelay)
 			continue
 		}
-		at := time.Now()
+		at := now()
 		if at.Sub(renewedAt) > timing.ExpireAfter {
 			renewingSince = at
 		}
@@ -243,25 +243,22 @@
 }
 
 // yieldIfStalled starts to release the cell if a duty of this owner makes no progress
-// although its renewals have succeeded since renewingSince. Both times are of Go's
-// monotonic clock.
+// although its renewals have succeeded since renewingSince.
 func (o *owner) yieldIfStalled(at, renewingSince time.Time) {
-	stalled, since, found := o.duties.oldest(at)
-	if !found || o.isReleasing() {
+	if o.isReleasing() {
 		return
 	}
-	if since.Before(renewingSince) {
-		since = renewingSince
-	}
 	f := o.front
+	stalled, stall := o.progress.longestStall(at)
+	stall = min(stall, at.Sub(renewingSince))
 	f.leaseMu.Lock()
-	yield := f.lease.YieldStalled(now(), at.Sub(since))
+	yield := f.lease.YieldStalled(at, stall)
 	f.leaseMu.Unlock()
 	if !yield {
 		return
 	}
 	o.yield(logrus.Fields{
-		"epoch": o.record.Epoch, "reason": "stalled", "duty": stalled.String(), "stalledMs": at.Sub(since).Milliseconds(),
+		"epoch": o.record.Epoch, "reason": "stalled", "duty": stalled, "stalledMs": stall.Milliseconds(),
 		"ring": len(o.events.Items()), "orders": o.inFlight.Load(),
 	})
 }
--- a/internal/entry/front/status.go
+++ b/internal/entry/front/status.go
@@ -52,6 +52,11 @@
 	restoredAt, steppedAt, storedAt atomicTime
 	// storingSince is when the append in flight began, or zero.
 	storingSince atomicTime
+	// inboxReadAt and workersReadAt are when the topics were last read.
+	inboxReadAt, workersReadAt atomicTime
+	// unansweredSince is since when calls to workers have failed without an answer from
+	// any, or zero. callFailedAt is when the last one failed.
+	unansweredSince, callFailedAt atomicTime
 	// loop is the state of the loop as of its last update.
 	loop atomic.Pointer[loopState]
 }
