entry/front: repeat an unanswered renewal before other VMs claim the cell

What callers see: while answers of the store get lost, the cell changes hands again and again, each time with a second or two without starts.

Cause: a renewal without an answer was given up after 1.5 s and repeated under the same number, which stores nothing new. With two lost answers in a row the next record came 3.2 s after the last; other VMs claim after 1.6 s. They fence an owner that is well.

An append to the owners topic now ends after 0.6 s, so that two of them end before others claim. After two time-outs in a row the store may be slower than that, and the former limit applies.

--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -69,8 +69,11 @@
 	renewalSequence uint64
 	// unanswered is the append to the owners topic whose outcome is unknown, or nil.
 	unanswered *ownerAppend
-	delays     *delayMonitor
-	sender     *orderSender
+	// unansweredAppends counts the appends to the owners topic without an answer since the
+	// last one with an answer.
+	unansweredAppends int
+	delays            *delayMonitor
+	sender            *orderSender
 	// yielding is closed when the owner decides to release the cell to another VM.
 	yielding  chan struct{}
 	yieldOnce sync.Once
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -28,6 +28,12 @@
 	ownerKey = "owner"
 	// producerName is the producer name of appends to the owners and cells topics.
 	producerName = "owner"
+	// renewalTimeout is the timeout of an append to the owners topic, so that two of them
+	// end before other VMs claim the cell. A slow store takes half a second. After
+	// maxRenewalTimeouts of them in a row only the client's own timeout applies, in case
+	// the store is slower than that.
+	renewalTimeout     = 600 * time.Millisecond
+	maxRenewalTimeouts = 2
 	// ownersLongPoll is the long-poll duration of reads of the owners topic. The time
 	// after which an owner counts as silent must be several times as long.
 	ownersLongPoll = 500 * time.Millisecond
@@ -317,6 +323,11 @@
 // sendOwnerAppend makes one attempt at an append.
 func (o *owner) sendOwnerAppend(ctx context.Context, a *ownerAppend) error {
 	f := o.front
+	if o.unansweredAppends < maxRenewalTimeouts {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, renewalTimeout)
+		defer cancel()
+	}
 	_, err := f.store.Append(ctx, bamboofall.StoreAppend{
 		Topic: topicOwners, Partition: cellPartition, Records: []bamboofall.StoreRecord{a.stored}, ExpectedEnd: -1,
 		Producer: producerName, Epoch: o.record.Epoch, Sequence: o.renewalSequence,
@@ -331,9 +342,10 @@
 		return err
 	default:
 		o.unanswered = a
+		o.unansweredAppends++
 		return err
 	}
-	o.unanswered = nil
+	o.unanswered, o.unansweredAppends = nil, 0
 	o.renewalSequence++
 	f.leaseMu.Lock()
 	// The first attempt may have stored the record, and other VMs may have read it then.
--- a/internal/entry/front/unserving_owner_test.go
+++ b/internal/entry/front/unserving_owner_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -229,3 +230,31 @@
 		})
 	}
 }
+
+// An owner whose renewals were stored but not answered stopped renewing for longer than
+// other VMs wait before they claim the cell.
+func TestOwnerKeepsCellWhileAnswersToRenewalsGetLost(t *testing.T) {
+	t.Parallel()
+	var f *testCluster
+	var failing atomic.Bool
+	var appends atomic.Int64
+	f = newClusterWithStoreFault(t, 2, 1, func(w http.ResponseWriter, r *http.Request) bool {
+		if !failing.Load() || r.URL.Path != "/v1/log-append" || r.URL.Query().Get("topic") != topicOwners || appends.Add(1)%4 < 2 {
+			return false
+		}
+		body, err := io.ReadAll(r.Body)
+		assert.Check(t, err)
+		stored := r.Clone(r.Context())
+		stored.Body = io.NopCloser(bytes.NewReader(body))
+		unanswered := httptest.NewRecorder()
+		f.store.ServeHTTP(unanswered, stored)
+		dropCall(w, r)
+		return true
+	})
+	f.assertServedWithin(1, id(1), maxServiceGap)
+	failing.Store(true)
+	for began := time.Now(); time.Since(began) < 8*time.Second; time.Sleep(20 * time.Millisecond) {
+		owner, _ := f.entries[1].currentOwner()
+		assert.Equal(t, owner.Epoch, uint64(1), "claimed after %v", time.Since(began))
+	}
+}
