entry/front: count the delay of a claim from the first configuration

What callers see: after a late first configuration, a weak VM may own the cell beside strong ones.

Cause: the delay that lets strong VMs claim first ran from the first read of the owners topic. A VM without a configuration does not claim, so when the configuration came more than 2.4 s later the delays of all VMs had passed and the fastest won.

The delay now starts when the VM could make the claim.

--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -97,11 +97,15 @@
 // claimIfExpired claims the cell if its owner is silent, and starts an owner if the
 // claim succeeds. End is the offset up to which the owners topic has been read.
 func (f *Front) claimIfExpired(ctx context.Context, end int64) {
+	if f.config.Load() == nil {
+		// The delay of the first claim starts when the VM could make it.
+		return
+	}
 	f.leaseMu.Lock()
 	f.lease.ObserveEnd(now(), end)
 	record, expectedEnd, claim := f.lease.Claim(now())
 	f.leaseMu.Unlock()
-	if !claim || f.config.Load() == nil || f.owner.Load() != nil {
+	if !claim || f.owner.Load() != nil {
 		return
 	}
 	record = f.withStrongestPeer(record)
