jobs/cell: let the workers of the standing-task test report run ends

A hold call that waits returns at an end, also at one by a stop. Without it a restart after a stop took up to a hold call longer than it takes.

--- a/internal/jobs/cell/unanswered_test.go
+++ b/internal/jobs/cell/unanswered_test.go
@@ -71,6 +71,9 @@
 	const clockAtStart = time.Second
 	runs := make(map[string]bamboofall.RunningTask)
 	startedAt := make(map[string]time.Duration)
+	ends := make(map[string][]bamboofall.End)
+	// waiting holds the function that answers the last hold call which waits for an end.
+	waiting := make(map[string]func(now time.Duration))
 	first, lease := "", time.Duration(0)
 	actions := make(map[time.Duration][]func(now time.Duration))
 	at := func(d time.Duration, f func(now time.Duration)) { actions[d] = append(actions[d], f) }
@@ -91,8 +94,13 @@
 		if dead(answered) || id == first && s.loses != nil && s.loses(o, now) {
 			at(now+o.Hold.Wait+orderTimeout, func(now time.Duration) { deliver(now, o, bamboofall.HoldReport{}, s.lost) })
 		} else {
-			at(answered, func(now time.Duration) {
-				report := bamboofall.HoldReport{ResponseMeta: bamboofall.ResponseMeta{Clock: now + clockAtStart, Born: testStart}}
+			open := true
+			answer := func(now time.Duration) {
+				if !open {
+					return
+				}
+				open = false
+				report := bamboofall.HoldReport{ResponseMeta: bamboofall.ResponseMeta{Clock: now + clockAtStart, Born: testStart}, Ends: ends[id]}
 				if r, ok := runs[id]; ok {
 					if now-startedAt[id] >= s.upAfter {
 						r.ProgressPercent = 100
@@ -100,7 +108,11 @@
 					report.Running = append(report.Running, r)
 				}
 				deliver(now, o, report, nil)
-			})
+			}
+			at(answered, answer)
+			if o.Hold.Wait > 0 {
+				waiting[id] = answer
+			}
 		}
 		if dead(now) {
 			return
@@ -115,6 +127,10 @@
 		case cell.OrderStop:
 			out.stops = append(out.stops, now)
 			delete(runs, id)
+			ends[id] = append(ends[id], bamboofall.End{Number: 1, Task: o.Start.Task, Run: o.Start.Run, Cause: bamboofall.EndStopped})
+			if answer := waiting[id]; answer != nil {
+				at(now+orderLatency, answer)
+			}
 		}
 		if id == first {
 			lease = max(lease, o.Hold.LeaseUntil, o.Start.LeaseUntil)
@@ -231,7 +247,7 @@
 func TestStandingTaskThatDoesNotComeUpIsStopped(t *testing.T) {
 	const startTimeout, longestWait = 4 * time.Second, 2 * time.Second
 	for _, delay := range []time.Duration{0, 150 * time.Millisecond, 350 * time.Millisecond} {
-		out := standingTask{ownerDelay: delay, upAfter: time.Hour}.run(t, 10*time.Second)
+		out := standingTask{ownerDelay: delay, upAfter: time.Hour}.run(t, 8*time.Second)
 		assert.Equal(t, len(out.stops), 1, "owner delay %v: %+v", delay, out)
 		assert.Equal(t, out.quarantined, 1)
 		assert.Equal(t, len(out.starts), 2)
