jobs/cell: bound the leases of a worker that leaves calls unanswered

Callers saw standing tasks that did not run again in time, with capacity for them, after their worker had died: 11.8 s later if the owner's delay was 150 ms, 13.15 s at 350 ms, and 10.66 to 20.25 s if the calls failed at a relay. The bound is 9 s.

Cause: a worker without an answer gets no new lease once it is silent, as the end of its leases would move on with each call. To a slow owner it is silent after three calls only, and behind a failing relay once these have failed for as long as a lease. Until then each retry, which also waited for 2 s, granted 5 s more.

Evidence: TestSlowOwnerRestartsStandingTaskOfDeadWorkerInTime and TestStandingTaskBehindFailingRelayIsRestartedInTime, red in.

Leases now end at most 2 s (holdWait) after the end of the first that no answer followed, the latest end of those of a worker that dies while a call waits there. When they have expired, the worker is silent: its runs have ended, whoever is slow. A run that may have completed is still waited for as before. For a sound worker not to lose its leases by late answers:

- the retries wait less, so that 2 s of the lease are left after each (2 s, 1.4 s, 0 s at a delay of 200 ms).
No call is added while the worker answers.
- a late answer shows that the worker was up, and the bound moves on from it.
- no task is started with less than 2 s of lease.

TestLeaseSurvivesTwoLostAnswers and TestLeaseSurvivesLateAnswers pass before and after.

TestSlowOwnerToleratesMissedAnswers expected three calls that wait 2 s each. Such calls take 8.2 s and more until silence, too long for the bound, and a third that waits 2 s would outlast the lease. It still expects three calls before the worker is silent and exact waits, now 2 s, 1.4 s and 0 s.

--- a/internal/jobs/cell/fitcache.go
+++ b/internal/jobs/cell/fitcache.go
@@ -132,7 +132,7 @@
 	kept := r.avoided[:0]
 	unsettled := c.placementDue
 	for _, w := range r.avoided {
-		if !w.health.accepts(now) {
+		if !c.acceptsStart(now, w) {
 			kept = append(kept, w)
 			continue
 		}
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -124,6 +124,10 @@
 	if c.lossy(now, w) {
 		wait = min(wait, c.scaleByOwnerDelay(now, holdWaitLossy))
 	}
+	if lease := c.remainingLease(now, w); lease < c.cfg.Lease {
+		// If this call gets no answer either, renewalWindow must be left for others.
+		wait = min(wait, lease-renewalWindow-c.scaleByOwnerDelay(now, holdRetryInterval))
+	}
 	for _, a := range w.attempts {
 		if a.comingUp() {
 			wait = min(wait, a.startedAt.Add(standingStartTimeout).Sub(now))
@@ -327,11 +331,15 @@
 	w.failures++
 	c.recordLostAnswer(now, w, err)
 	if w.failures == silentFailures {
-		c.closeRecord(w)
-		c.note(Note{Event: "worker silent", Worker: w.info.ID, Detail: err.Error()})
+		c.workerSilent(w, err.Error())
 	}
 }
 
+func (c *Cell) workerSilent(w *worker, reason string) {
+	c.closeRecord(w)
+	c.note(Note{Event: "worker silent", Worker: w.info.ID, Detail: reason})
+}
+
 // recordLostAnswer records a call that got no answer although it may have been carried
 // out. Answers to a slow owner are late rather than lost.
 func (c *Cell) recordLostAnswer(now time.Time, w *worker, err error) {
@@ -390,6 +398,12 @@
 	}
 	w.slowOwnerMisses = 0
 	w.unreachableSince = time.Time{}
+	switch {
+	case !w.holdOpen && !o.late:
+		w.unansweredSince = time.Time{}
+	case o.sentAt.After(w.unansweredSince) && !w.unansweredSince.IsZero():
+		w.unansweredSince = o.sentAt
+	}
 	c.budget.answered++
 	// A late answer carries the clock as it was when the answer was given.
 	if s.Clock > 0 && !(o.late && w.answered) {
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -48,7 +48,7 @@
 		}
 		return obstacleRoom
 	}
-	if !w.health.accepts(now) {
+	if !c.acceptsStart(now, w) {
 		return obstacleHealth
 	}
 	if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -71,6 +71,9 @@
 	clockAt time.Time
 	// leasesEnd is when all leases that this owner granted have certainly expired.
 	leasesEnd time.Time
+	// unansweredSince is when the first lease was granted after the worker is last known
+	// to have been up, or zero if all calls that granted one were answered.
+	unansweredSince time.Time
 	// leasesEndLogged is the value of leasesEnd that was last logged as expired.
 	leasesEndLogged time.Time
 
@@ -165,15 +168,35 @@
 	return time.Duration(float64(lease)/(1-clockDrift)) + leaseMargin
 }
 
+// remainingLease returns the duration of a lease granted now. Leases of a worker that
+// leaves calls unanswered all end holdWait after the first of them, as those of a worker
+// that dies while a call waits there, so that their end does not move on with each call.
+func (c *Cell) remainingLease(now time.Time, w *worker) time.Duration {
+	if w.unansweredSince.IsZero() {
+		return c.cfg.Lease
+	}
+	return max(0, min(c.cfg.Lease, w.unansweredSince.Add(c.cfg.Lease+holdWait).Sub(now)))
+}
+
+// acceptsStart reports whether a worker may be given a task now. A run with a much shorter
+// lease might end before the worker answers again.
+func (c *Cell) acceptsStart(now time.Time, w *worker) bool {
+	return w.health.accepts(now) && c.remainingLease(now, w) >= min(renewalWindow, c.cfg.Lease/2)
+}
+
 // grantLease returns the end of a lease granted now, on the worker's clock, and extends
 // leasesEnd. The worker's clock is assumed to have run slow since it was last read, so
 // that the lease does not outlast MaxLeaseDuration.
 func (c *Cell) grantLease(now time.Time, w *worker) time.Duration {
-	if end := now.Add(MaxLeaseDuration(c.cfg.Lease)); end.After(w.leasesEnd) {
+	if w.unansweredSince.IsZero() {
+		w.unansweredSince = now
+	}
+	lease := c.remainingLease(now, w)
+	if end := now.Add(MaxLeaseDuration(lease)); lease > 0 && end.After(w.leasesEnd) {
 		w.leasesEnd = end
 	}
 	age := now.Sub(w.clockAt)
-	return w.clock + time.Duration(float64(age)*(1-clockDrift)) + c.cfg.Lease
+	return w.clock + time.Duration(float64(age)*(1-clockDrift)) + lease
 }
 
 // SetWorker applies an announcement of a worker by the platform.
@@ -229,7 +252,7 @@
 		return m
 	}
 	for _, a := range w.attempts {
-		if a.state != attemptAwaitingStore {
+		if a.mayRun() {
 			m.Runs = append(m.Runs, &jobpb.Run{Task: a.task.name().String(), Number: a.run})
 		}
 	}
@@ -300,7 +323,7 @@
 	if !w.incarnation.IsZero() {
 		c.note(Note{Event: "worker reborn", Worker: w.info.ID, Detail: "started " + born.UTC().Format(time.RFC3339Nano)})
 	}
-	w.leasesEnd = time.Time{}
+	w.leasesEnd, w.unansweredSince = time.Time{}, time.Time{}
 	for _, a := range slices.Clone(w.attempts) {
 		if a.state == attemptStarting || a.state == attemptUnknown {
 			// The start order may still be in flight, and the new incarnation may carry
@@ -340,12 +363,20 @@
 	}
 }
 
-// expireLeases gives up the runs of a silent worker whose leases have expired. A run that
-// may have completed waits for the worker's report for LateEndGrace longer.
+// expireLeases gives up the runs of a worker that did not renew its leases before they
+// expired. A run that may have completed waits for the worker's report for LateEndGrace
+// longer.
 func (c *Cell) expireLeases(now time.Time, w *worker) {
-	if len(w.attempts) == 0 || !w.silent() || !c.surelyExpired(now, w.leasesEnd) {
+	if len(w.attempts) == 0 || !c.surelyExpired(now, w.leasesEnd) {
 		return
 	}
+	if !w.silent() {
+		if !w.missedCalls() || !slices.ContainsFunc(w.attempts, (*attempt).mayRun) {
+			return
+		}
+		w.failures, w.silentSince = silentFailures, now
+		c.workerSilent(w, "its leases expired while it left calls unanswered")
+	}
 	reportOverdue := c.surelyExpired(now, w.leasesEnd.Add(LateEndGrace)) && now.Sub(w.silentSince) > LateEndGrace
 	if reportOverdue || !w.leasesEndLogged.Equal(w.leasesEnd) {
 		w.leasesEndLogged = w.leasesEnd
@@ -358,11 +389,19 @@
 	}
 }
 
+// missedCalls reports whether calls have failed since the worker's last answer.
+func (w *worker) missedCalls() bool {
+	return w.failures > 0 || w.slowOwnerMisses > 0 || !w.unreachableSince.IsZero()
+}
+
+// mayRun reports whether the start may have been carried out.
+func (a *attempt) mayRun() bool { return a.state != attemptAwaitingStore }
+
 // mayHaveCompleted reports whether the run may have completed, so that its task must not
 // be started again before the worker has reported.
 func (a *attempt) mayHaveCompleted() bool {
 	t := a.task
-	return a.state != attemptAwaitingStore && !t.done && t.step.atMostOnce() && !t.step.occ.job.state.Ended()
+	return a.mayRun() && !t.done && t.step.atMostOnce() && !t.step.occ.job.state.Ended()
 }
 
 // atMostOnce reports whether the tasks of a step must not run again after a completed
