entry/front: repeat a claim whose answer gets lost

What callers see: with a store that loses answers the cell is without an owner for 1.6 s and more at a time.

Cause: a claim is stored and fences the former owner, but a claimant that gets no answer takes it for lost. It reads its own record and waits for that to expire.

The claim is now repeated unchanged. The store answers a repeated sequence number with its first answer, so the claimant learns that it won, or that it did not. The claim counts as confirmed from the first attempt; nothing is read in between, so the end of the former owner's leases is computed as before. TestClaimWithoutAnswerIsCompleted failed before (epoch 2 instead of 1).

--- a/internal/entry/front/claim_test.go
+++ b/internal/entry/front/claim_test.go
@@ -44,3 +44,23 @@
 	owner := f.waitForOwner(-1)
 	assert.Equal(t, string(f.entries[owner].settings.VM), strong)
 }
+
+// A claim that was stored but not answered left the cell without an owner: the former one
+// was fenced, and the claimant waited for its own record to expire.
+func TestClaimWithoutAnswerIsCompleted(t *testing.T) {
+	t.Parallel()
+	f := newTestCluster(t, 0, 1, time.Millisecond)
+	var claims atomic.Int64
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/log-append" && r.URL.Query().Get("topic") == topicOwners && claims.Add(1) == 1 {
+			executeWithoutAnswer(f.store, w, r)
+			return
+		}
+		f.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(store.Close)
+	f.startEntry(0, strings.TrimPrefix(store.URL, "http://"))
+	f.waitForOwner(-1)
+	owner, _ := f.entries[0].currentOwner()
+	assert.Equal(t, owner.Epoch, uint64(1))
+}
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -34,6 +34,8 @@
 	// the store is slower than that.
 	renewalTimeout     = 600 * time.Millisecond
 	maxRenewalTimeouts = 2
+	// maxClaimAttempts is the maximum number of attempts at a claim.
+	maxClaimAttempts = 3
 	// ownersLongPoll is the long-poll duration of reads of the owners topic. The time
 	// after which an owner counts as silent must be several times as long.
 	ownersLongPoll = 500 * time.Millisecond
@@ -118,7 +120,7 @@
 	// The store answers a repeated sequence number with its first answer, so each claim
 	// starts from a random one.
 	sequence := uint64(rand.Uint32())
-	end, err = f.store.Append(ctx, bamboofall.StoreAppend{
+	end, err = f.appendClaim(ctx, bamboofall.StoreAppend{
 		Topic: topicOwners, Partition: cellPartition, Records: []bamboofall.StoreRecord{stored}, ExpectedEnd: expectedEnd,
 		Producer: producerName, Epoch: record.Epoch, Sequence: sequence,
 	})
@@ -140,6 +142,32 @@
 	f.owners.Go(func() { f.runOwner(o) })
 }
 
+// appendClaim appends a claim and repeats it unchanged while its outcome is unknown. The
+// former owner is fenced once the claim is stored, so the cell would have no owner until
+// the claim expires.
+func (f *Front) appendClaim(ctx context.Context, claim bamboofall.StoreAppend) (end int64, err error) {
+	for unanswered := range maxClaimAttempts {
+		end, err = f.appendToOwners(ctx, claim, unanswered)
+		var unknown *bamboofall.UnknownOutcomeError
+		if !errors.As(err, &unknown) {
+			break
+		}
+		sleep(ctx, storeRetryDelay)
+	}
+	return end, err
+}
+
+// appendToOwners makes one attempt at an append to the owners topic. Unanswered is the
+// number of attempts without an answer before it.
+func (f *Front) appendToOwners(ctx context.Context, a bamboofall.StoreAppend, unanswered int) (end int64, err error) {
+	if unanswered < maxRenewalTimeouts {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, renewalTimeout)
+		defer cancel()
+	}
+	return f.store.Append(ctx, a)
+}
+
 // withStrongestPeer returns a record with the capacity of the strongest other VM, if any
 // has announced itself.
 func (f *Front) withStrongestPeer(record lease.Record) lease.Record {
@@ -327,15 +355,10 @@
 // sendOwnerAppend makes one attempt at an append.
 func (o *owner) sendOwnerAppend(ctx context.Context, a *ownerAppend) error {
 	f := o.front
-	if o.unansweredAppends < maxRenewalTimeouts {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, renewalTimeout)
-		defer cancel()
-	}
-	_, err := f.store.Append(ctx, bamboofall.StoreAppend{
+	_, err := f.appendToOwners(ctx, bamboofall.StoreAppend{
 		Topic: topicOwners, Partition: cellPartition, Records: []bamboofall.StoreRecord{a.stored}, ExpectedEnd: -1,
 		Producer: producerName, Epoch: o.record.Epoch, Sequence: o.renewalSequence,
-	})
+	}, o.unansweredAppends)
 	if err != nil {
 		f.metrics.Increment("appendsFailed", map[string]string{"topic": topicOwners})
 	}
--- a/internal/entry/front/unserving_owner_test.go
+++ b/internal/entry/front/unserving_owner_test.go
@@ -61,6 +61,17 @@
 	<-r.Context().Done()
 }
 
+// executeWithoutAnswer executes a call and does not respond until the caller gives up.
+func executeWithoutAnswer(store http.Handler, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		executed := r.Clone(r.Context())
+		executed.Body = io.NopCloser(bytes.NewReader(body))
+		store.ServeHTTP(httptest.NewRecorder(), executed)
+	}
+	dropCall(w, r)
+}
+
 // assertServedWithin submits a job at an entry VM until it is accepted, and fails the
 // test unless the job is completed by the end of the limit.
 func (f *testCluster) assertServedWithin(at int, job string, limit time.Duration) {
@@ -242,13 +253,7 @@
 		if !failing.Load() || r.URL.Path != "/v1/log-append" || r.URL.Query().Get("topic") != topicOwners || appends.Add(1)%4 < 2 {
 			return false
 		}
-		body, err := io.ReadAll(r.Body)
-		assert.Check(t, err)
-		stored := r.Clone(r.Context())
-		stored.Body = io.NopCloser(bytes.NewReader(body))
-		unanswered := httptest.NewRecorder()
-		f.store.ServeHTTP(unanswered, stored)
-		dropCall(w, r)
+		executeWithoutAnswer(f.store, w, r)
 		return true
 	})
 	f.assertServedWithin(1, id(1), maxServiceGap)
