entry/front: wait for the age of the inbox in a test, not for a time

It slept for exactly the largest age plus one long poll, and a read that ended late left 1.195 s of the 1.2 s. It now waits until the last read is too old, within a bound, and then asks.

The owner kept the time of that read twice; one is left, which is set once the records read are applied.

--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -445,7 +445,13 @@
 	status, _ := f.request(0, http.MethodGet, "/q/"+id(9), "")
 	assert.Equal(t, status, http.StatusGone)
 	f.failReads(topicInbox)
-	time.Sleep(inboxMaxAge + inboxLongPoll)
+	o := f.entries[0].owner.Load()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if age := o.progress.inboxReadAt.age(now()); age <= inboxMaxAge {
+			return poll.Continue("the inbox was read %v ago", age)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(inboxMaxAge+2*inboxLongPoll), poll.WithDelay(time.Millisecond))
 	status, body := f.request(0, http.MethodGet, "/q/"+id(9), "")
 	assert.Equal(t, status, http.StatusServiceUnavailable, body)
 }
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -89,8 +89,6 @@
 	appending        bool
 	waiters          []waiter
 	metricsUpdatedAt time.Time
-	// inboxReadAt is when the inbox was last read to its end.
-	inboxReadAt time.Time
 	// appendErr is the error of a failed append, which stops the owner.
 	appendErr error
 	// delay is the owner's own delay, computed at delayUpdatedAt. slowLoggedAt is when
@@ -140,7 +138,6 @@
 		o.group.Go(func() error { return o.followInbox(ctx, offsets.inbox) })
 		o.progress.restoredAt.set(now())
 		o.ready.Store(true)
-		o.progress.inboxReadAt.set(now())
 		o.progress.workersReadAt.set(now())
 		return o.loop(ctx)
 	})
@@ -168,7 +165,7 @@
 	})
 	group.Go(func() (err error) {
 		inbox, offsets.inbox, err = o.newestWithRetry(ctx, topicInbox)
-		o.inboxReadAt = now()
+		o.progress.inboxReadAt.set(now())
 		return err
 	})
 	group.Go(func() (err error) {
@@ -435,14 +432,16 @@
 	return o.front.follow(ctx, topicInbox, from, inboxLongPoll, func(r bamboofall.StoredRecord) {
 		o.push(ctx, func(at time.Time) { o.applyInboxRecord(at, r) })
 	}, func(int64) {
-		o.progress.inboxReadAt.set(now())
-		o.push(ctx, func(at time.Time) { o.inboxReadAt = at })
+		o.push(ctx, o.progress.inboxReadAt.set)
 	})
 }
 
 // inboxUpToDate reports whether the inbox was read recently enough to conclude that a
 // job unknown to the cell has not been accepted.
-func (o *owner) inboxUpToDate(at time.Time) bool { return at.Sub(o.inboxReadAt) <= inboxMaxAge }
+func (o *owner) inboxUpToDate(at time.Time) bool {
+	age := o.progress.inboxReadAt.age(at)
+	return age != noAge && age <= inboxMaxAge
+}
 
 func (o *owner) applyInboxRecord(at time.Time, r bamboofall.StoredRecord) {
 	if len(r.Value) == 0 {
--- a/internal/entry/front/status.go
+++ b/internal/entry/front/status.go
@@ -52,7 +52,8 @@
 	restoredAt, steppedAt, storedAt atomicTime
 	// storingSince is when the append in flight began, or zero.
 	storingSince atomicTime
-	// inboxReadAt and workersReadAt are when the topics were last read.
+	// inboxReadAt is when the inbox was last read to its end and applied, workersReadAt when
+	// the list of workers was last read.
 	inboxReadAt, workersReadAt atomicTime
 	// unansweredSince is since when calls to workers have failed without an answer from
 	// any, or zero. callFailedAt is when the last one failed.
