state/lease: limit yields to a strong VM that keeps stopping

Such yields are now 15 s apart, as callers have to be served again within that time once the strong VM is back.

--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -53,11 +53,12 @@
 	MaxClaimDelay, MaxFirstClaimDelay time.Duration
 	// SlowBeforeYield is how much longer an owner must have been slow than not slow
 	// before it yields the cell. MinYieldInterval is the minimum time between two
-	// yields of a cell, unless the first one gave it to a much stronger VM.
-	SlowBeforeYield, MinYieldInterval time.Duration
+	// yields of a cell, or UsefulYieldInterval if the first one gave it to a much
+	// stronger VM.
+	SlowBeforeYield, MinYieldInterval, UsefulYieldInterval time.Duration
 	// StallBeforeYield is how long a duty of an owner may make no progress before the
-	// owner yields the cell. Within MinYieldInterval of another yield it is
-	// repeatedStallFactor times as long.
+	// owner yields the cell. Soon after another yield it is repeatedStallFactor times as
+	// long.
 	StallBeforeYield time.Duration
 	// YieldedClaimDelay is the additional delay of a claim by the process that
 	// yielded the cell.
@@ -97,6 +98,8 @@
 		// A burst of calls lasts a second or two.
 		SlowBeforeYield:  4 * time.Second,
 		MinYieldInterval: time.Minute,
+		// The strong VM may stop again soon after it has claimed.
+		UsefulYieldInterval: 15 * time.Second,
 		// Longer than a typical outage of the store, after which the owner goes on
 		// faster than a successor would.
 		StallBeforeYield: 5 * time.Second,
@@ -154,10 +157,11 @@
 	ownEpoch uint64
 	// stopClaims is set once this process is shutting down.
 	stopClaims bool
-	// yieldedAt is when a record with Yielded was last read, unless a much stronger VM
-	// has owned the cell since. yieldedCapacity is the capacity in that record.
+	// yieldedAt is when a record with Yielded was last read, and yieldedCapacity the
+	// capacity in it. yieldUseful is set if a much stronger VM has owned the cell since.
 	yieldedAt       time.Time
 	yieldedCapacity uint32
+	yieldUseful     bool
 	// slowFor grows while this owner is slow and shrinks while it is not, from zero to
 	// Timing.SlowBeforeYield. It was updated at slowCheckedAt, when the owner was slow
 	// or not as wasSlow says.
@@ -187,9 +191,9 @@
 	l.newestRecord, l.hasRecord, l.newestSeenAt = r, true, now
 	switch {
 	case r.Yielded:
-		l.yieldedAt, l.yieldedCapacity = now, r.Capacity
+		l.yieldedAt, l.yieldedCapacity, l.yieldUseful = now, r.Capacity, false
 	case l.yieldedCapacity > 0 && r.Capacity >= yieldCapacityFactor*l.yieldedCapacity:
-		l.yieldedAt = time.Time{} // the yield had its effect
+		l.yieldUseful = true
 	}
 	if r.Epoch > l.ownEpoch {
 		l.ownEpoch = 0
@@ -311,7 +315,11 @@
 }
 
 func (l *Lease) yieldedRecently(now time.Time) bool {
-	return !l.yieldedAt.IsZero() && now.Sub(l.yieldedAt) < l.timing.MinYieldInterval
+	interval := l.timing.MinYieldInterval
+	if l.yieldUseful {
+		interval = l.timing.UsefulYieldInterval
+	}
+	return !l.yieldedAt.IsZero() && now.Sub(l.yieldedAt) < interval
 }
 
 // Claimed records that a claim, sent at a time, succeeded.
--- a/internal/state/lease/slow_owner_test.go
+++ b/internal/state/lease/slow_owner_test.go
@@ -74,3 +74,30 @@
 		assert.Equal(t, f.owner(), uint32(800), "seed %d: strong VM back for %v", seed, maxRecoveryTime)
 	}
 }
+
+// A strong VM that stops soon after each claim must not pull the cell back and forth all
+// the time.
+func TestFlappingStrongVMGetsCellAtMostOncePerInterval(t *testing.T) {
+	const length = 2 * time.Minute
+	for seed := range uint64(seeds) {
+		f, strong := newFleetWithWeakOwner(t, seed)
+		for _, v := range f.vms {
+			v.slow = v.capacity < 800
+		}
+		for end := f.now + length; f.now < end; {
+			f.strongest = 800
+			for f.owner() != 800 && f.now < end {
+				f.advance(10 * time.Millisecond)
+			}
+			f.advance(2 * time.Second)
+			strong.down = true
+			f.strongest = 192
+			f.advance(3 * time.Second)
+			strong = &vm{capacity: strong.capacity, startAt: f.now, nextPoll: f.now}
+			strong.lease = New(at(f.now), timing, "restarted", address, 0.5)
+			strong.lease.SetCapacity(strong.capacity)
+			f.vms = append(f.vms, strong)
+		}
+		assert.Assert(t, f.yields <= 1+int(length/timing.UsefulYieldInterval), "seed %d: %d yields", seed, f.yields)
+	}
+}
