entry/front: keep the longer time-out of renewals while the store is slow

An answer within 0.6 s now ends the longer time-out, any other does not. TestRenewalsAtSlowStoreAreAnsweredAtOnce fails without that.

--- a/internal/entry/front/ownerappend_test.go
+++ b/internal/entry/front/ownerappend_test.go
@@ -143,3 +143,37 @@
 	}
 	assert.DeepEqual(t, got, [][]string{{"jb"}, {"pa", "pc", "ja"}})
 }
+
+// slowStore executes appends at once and answers them after a delay.
+type slowStore struct {
+	bamboofall.KeyedStore
+	delay   time.Duration
+	appends int
+}
+
+func (s *slowStore) Append(ctx context.Context, a bamboofall.StoreAppend) (int64, error) {
+	s.appends++
+	end, err := s.KeyedStore.Append(ctx, a)
+	sleep(ctx, s.delay)
+	if ctx.Err() != nil {
+		return 0, &bamboofall.UnknownOutcomeError{Call: "append", Err: ctx.Err()}
+	}
+	return end, err
+}
+
+// A store that always takes longer than renewalTimeout must cost two time-outs once, not
+// for every renewal.
+func TestRenewalsAtSlowStoreAreAnsweredAtOnce(t *testing.T) {
+	c := newClaimedOwner(t)
+	store := &slowStore{KeyedStore: c.front.store, delay: renewalTimeout + 50*time.Millisecond}
+	c.front.store = store
+	for range maxRenewalTimeouts {
+		assert.Assert(t, c.appendOwnerRecord(t.Context(), c.record) != nil)
+	}
+	assert.NilError(t, c.appendOwnerRecord(t.Context(), c.record))
+	store.appends = 0
+	for range 3 {
+		assert.NilError(t, c.appendOwnerRecord(t.Context(), c.record))
+	}
+	assert.Equal(t, store.appends, 3)
+}
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -355,6 +355,7 @@
 // sendOwnerAppend makes one attempt at an append.
 func (o *owner) sendOwnerAppend(ctx context.Context, a *ownerAppend) error {
 	f := o.front
+	sentAt := now()
 	_, err := f.appendToOwners(ctx, bamboofall.StoreAppend{
 		Topic: topicOwners, Partition: cellPartition, Records: []bamboofall.StoreRecord{a.stored}, ExpectedEnd: -1,
 		Producer: producerName, Epoch: o.record.Epoch, Sequence: o.renewalSequence,
@@ -372,7 +373,10 @@
 		o.unansweredAppends++
 		return err
 	}
-	o.unanswered, o.unansweredAppends = nil, 0
+	o.unanswered = nil
+	if now().Sub(sentAt) < renewalTimeout {
+		o.unansweredAppends = 0 // the store is fast enough for renewalTimeout
+	}
 	o.renewalSequence++
 	f.leaseMu.Lock()
 	// The first attempt may have stored the record, and other VMs may have read it then.
