entry/front: yield only for stalls that a successor would not share

A successor needs the same topics, and an owner cannot tell whether others reach them. A partition that is away for all VMs is more likely than one that only the owner misses, so storing and following are no duties any more.

Also from the review: an idle cell with one dead worker yielded after 5.7 s, as only that one is called often; unanswered calls now count only if half of the workers are silent. A restore counts as stalled since its last read, not since the claim. A late answer to a hold call counts as an answer.

--- a/internal/entry/front/dispatcher.go
+++ b/internal/entry/front/dispatcher.go
@@ -253,6 +253,7 @@
 			r.owner.applyResult(at, order.Order, report, err)
 		case order.Kind == cell.OrderHold && err == nil:
 			r.counts.late++
+			r.owner.progress.workerAnswered()
 			r.owner.cell.LateHoldAnswered(at, order.Order, report)
 		}
 	}
--- a/internal/entry/front/duties.go
+++ b/internal/entry/front/duties.go
@@ -10,11 +10,6 @@
 	dutyRestore duty = "restore"
 	// dutyDecide is to run the loop that makes the decisions.
 	dutyDecide duty = "decide"
-	// dutyStore is to store the cell's changes.
-	dutyStore duty = "store"
-	// dutyInbox and dutyWorkers are to follow the inbox and the list of workers.
-	dutyInbox   duty = "inbox"
-	dutyWorkers duty = "workers"
 	// dutyCall is to get answers from workers.
 	dutyCall duty = "call"
 )
@@ -24,26 +19,29 @@
 const maxCallGap = 1500 * time.Millisecond
 
 // longestStall returns the duty that has made no progress for the longest time, and that
-// time. It is zero if no duty is pending.
+// time. It is zero if no duty is pending. Storing changes and following topics are no
+// duties here: a successor needs the same topics to restore the cell, and this VM cannot
+// tell whether others reach them.
 func (p *ownerProgress) longestStall(now time.Time) (d duty, stalled time.Duration) {
 	if p.restoredAt.age(now) == noAge {
-		return dutyRestore, now.Sub(p.claimedAt)
+		return dutyRestore, p.restoringAt.age(now)
 	}
-	ages := map[duty]time.Duration{
-		dutyDecide: p.steppedAt.age(now), dutyStore: p.storingSince.age(now),
-		dutyInbox: p.inboxReadAt.age(now), dutyWorkers: p.workersReadAt.age(now),
-	}
-	if p.callFailedAt.age(now) <= maxCallGap {
-		ages[dutyCall] = p.unansweredSince.age(now)
-	}
-	for candidate, age := range ages {
-		if age > stalled {
-			d, stalled = candidate, age
+	d, stalled = dutyDecide, p.steppedAt.age(now)
+	if p.callFailedAt.age(now) <= maxCallGap && p.mostWorkersSilent() {
+		if unanswered := p.unansweredSince.age(now); unanswered > stalled {
+			d, stalled = dutyCall, unanswered
 		}
 	}
 	return d, stalled
 }
 
+// mostWorkersSilent reports whether half of the workers or more are silent. In an idle
+// cell only the silent ones may have been called lately.
+func (p *ownerProgress) mostWorkersSilent() bool {
+	loop := p.loop.Load()
+	return loop != nil && 2*loop.cell.Silent >= loop.cell.Known
+}
+
 // workerAnswered records that a worker answered an order.
 func (p *ownerProgress) workerAnswered() { p.unansweredSince.set(time.Time{}) }
 
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -70,7 +70,7 @@
 	// unanswered is the append to the owners topic whose outcome is unknown, or nil.
 	unanswered *ownerAppend
 	// unansweredAppends counts the appends to the owners topic without an answer since the
-	// last one with an answer.
+	// last one that was answered within renewalTimeout.
 	unansweredAppends int
 	delays            *delayMonitor
 	sender            *orderSender
@@ -117,6 +117,7 @@
 		}),
 	}
 	o.progress.claimedAt = now()
+	o.progress.restoringAt.set(o.progress.claimedAt)
 	o.dispatcher = newRelayDispatcher(o)
 	o.sender = newOrderSender(o.execute)
 	return o
@@ -138,7 +139,6 @@
 		o.group.Go(func() error { return o.followInbox(ctx, offsets.inbox) })
 		o.progress.restoredAt.set(now())
 		o.ready.Store(true)
-		o.progress.workersReadAt.set(now())
 		return o.loop(ctx)
 	})
 	return o.group.Wait()
@@ -160,6 +160,7 @@
 		if err := o.appendWithRetry(ctx, fence); err != nil {
 			return err
 		}
+		o.progress.restoringAt.set(now())
 		records, _, err = o.newestWithRetry(ctx, topicCells)
 		return err
 	})
@@ -199,6 +200,9 @@
 func (o *owner) newestWithRetry(ctx context.Context, topic string) ([]bamboofall.StoredRecord, int64, error) {
 	for {
 		records, end, err := o.front.store.Newest(ctx, topic, cellPartition)
+		if err == nil {
+			o.progress.restoringAt.set(now())
+		}
 		if err == nil || ctx.Err() != nil {
 			return records, end, err
 		}
@@ -406,7 +410,7 @@
 func (o *owner) followWorkers(ctx context.Context, from int64) error {
 	return o.front.follow(ctx, platform.TopicWorkers, from, workersLongPoll, func(r bamboofall.StoredRecord) {
 		o.push(ctx, func(at time.Time) { o.applyWorkerRecord(at, r) })
-	}, func(int64) { o.progress.workersReadAt.set(now()) })
+	}, nil)
 }
 
 // applyWorkerRecord adds or updates a worker, or removes it if the record is empty.
--- a/internal/entry/front/status.go
+++ b/internal/entry/front/status.go
@@ -52,9 +52,10 @@
 	restoredAt, steppedAt, storedAt atomicTime
 	// storingSince is when the append in flight began, or zero.
 	storingSince atomicTime
-	// inboxReadAt is when the inbox was last read to its end and applied, workersReadAt when
-	// the list of workers was last read.
-	inboxReadAt, workersReadAt atomicTime
+	// restoringAt is when the restore last made progress, or began.
+	restoringAt atomicTime
+	// inboxReadAt is when the inbox was last read to its end and applied.
+	inboxReadAt atomicTime
 	// unansweredSince is since when calls to workers have failed without an answer from
 	// any, or zero. callFailedAt is when the last one failed.
 	unansweredSince, callFailedAt atomicTime
