jobs/cell: learn no tails from workers of unknown size

A new owner knows a recorded worker only by its address until the platform lists it, so its size is zero. If it answers before that, each image's share of its processors is infinite. One such observation turns the coefficients of the image into NaN. A predicted tail of NaN exceeds no bound, so best-effort tasks are placed without limit next to that image, are paced down, stopped as disturbing and placed there again. The next owner drops the NaN when it reads the learned state; until then nothing repairs it.

Tails are now learned only from workers whose size is known.

--- a/internal/jobs/cell/pace.go
+++ b/internal/jobs/cell/pace.go
@@ -36,7 +36,10 @@
 			continue
 		}
 		tail := float64(a.gauge) / float64(s.TailTarget.Milliseconds())
-		c.pressure.Observe(s.Image, tail, shares)
+		// The platform has not listed the worker yet if its size is unknown.
+		if w.info.Room.MilliProcessors > 0 {
+			c.pressure.Observe(s.Image, tail, shares)
+		}
 		if tail > load {
 			load, worst = tail, s
 		}
