--- a/internal/entry/front/duties.go
+++ b/internal/entry/front/duties.go
@@ -19,9 +19,8 @@
 const maxCallGap = 1500 * time.Millisecond
 
 // longestStall returns the duty that has made no progress for the longest time, and that
-// time. It is zero if no duty is pending. Storing changes and following topics are no
-// duties here: a successor needs the same topics to restore the cell, and this VM cannot
-// tell whether others reach them.
+// time. Storing changes and following topics are no duties here: a successor needs the
+// same topics to restore the cell, and this VM cannot tell whether others reach them.
 func (p *ownerProgress) longestStall(now time.Time) (d duty, stalled time.Duration) {
 	if p.restoredAt.age(now) == noAge {
 		return dutyRestore, p.restoringAt.age(now)
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -18,7 +18,7 @@
 //
 // If VMs differ in capacity, the strongest claim first: weaker ones wait longer,
 // up to a bound, so that a fleet of weak VMs gets an owner too. An owner that is
-// slow yields the cell to a much stronger VM that it knows of.
+// overloaded yields the cell to a much stronger VM that it knows of.
 //
 // Renewals prove that an owner is alive, not that it does its work. An owner whose
 // renewals succeed while one of its duties makes no progress keeps others from
@@ -51,11 +51,11 @@
 	// owner. The delay of other VMs is proportional to the capacity that they
 	// lack.
 	MaxClaimDelay, MaxFirstClaimDelay time.Duration
-	// SlowBeforeYield is how much longer an owner must have been slow than not slow
-	// before it yields the cell. MinYieldInterval is the minimum time between two
+	// OverloadBeforeYield is how much longer an owner must have been overloaded than
+	// not before it yields the cell. MinYieldInterval is the minimum time between two
 	// yields of a cell, or UsefulYieldInterval if the first one gave it to a much
 	// stronger VM.
-	SlowBeforeYield, MinYieldInterval, UsefulYieldInterval time.Duration
+	OverloadBeforeYield, MinYieldInterval, UsefulYieldInterval time.Duration
 	// StallBeforeYield is how long a duty of an owner may make no progress before the
 	// owner yields the cell. Soon after another yield it is repeatedStallFactor times as
 	// long.
@@ -96,8 +96,8 @@
 		// Nothing runs before the first claim, and VMs start within about 0.3 s.
 		MaxFirstClaimDelay: 3 * time.Second,
 		// A burst of calls lasts a second or two.
-		SlowBeforeYield:  4 * time.Second,
-		MinYieldInterval: time.Minute,
+		OverloadBeforeYield: 4 * time.Second,
+		MinYieldInterval:    time.Minute,
 		// The strong VM may stop again soon after it has claimed.
 		UsefulYieldInterval: 15 * time.Second,
 		// Longer than a typical outage of the store, after which the owner goes on
@@ -162,12 +162,12 @@
 	yieldedAt       time.Time
 	yieldedCapacity uint32
 	yieldUseful     bool
-	// slowFor grows while this owner is slow and shrinks while it is not, from zero to
-	// Timing.SlowBeforeYield. It was updated at slowCheckedAt, when the owner was slow
-	// or not as wasSlow says.
-	slowFor       time.Duration
-	slowCheckedAt time.Time
-	wasSlow       bool
+	// overloadedFor grows while this owner is overloaded and shrinks while it is not,
+	// between zero and Timing.OverloadBeforeYield. It was last updated at
+	// overloadCheckedAt, and wasOverloaded tells whether the owner was overloaded then.
+	overloadedFor     time.Duration
+	overloadCheckedAt time.Time
+	wasOverloaded     bool
 	// yieldedEpoch is the last epoch that this owner yielded, or zero.
 	yieldedEpoch uint64
 }
@@ -272,11 +272,11 @@
 }
 
 // Yield reports whether this owner should release the cell to a stronger VM. It
-// must be called regularly with whether the owner is slow now and with the
+// must be called regularly with whether the owner is overloaded now and with the
 // capacity of the strongest other VM heard of recently, or zero.
-func (l *Lease) Yield(now time.Time, slow bool, strongest uint32) bool {
-	l.updateSlowFor(now, slow)
-	if !slow || l.ownEpoch == 0 || l.slowFor < l.timing.SlowBeforeYield {
+func (l *Lease) Yield(now time.Time, overloaded bool, strongest uint32) bool {
+	l.updateOverloadedFor(now, overloaded)
+	if !overloaded || l.ownEpoch == 0 || l.overloadedFor < l.timing.OverloadBeforeYield {
 		return false
 	}
 	if l.capacity == 0 || strongest < yieldCapacityFactor*l.capacity {
@@ -289,15 +289,17 @@
 	return true
 }
 
-func (l *Lease) updateSlowFor(now time.Time, slow bool) {
-	if !l.slowCheckedAt.IsZero() {
-		elapsed := now.Sub(l.slowCheckedAt)
-		if !l.wasSlow {
+// updateOverloadedFor adds the time since the last update if the owner was overloaded
+// then, and subtracts it otherwise.
+func (l *Lease) updateOverloadedFor(now time.Time, overloaded bool) {
+	if !l.overloadCheckedAt.IsZero() {
+		elapsed := now.Sub(l.overloadCheckedAt)
+		if !l.wasOverloaded {
 			elapsed = -elapsed
 		}
-		l.slowFor = min(max(0, l.slowFor+elapsed), l.timing.SlowBeforeYield)
+		l.overloadedFor = min(max(0, l.overloadedFor+elapsed), l.timing.OverloadBeforeYield)
 	}
-	l.slowCheckedAt, l.wasSlow = now, slow
+	l.overloadCheckedAt, l.wasOverloaded = now, overloaded
 }
 
 // YieldStalled reports whether this owner should release the cell because one of its
@@ -329,7 +331,7 @@
 		l.formerSeenAt = l.newestSeenAt
 	}
 	l.newestRecord, l.hasRecord, l.newestSeenAt = r, true, sent
-	l.slowFor, l.slowCheckedAt = 0, time.Time{}
+	l.overloadedFor, l.overloadCheckedAt = 0, time.Time{}
 	l.partitionEnd = max(l.partitionEnd, end)
 	l.ownEpoch, l.confirmedAt = r.Epoch, sent
 }
