--- a/internal/entry/front/metrics.go
+++ b/internal/entry/front/metrics.go
@@ -12,6 +12,7 @@
 
 	"bamboofall.example/bamboofall/internal/entry/metricset"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/jobs/usage"
 )
 
 // latencyBuckets are the upper bounds of the buckets of latency histograms.
@@ -46,6 +47,13 @@
 	}
 }
 
+// updateUsage exports the processor time of workers by what became of it, in seconds.
+func (m *metrics) updateUsage(account usage.Account) {
+	account.Each(func(k usage.Kind, o usage.Outcome, d time.Duration) {
+		m.SetTotal("processorSeconds", map[string]string{"kind": k.String(), "outcome": o.String()}, int64(d.Seconds()))
+	})
+}
+
 // updateStatus exports a status as gauges. Gauges that the status does not have become
 // NaN, as zero would be the value of something that has just happened.
 func (m *metrics) updateStatus(status map[string]float64) {
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -324,6 +324,7 @@
 	if at.Sub(o.metricsUpdatedAt) >= metricsInterval {
 		o.metricsUpdatedAt = at
 		o.front.metrics.updateCellCounters(o.cell.Counters())
+		o.front.metrics.updateUsage(o.cell.Usage())
 		o.dispatcher.updateMetrics(o.front.metrics)
 		o.updateProgress()
 	}
--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -377,6 +377,7 @@
 	}
 	c.counters.LostRuns++
 	c.noteRun(a, "run lost", rare, reason)
+	c.accountRun(now, a, bamboofall.EndLapsed)
 	c.release(a)
 	c.keepCheckpoint(a.task, a.checkpoint)
 	c.enqueue(a.task)
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -7,6 +7,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
+	"bamboofall.example/bamboofall/internal/jobs/usage"
 )
 
 const (
@@ -104,6 +105,7 @@
 	bestEffortCapacity  float64
 	bestEffortSampledAt time.Time
 	pressure            *pressure.Model
+	usage               usage.Account
 	fits                fitCache
 	candidates          candidateSet
 	holdQueue           holdCandidates
@@ -293,10 +295,10 @@
 	}
 	c.note(Note{Event: "summary", Detail: fmt.Sprintf(
 		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, best-effort %d using %d; jobs %d known %d open; tasks waiting %d; "+
-			"workers known %d unlisted %d; standing tasks %d running %d, longest down %v, with room %v; recovering %t",
+			"workers known %d unlisted %d; standing tasks %d running %d, longest down %v, with room %v; recovering %t; processor seconds: %v",
 		status.Usable, serving, status.Silent, room, used, standing, bestEffort, bestEffortUse, known, open, waiting,
 		status.Known, status.Unlisted, status.Standing, status.StandingRunning,
-		status.LongestDown.Round(time.Millisecond), status.LongestDownWithRoom.Round(time.Millisecond), status.Recovering)})
+		status.LongestDown.Round(time.Millisecond), status.LongestDownWithRoom.Round(time.Millisecond), status.Recovering, &c.usage)})
 }
 
 func (c *Cell) note(n Note) { c.out.Notes = append(c.out.Notes, n) }
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -38,6 +38,8 @@
 	due time.Time
 	// work is the declared processor time of all tasks.
 	work time.Duration
+	// spent is the processor time of its runs that is not accounted for yet.
+	spent time.Duration
 	// bestEffort is set if one of the steps is best-effort.
 	bestEffort bool
 	// shed is set while the job is ranked behind those that can finish in time.
@@ -298,6 +300,7 @@
 	}
 	j.state = state
 	j.endedAt = now
+	c.accountJob(j)
 	c.ended = append(c.ended, j)
 	c.removeOpen(j)
 	delete(c.recurring, j)
--- a/internal/jobs/cell/runends.go
+++ b/internal/jobs/cell/runends.go
@@ -52,6 +52,7 @@
 	c.note(Note{Event: "end " + e.Cause.String(), Job: j.ID, Task: e.Task.String(), Worker: w.info.ID, Run: e.Run, Routine: e.Cause == bamboofall.EndDone})
 	c.markJobStarted(j)
 	if a != nil {
+		c.accountRun(now, a, e.Cause)
 		c.release(a)
 	}
 	c.keepCheckpoint(t, e.Checkpoint)
--- a/internal/jobs/cell/tails.go
+++ b/internal/jobs/cell/tails.go
@@ -50,11 +50,11 @@
 const (
 	// maxExpectedTail is the expected tail latency, as a fraction of its target, up to
 	// which a best-effort task is placed.
-	maxExpectedTail = 0.9
+	maxExpectedTail = 0.95
 	// maxRecentTail is the stricter bound for tasks that became ready less than
 	// recentWait ago. Without a backlog such a task finds a worker where it disturbs
 	// less, and the wait is short against its objective.
-	maxRecentTail = 0.8
+	maxRecentTail = 0.85
 	recentWait    = 400 * time.Millisecond
 	// minHeadroom is the lowest headroom that is told apart: a tail of five targets.
 	minHeadroom = 0.2
@@ -70,11 +70,7 @@
 		lowest = min(lowest, h.headroom-own*c.pressure.Pressure(h.image, neighbour))
 	}
 	if s.TailTarget > 0 {
-		headroom := c.pressure.LowOwnHeadroom(s.Image)
-		for _, x := range w.reservedShares() {
-			headroom -= x.Value * c.pressure.Pressure(s.Image, x.Neighbour)
-		}
-		lowest = min(lowest, headroom)
+		lowest = min(lowest, c.pressure.LowHeadroom(s.Image, w.reservedShares()))
 	}
 	return 1 / max(minHeadroom, lowest)
 }
@@ -98,8 +94,9 @@
 	}
 	w.headroomsAt = now
 	w.cachedHeadrooms = w.cachedHeadrooms[:0]
+	servingShares := w.servingShares()
 	for _, s := range w.serving {
-		headroom := c.ownHeadroom(now, w, s.image)
+		headroom := min(c.pressure.LowHeadroom(s.image, servingShares), w.ownHeadroom(now, s.image))
 		for _, f := range w.bestEffort {
 			headroom -= w.share(f.cpu) * c.pressure.Pressure(s.image, pressure.Neighbour{Image: f.image})
 		}
@@ -108,10 +105,10 @@
 	return w.cachedHeadrooms
 }
 
-// ownHeadroom returns the lowest headroom expected of the tasks of an image at a worker
-// without best-effort neighbours.
-func (c *Cell) ownHeadroom(now time.Time, w *worker, image string) float64 {
-	lowest := c.pressure.LowOwnHeadroom(image)
+// ownHeadroom returns the lowest headroom without best-effort neighbours that tasks of an
+// image had at a worker lately.
+func (w *worker) ownHeadroom(now time.Time, image string) float64 {
+	lowest := math.Inf(1)
 	for _, a := range w.attempts {
 		if a.task.step.TailTarget <= 0 || a.task.step.Image != image {
 			continue
--- a/internal/jobs/pressure/pressure.go
+++ b/internal/jobs/pressure/pressure.go
@@ -294,22 +294,26 @@
 	return n.prior()
 }
 
-// LowOwnHeadroom returns a low estimate of the headroom of a serving image without
+// LowHeadroom returns a low estimate of the headroom of a serving image beside the given
 // neighbours.
-func (m *Model) LowOwnHeadroom(serving string) float64 {
+func (m *Model) LowHeadroom(serving string, neighbours Shares) float64 {
 	mean, variance := initialOwn, initialVariance
 	if i := m.images[serving]; i != nil {
 		mean, variance = i.ownMean, i.ownVariance
 	}
-	return mean - ownDeviations*math.Sqrt(variance)
+	headroom := mean - ownDeviations*math.Sqrt(variance)
+	for _, s := range neighbours {
+		headroom -= s.Value * m.Pressure(serving, s.Neighbour)
+	}
+	return headroom
 }
 
-// ImagesBelow returns the serving images for which LowOwnHeadroom is below a limit,
-// sorted by name.
+// ImagesBelow returns the serving images whose LowHeadroom without neighbours is below a
+// limit, sorted by name.
 func (m *Model) ImagesBelow(limit float64) []string {
 	var images []string
 	for image := range m.images {
-		if m.LowOwnHeadroom(image) < limit {
+		if m.LowHeadroom(image, nil) < limit {
 			images = append(images, image)
 		}
 	}
