--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/duration"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
 	"bamboofall.example/bamboofall/internal/jobs/usage"
 )
@@ -91,7 +92,7 @@
 	// lastSummary is when the last summary was logged, with the status of that time.
 	lastSummary time.Time
 	status      Status
-	runTimes    runTimeModel
+	durations   *duration.Model
 	// meanWork is the mean processor time of a job, by queue.
 	meanWork map[string]time.Duration
 	// placedAt is when placement last ran.
@@ -188,7 +189,7 @@
 		recurring:   make(map[*job]bool),
 		pending:     newPendingRecords(),
 		meanWork:    make(map[string]time.Duration),
-		runTimes:    newRunTimeModel(), pressure: pressure.New(), fits: newFitCache(),
+		durations:   duration.New(), pressure: pressure.New(), fits: newFitCache(),
 	}
 }
 
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/duration"
 )
 
 // job is a job and its progress.
@@ -29,10 +30,11 @@
 	stateFlush uint64
 	// visibleState is the durable state, which callers see.
 	visibleState bamboofall.JobState
-	// criticalPath is the longest declared run time of a chain of dependent steps.
+	// criticalPath is the longest run time of a chain of dependent steps, as expected when
+	// the job was accepted. A step takes as long as its longest task.
 	criticalPath time.Duration
-	// remainingPaths is the longest declared run time from the start of each step to the
-	// end of the job.
+	// remainingPaths is the longest expected run time from the end of each step to the end
+	// of the job.
 	remainingPaths []time.Duration
 	// due is the deadline that follows from the objective of the queue.
 	due time.Time
@@ -81,6 +83,8 @@
 	// inRanking is set while the step is in Cell.ranked or Cell.newlyReady.
 	inRanking bool
 	shape     *taskShape
+	// durations holds the run times of its completed tasks.
+	durations duration.Sample
 }
 
 // gangState is the state that the tasks of a gang share.
@@ -122,15 +126,20 @@
 }
 
 // newJob returns a job without open occurrences.
-func newJob(spec *bamboofall.Job, q *bamboofall.Queue, accepted time.Time) *job {
+func (c *Cell) newJob(spec *bamboofall.Job, q *bamboofall.Queue, accepted time.Time) *job {
 	j := &job{
 		Job: spec, queue: q, accepted: accepted, state: bamboofall.JobQueued, visibleState: bamboofall.JobQueued,
 	}
 	j.work = declaredWork(spec)
 	j.bestEffort = slices.ContainsFunc(spec.Steps, func(s bamboofall.Step) bool { return s.BestEffort })
-	j.remainingPaths = criticalPaths(spec)
-	for _, d := range j.remainingPaths {
-		j.criticalPath = max(j.criticalPath, d)
+	j.remainingPaths = make([]time.Duration, len(spec.Steps))
+	for i := len(spec.Steps) - 1; i >= 0; i-- {
+		s := &spec.Steps[i]
+		path := c.durations.Longest(runTimeKey(spec, s), s.Estimate, s.Count) + j.remainingPaths[i]
+		j.criticalPath = max(j.criticalPath, path)
+		for _, dep := range s.After {
+			j.remainingPaths[dep] = max(j.remainingPaths[dep], path)
+		}
 	}
 	if q != nil {
 		j.due = accepted.Add(time.Duration(q.Stretch*float64(j.criticalPath)) + q.Slack)
@@ -138,19 +147,6 @@
 	return j
 }
 
-// criticalPaths returns the longest declared run time from each step to the end of the
-// job.
-func criticalPaths(spec *bamboofall.Job) []time.Duration {
-	out := make([]time.Duration, len(spec.Steps))
-	for i := len(spec.Steps) - 1; i >= 0; i-- {
-		out[i] += spec.Steps[i].Estimate
-		for _, dep := range spec.Steps[i].After {
-			out[dep] = max(out[dep], out[i])
-		}
-	}
-	return out
-}
-
 // compareNumber compares the number of the occurrence with another.
 func (o *occurrence) compareNumber(number int) int { return cmp.Compare(o.number, number) }
 
@@ -270,6 +266,7 @@
 		return
 	}
 	c.unqueueStep(s)
+	c.durations.ObserveStep(s.durations)
 	o := s.occ
 	o.stepsLeft--
 	for _, successor := range o.steps[s.index+1:] {
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/pacing"
 	"bamboofall.example/bamboofall/internal/jobs/suspicion"
 )
@@ -12,10 +13,8 @@
 	// paceUnknown is the pace of an adopted run, which a former owner may have
 	// throttled.
 	paceUnknown = -1
-	// ratioWeight is the weight of a new sample in the run-time ratio of an image.
-	ratioWeight = 0.1
-	// slowdownWeight is the weight of a new sample in the slowdown of a worker. It is
-	// larger than ratioWeight as a worker has fewer samples.
+	// slowdownWeight is the weight of a new sample in the slowdown of a worker, which has
+	// few samples.
 	slowdownWeight = 0.3
 	// avoidFor is how long a worker gets no new task after it did not accept an order.
 	avoidFor = 300 * time.Millisecond
@@ -35,28 +34,19 @@
 
 func (h *health) accepts(now time.Time) bool { return !now.Before(h.avoidUntil) && h.Available(now) }
 
-// runTimeModel holds the mean ratio of actual to declared run time, by image or, for
-// steps without one, by queue.
-type runTimeModel struct {
-	ratios map[string]float64
-}
-
-func newRunTimeModel() runTimeModel { return runTimeModel{make(map[string]float64)} }
-
-func runTimeKey(s *step) string {
+// runTimeKey returns the name under which run times of a step are learned: its image or,
+// if it has none, its queue.
+func runTimeKey(spec *bamboofall.Job, s *bamboofall.Step) string {
 	if s.Image != "" {
 		return s.Image
 	}
-	return s.occ.job.Job.Queue
+	return spec.Queue
 }
 
 // expectedRunTime returns the declared run time of a step, corrected by the learned
 // ratio.
 func (c *Cell) expectedRunTime(s *step) time.Duration {
-	if r, known := c.runTimes.ratios[runTimeKey(s)]; known {
-		return time.Duration(r * float64(s.Estimate))
-	}
-	return s.Estimate
+	return c.durations.Expected(runTimeKey(s.occ.job.Job, s.Step), s.Estimate)
 }
 
 // learnDone updates the health of a worker and, from runs that were neither resumed nor
@@ -67,16 +57,10 @@
 	if a == nil || s.Estimate <= 0 || s.Standing || a.resumed || a.targetPace < fullPace {
 		return
 	}
-	took := float64(now.Sub(a.startedAt))
-	expected := float64(c.expectedRunTime(s))
-	w.health.slowdown += slowdownWeight * (took/expected - 1 - w.health.slowdown)
-	key := runTimeKey(s)
-	r, known := c.runTimes.ratios[key]
-	if !known {
-		r = 1
-	}
-	sample := min(took/float64(s.Estimate), 3*r)
-	c.runTimes.ratios[key] = r + ratioWeight*(sample-r)
+	took := now.Sub(a.startedAt)
+	w.health.slowdown += slowdownWeight * (float64(took)/float64(c.expectedRunTime(s)) - 1 - w.health.slowdown)
+	c.durations.Observe(runTimeKey(s.occ.job.Job, s.Step), s.Estimate, took)
+	s.durations.Add(took)
 }
 
 // learnFailure counts a failure against the worker, unless the job has also failed
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -358,7 +358,7 @@
 		}
 		spec = &jobpb.Job{Id: id, Queue: p.GetQueue()}
 	}
-	j := newJob(DecodeSpec(spec), c.queueOf(spec), fromUnixMS(spec.GetAcceptedUnixMs()))
+	j := c.newJob(DecodeSpec(spec), c.queueOf(spec), fromUnixMS(spec.GetAcceptedUnixMs()))
 	j.state, j.visibleState, j.started = state, state, p.GetStarted()
 	j.doneCount = int(p.GetOccurrencesDone())
 	j.nextOccurrence = j.doneCount
@@ -429,7 +429,7 @@
 }
 
 func (c *Cell) encodeLearned() *jobpb.Learned {
-	m := &jobpb.Learned{RunTimeRatios: c.runTimes.ratios}
+	m := &jobpb.Learned{RunTimeRatios: c.durations.Ratios(), RunTimeSpread: c.durations.Spread()}
 	for _, f := range c.pressure.Fits() {
 		fit := &jobpb.Fit{Image: f.Image, OwnMean: f.OwnMean, OwnVariance: f.OwnVariance}
 		for _, p := range f.Pressures {
@@ -445,11 +445,7 @@
 	if err := proto.Unmarshal(data, m); err != nil {
 		return err
 	}
-	for image, ratio := range m.GetRunTimeRatios() {
-		if ratio > 0 {
-			c.runTimes.ratios[image] = ratio
-		}
-	}
+	c.durations.Restore(m.GetRunTimeRatios(), m.GetRunTimeSpread())
 	var fits []pressure.Fit
 	for _, f := range m.GetFits() {
 		fit := pressure.Fit{Image: f.GetImage(), OwnMean: f.GetOwnMean(), OwnVariance: f.GetOwnVariance()}
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -57,13 +57,9 @@
 }
 
 // criticalPathFrom returns the run time of a job from a step on with unlimited capacity,
-// assuming that the other steps deviate from their estimates as this one does.
+// if all tasks of the step that are not completed start now.
 func (c *Cell) criticalPathFrom(s *step) time.Duration {
-	left := s.occ.job.remainingPaths[s.index]
-	if s.Estimate <= 0 {
-		return left
-	}
-	return time.Duration(float64(c.expectedRunTime(s)) / float64(s.Estimate) * float64(left))
+	return c.durations.Longest(runTimeKey(s.occ.job.Job, s.Step), s.Estimate, s.tasksLeft) + s.occ.job.remainingPaths[s.index]
 }
 
 // capacityOf returns the processors of a pool and how many of them are idle.
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -39,7 +39,7 @@
 		// Starts without a ticket would be rejected, and tickets are not implemented.
 		return 0, &Refusal{Reason: ReasonAdviceNotSupported, RetryAfter: admission.MaxRetryAfter}
 	}
-	j := newJob(spec, q, now)
+	j := c.newJob(spec, q, now)
 	v := c.evaluate(now, j)
 	if !v.Accept && !mustAccept {
 		c.counters.Refused++
@@ -152,7 +152,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.tasksLeft > 0 && s.unfinishedDeps == 0 {
-				left = max(left, j.remainingPaths[s.index])
+				left = max(left, c.criticalPathFrom(s))
 			}
 		}
 	}
@@ -218,7 +218,7 @@
 // never runs. It returns the flush that makes this durable.
 func (c *Cell) CancelBeforeSubmit(now time.Time, id bamboofall.JobID) uint64 {
 	if c.jobs[id] == nil {
-		j := newJob(&bamboofall.Job{ID: id}, nil, now)
+		j := c.newJob(&bamboofall.Job{ID: id}, nil, now)
 		c.jobs[id] = j
 		c.addOpen(j)
 	}
