--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -151,7 +151,7 @@
 func (c *Cell) start(now time.Time, w *worker, t *task, run uint32) {
 	a := c.reserve(w, t, run)
 	t.lastRun = max(t.lastRun, run)
-	c.budget.starts--
+	c.budget.Start()
 	w.health.RecordAssignment(now)
 	s := t.step
 	if !s.released {
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/callbudget"
 	"bamboofall.example/bamboofall/internal/jobs/duration"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
 	"bamboofall.example/bamboofall/internal/jobs/usage"
@@ -85,7 +86,7 @@
 	confirmedAt time.Time
 	// withheldAt is when the owner last withheld an order for a reason of its own.
 	withheldAt time.Time
-	budget     callBudget
+	budget     callbudget.Budget
 	// holdCursor is the index of the first worker to call, so that no worker is passed
 	// over repeatedly while calls are limited.
 	holdCursor int
@@ -211,7 +212,7 @@
 
 // Step makes the decisions that are due and returns them.
 func (c *Cell) Step(now time.Time) Output {
-	c.refill(now)
+	c.budget.Refill(now, c.ownerSlow(now))
 	c.endAvoidance(now)
 	c.scan(now)
 	if now.Sub(c.withheldAt) >= withheldPause {
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -404,7 +404,7 @@
 	case o.sentAt.After(w.unansweredSince) && !w.unansweredSince.IsZero():
 		w.unansweredSince = o.sentAt
 	}
-	c.budget.answered++
+	c.budget.Answered()
 	// A late answer carries the clock as it was when the answer was given.
 	if s.Clock > 0 && !(o.late && w.answered) {
 		w.clock, w.clockAt = s.Clock, now
