--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -273,7 +273,11 @@
 	var rejected *bamboofall.RejectedError
 	if errors.As(err, &rejected) {
 		c.handleRejection(now, w, rejected)
-		return
+		if rejected.Cause != bamboofall.RejectWrongProcess || rejected.Born.After(w.incarnation) {
+			return
+		}
+		// Another worker answers at the address. The one that the call was meant for is
+		// gone, although calls to it do get answers.
 	}
 	c.callFailed(now, w, err)
 }
--- /dev/null
+++ b/internal/jobs/cell/reusedaddress_test.go
@@ -0,0 +1,65 @@
+package cell_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
+)
+
+// A worker is lost for good, and a new one starts at its address. It rejects the calls that
+// are meant for the former one. These answers must not keep the former worker from being
+// taken for silent, or its standing tasks would never be restarted.
+func TestTasksOfLostWorkerRestartAfterItsAddressIsReused(t *testing.T) {
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	worker := func(id string, address string) bamboofall.Worker {
+		return bamboofall.Worker{
+			WorkerRef: bamboofall.WorkerRef{ID: id, Address: netip.MustParseAddrPort(address)}, Born: testStart, Service: "s",
+			Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
+		}
+	}
+	c.SetWorker(testStart, worker("i-1", "10.0.0.1:80"))
+	submit(c, "0000000000000001", "q", bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true})
+	const lostAt = 2 * time.Second
+	var running []bamboofall.RunningTask
+	restartedAt := time.Duration(0)
+	for d := time.Duration(0); d < 20*time.Second; d += 20 * time.Millisecond {
+		now := testStart.Add(d)
+		c.SetClaimConfirmed(now)
+		if d == lostAt {
+			c.SetWorker(now, worker("i-2", "10.0.0.1:80"))
+			c.RemoveWorker(now, "i-1")
+		}
+		for _, o := range c.Step(now).Orders {
+			meta := bamboofall.ResponseMeta{Clock: d + time.Second, Born: testStart}
+			gone := o.Worker.ID == "i-1" && d >= lostAt
+			switch {
+			case gone && o.Kind == cell.OrderHold:
+				c.HoldAnswered(now, o, bamboofall.HoldReport{}, &bamboofall.RejectedError{Call: "hold", Cause: bamboofall.RejectWrongProcess})
+			case o.Kind == cell.OrderStart && o.Worker.ID == "i-2":
+				if restartedAt == 0 {
+					restartedAt = d
+				}
+				c.StartAnswered(now, o, meta, nil)
+			case o.Kind == cell.OrderStart:
+				running = append(running, bamboofall.RunningTask{Task: o.Start.Task, Run: o.Start.Run, ProgressPercent: 100})
+				c.StartAnswered(now, o, meta, nil)
+			case o.Kind == cell.OrderHold && o.Worker.ID == "i-1":
+				c.HoldAnswered(now, o, bamboofall.HoldReport{ResponseMeta: meta, Running: running}, nil)
+			case o.Kind == cell.OrderHold:
+				c.HoldAnswered(now, o, bamboofall.HoldReport{ResponseMeta: meta}, nil)
+			}
+		}
+		_, number, err := c.Flush()
+		assert.NilError(t, err)
+		c.Stored(now, number)
+	}
+	assert.Assert(t, restartedAt > lostAt, "the task was not restarted")
+	// A lease of 5 s, granted just before the loss, and what a slow clock and pauses add.
+	assert.Assert(t, restartedAt <= lostAt+cell.MaxLeaseDuration(5*time.Second)+2*time.Second, "restarted after %v", restartedAt-lostAt)
+}
