--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -83,6 +83,8 @@
 	// inRanking is set while the step is in Cell.ranked or Cell.newlyReady.
 	inRanking bool
 	shape     *taskShape
+	// orphan is set for the step of a run whose task is not known.
+	orphan bool
 	// durations holds the run times of its completed tasks.
 	durations duration.Sample
 }
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -42,6 +42,9 @@
 	if s.BestEffort {
 		free.MilliProcessors = w.unusedCPU() - w.bestEffortCPU
 	}
+	if w.orphans > 0 {
+		return obstacleRoom
+	}
 	if !s.Size.Fits(free) {
 		if s.Size.MemoryBytes > free.MemoryBytes {
 			return obstacleMemory
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -55,10 +55,14 @@
 	c.note(Note{Event: "worker answers", Worker: w.info.ID, Detail: fmt.Sprintf("reports %d runs and %d run ends", len(report.Running), len(report.Ends))})
 }
 
-// stopOrphan stops a run whose task is not known or needs no run.
+// stopOrphan stops a run whose task is not known or needs no run. What it takes is not
+// known, so nothing is started at its worker before it is gone.
 func (c *Cell) stopOrphan(now time.Time, w *worker, p bamboofall.RunningTask) {
 	c.counters.OrphanedRuns++
-	s := &step{occ: &occurrence{job: &job{Job: &bamboofall.Job{ID: p.Task.Job}, state: bamboofall.JobCancelled}, number: p.Task.Occurrence}, index: p.Task.Step, Step: &bamboofall.Step{Size: w.info.Room}}
+	s := &step{
+		occ:   &occurrence{job: &job{Job: &bamboofall.Job{ID: p.Task.Job}, state: bamboofall.JobCancelled}, number: p.Task.Occurrence},
+		index: p.Task.Step, Step: &bamboofall.Step{}, orphan: true,
+	}
 	t := &task{step: s, index: p.Task.Index, done: true}
 	a := c.reserve(w, t, p.Run)
 	a.state = attemptRunning
--- a/internal/jobs/cell/status.go
+++ b/internal/jobs/cell/status.go
@@ -130,7 +130,7 @@
 // believes of the worker's health.
 func (s *step) hasRoomAt(w *worker) bool {
 	return w.listed && !w.info.Draining && s.occ.job.queue != nil && w.info.Service == s.occ.job.queue.Service &&
-		s.Size.Fits(w.free()) && (s.Label == "" || slices.Contains(w.info.Labels, s.Label))
+		w.orphans == 0 && s.Size.Fits(w.free()) && (s.Label == "" || slices.Contains(w.info.Labels, s.Label))
 }
 
 // noteDown logs why a standing task does not run although a worker has room for it.
--- a/internal/jobs/cell/unannounced_test.go
+++ b/internal/jobs/cell/unannounced_test.go
@@ -25,6 +25,8 @@
 	started int
 	// paces holds the ordered paces and when they were ordered.
 	paces map[int]time.Duration
+	// startedAt holds when a task was first started at each worker.
+	startedAt map[string]time.Duration
 }
 
 // newUnannouncedCell returns a cell whose serving tasks report the given tail latency. The
@@ -35,7 +37,7 @@
 		Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true, MaxPerWorker: 1, Image: "serving", TailTarget: 50 * time.Millisecond,
 	}, testWorker(1), testWorker(2))
 	next.SetWorker(testStart, testWorker(1))
-	u := &unannouncedCell{Cell: next, t: t, running: make(map[string][]bamboofall.RunningTask), paces: make(map[int]time.Duration)}
+	u := &unannouncedCell{Cell: next, t: t, running: make(map[string][]bamboofall.RunningTask), paces: make(map[int]time.Duration), startedAt: make(map[string]time.Duration)}
 	for i := range 2 {
 		id := fmt.Sprintf("i-%d", i+1)
 		u.running[id] = []bamboofall.RunningTask{{Task: bamboofall.TaskName{Job: "0000000000000001", Index: i}, Run: 1, ProgressPercent: 100, Gauge: tail.Milliseconds()}}
@@ -76,8 +78,13 @@
 				u.HoldAnswered(now, o, bamboofall.HoldReport{ResponseMeta: meta, Running: u.report(o.Worker.ID)}, nil)
 			case cell.OrderStart:
 				u.started++
+				if _, before := u.startedAt[o.Worker.ID]; !before {
+					u.startedAt[o.Worker.ID] = u.elapsed
+				}
 				u.runBestEffort(o.Worker.ID, o.Start.Run)
 				u.StartAnswered(now, o, meta, nil)
+			case cell.OrderStop:
+				u.StopAnswered(now, o, meta, nil)
 			case cell.OrderPace:
 				if _, before := u.paces[o.Percent]; !before {
 					u.paces[o.Percent] = u.elapsed
@@ -119,3 +126,26 @@
 	// A serving task is judged 1.5 s after it was adopted.
 	assert.Assert(t, paused && at < 2500*time.Millisecond, "paused: %v, at %v", paused, at)
 }
+
+// A worker that the platform does not list after a cut reports a run of a job that has
+// ended. Its size is not known then, and what the run takes never is. Nothing may be started
+// there before the run is gone, or the worker would hold more than its room.
+func TestNothingIsStartedBesideOrphanOfUnannouncedWorker(t *testing.T) {
+	u := newUnannouncedCell(t, 20*time.Millisecond)
+	const gone = 4 * time.Second
+	orphan := bamboofall.RunningTask{Task: bamboofall.TaskName{Job: "00000000000000ff"}, Run: 1}
+	serving := u.running["i-2"]
+	u.running["i-2"] = append(slices.Clone(serving), orphan)
+	u.runUntil(time.Second)
+	u.SetWorker(testStart.Add(u.elapsed), testWorker(2))
+	submit(u.Cell, bestEffortJob, "q", bamboofall.Step{Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Minute, MaxPerWorker: 1})
+	u.runUntil(gone)
+	_, started := u.startedAt["i-1"]
+	assert.Assert(t, started)
+	_, started = u.startedAt["i-2"]
+	assert.Assert(t, !started, "started at %v beside the orphan", u.startedAt["i-2"])
+	u.running["i-2"] = serving
+	u.runUntil(gone + 2*time.Second)
+	_, started = u.startedAt["i-2"]
+	assert.Assert(t, started, "not started after the orphan was gone")
+}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -49,6 +49,8 @@
 	// tasks reserve. Both are in milliprocessors.
 	used                       bamboofall.Resources
 	bestEffortCPU, standingCPU int64
+	// orphans is the number of runs whose tasks are not known.
+	orphans int
 	// serving and bestEffort are the CPU by image of tasks with a tail-latency target and
 	// of best-effort tasks.
 	serving, bestEffort imageCPUs
@@ -131,6 +133,9 @@
 	} else {
 		w.used = w.used.Add(size)
 	}
+	if s.orphan {
+		w.orphans += int(sign)
+	}
 	if s.Standing {
 		w.standingCPU += sign * size.MilliProcessors
 	}
