--- a/internal/jobs/callbudget/callbudget.go
+++ b/internal/jobs/callbudget/callbudget.go
@@ -13,7 +13,7 @@
 	// initialRate, minRate and maxRate are in calls per second. An owner handles about a
 	// thousand with a fifth of a processor, and a few thousand with a whole one.
 	initialRate, minRate, maxRate = 2000, 200, 20_000
-	// burstSeconds is the size of the token buckets in seconds of the rate. Half of the
+	// burstSeconds is the size of the token buckets in seconds of the rate, half of the
 	// delay from which an owner counts as slow.
 	burstSeconds = 0.05
 	// rateInterval is the time between rate adjustments, about that between reports of
@@ -70,7 +70,7 @@
 	b.starts, b.calls = max(-b.rate/2, b.starts), max(-b.rate/2, b.calls)
 }
 
-// MayStart reports whether a task may be started. MayCall is the same for other calls.
+// MayStart reports whether a task may be started.
 func (b *Budget) MayStart() bool { return b.allows(b.starts) }
 
 // MayCall reports whether a call that starts nothing may be made.
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -60,12 +60,7 @@
 
 // The first answer of a worker must trigger placement without any other event.
 func TestWaitingTaskIsPlacedOnceWorkerAnswers(t *testing.T) {
-	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2})
-	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
-	c.SetWorker(testStart, bamboofall.Worker{
-		WorkerRef: bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: testStart, Service: "s",
-		Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
-	})
+	c := newTestCell(testWorker(1))
 	_, refusal := c.Submit(testStart, &bamboofall.Job{ID: "0000000000000001", Queue: "q", Steps: []bamboofall.Step{{
 		Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second,
 	}}}, false)
@@ -83,12 +78,7 @@
 // too high, nothing would be placed alongside it and the prediction would never be
 // corrected.
 func TestTailIsLearnedForImageServingAlone(t *testing.T) {
-	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2})
-	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
-	c.SetWorker(testStart, bamboofall.Worker{
-		WorkerRef: bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: testStart, Service: "s",
-		Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
-	})
+	c := newTestCell(testWorker(1))
 	submit(c, "0000000000000001", "q", bamboofall.Step{
 		Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true, TailTarget: 50 * time.Millisecond, Image: "serving",
 	})
@@ -124,12 +114,7 @@
 // The hold call that acknowledges run ends must follow as soon as these are stored: the
 // worker reports no further ends before it, and the call also renews the leases.
 func TestWorkerIsCalledOnceItsEndsAreStored(t *testing.T) {
-	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2})
-	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
-	c.SetWorker(testStart, bamboofall.Worker{
-		WorkerRef: bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: testStart, Service: "s",
-		Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
-	})
+	c := newTestCell(testWorker(1))
 	submit(c, "0000000000000001", "q", bamboofall.Step{Count: 2, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second})
 	now := testStart
 	store := func() {
@@ -226,6 +211,16 @@
 	}
 }
 
+// newTestCell returns a cell with the queue q and announced workers.
+func newTestCell(workers ...bamboofall.Worker) *cell.Cell {
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2})
+	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	for _, w := range workers {
+		c.SetWorker(testStart, w)
+	}
+	return c
+}
+
 func testWorker(n int) bamboofall.Worker {
 	return bamboofall.Worker{
 		WorkerRef: bamboofall.WorkerRef{ID: fmt.Sprintf("i-%d", n), Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(80+n))}, Born: testStart, Service: "s",
--- a/internal/jobs/cell/reusedaddress_test.go
+++ b/internal/jobs/cell/reusedaddress_test.go
@@ -1,7 +1,6 @@
 package cell_test
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
@@ -15,15 +14,9 @@
 // are meant for the former one. These answers must not keep the former worker from being
 // taken for silent, or its standing tasks would never be restarted.
 func TestTasksOfLostWorkerRestartAfterItsAddressIsReused(t *testing.T) {
-	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2})
-	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
-	worker := func(id string, address string) bamboofall.Worker {
-		return bamboofall.Worker{
-			WorkerRef: bamboofall.WorkerRef{ID: id, Address: netip.MustParseAddrPort(address)}, Born: testStart, Service: "s",
-			Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
-		}
-	}
-	c.SetWorker(testStart, worker("i-1", "10.0.0.1:80"))
+	lost, successor := testWorker(1), testWorker(2)
+	successor.Address = lost.Address
+	c := newTestCell(lost)
 	submit(c, "0000000000000001", "q", bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Standing: true})
 	const lostAt = 2 * time.Second
 	var running []bamboofall.RunningTask
@@ -32,16 +25,16 @@
 		now := testStart.Add(d)
 		c.SetClaimConfirmed(now)
 		if d == lostAt {
-			c.SetWorker(now, worker("i-2", "10.0.0.1:80"))
-			c.RemoveWorker(now, "i-1")
+			c.SetWorker(now, successor)
+			c.RemoveWorker(now, lost.ID)
 		}
 		for _, o := range c.Step(now).Orders {
 			meta := bamboofall.ResponseMeta{Clock: d + time.Second, Born: testStart}
-			gone := o.Worker.ID == "i-1" && d >= lostAt
+			gone := o.Worker.ID == lost.ID && d >= lostAt
 			switch {
 			case gone && o.Kind == cell.OrderHold:
 				c.HoldAnswered(now, o, bamboofall.HoldReport{}, &bamboofall.RejectedError{Call: "hold", Cause: bamboofall.RejectWrongProcess})
-			case o.Kind == cell.OrderStart && o.Worker.ID == "i-2":
+			case o.Kind == cell.OrderStart && o.Worker.ID == successor.ID:
 				if restartedAt == 0 {
 					restartedAt = d
 				}
@@ -49,7 +42,7 @@
 			case o.Kind == cell.OrderStart:
 				running = append(running, bamboofall.RunningTask{Task: o.Start.Task, Run: o.Start.Run, ProgressPercent: 100})
 				c.StartAnswered(now, o, meta, nil)
-			case o.Kind == cell.OrderHold && o.Worker.ID == "i-1":
+			case o.Kind == cell.OrderHold && o.Worker.ID == lost.ID:
 				c.HoldAnswered(now, o, bamboofall.HoldReport{ResponseMeta: meta, Running: running}, nil)
 			case o.Kind == cell.OrderHold:
 				c.HoldAnswered(now, o, bamboofall.HoldReport{ResponseMeta: meta}, nil)
--- a/internal/jobs/cell/usage_test.go
+++ b/internal/jobs/cell/usage_test.go
@@ -1,7 +1,6 @@
 package cell_test
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
@@ -14,12 +13,7 @@
 // Processor time counts for the outcome of its job, and as discarded if the run ended
 // without a result.
 func TestUsageAccountsForProcessorTimeByOutcome(t *testing.T) {
-	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2})
-	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
-	c.SetWorker(testStart, bamboofall.Worker{
-		WorkerRef: bamboofall.WorkerRef{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80")}, Born: testStart, Service: "s",
-		Room: bamboofall.Resources{MilliProcessors: 32_000, MemoryBytes: 128 << 30},
-	})
+	c := newTestCell(testWorker(1))
 	var running []bamboofall.RunningTask
 	var ends []bamboofall.End
 	step := func(now time.Time) {
--- a/internal/jobs/pressure/pressure.go
+++ b/internal/jobs/pressure/pressure.go
@@ -20,7 +20,8 @@
 // The own headroom of a task follows its load, which is not known. Pressures are
 // therefore learned from the changes between successive reports of the same task, in
 // which the load changes little and neighbours come and go. A Track follows the own
-// headroom of a task and forecasts it for the time that a best-effort task takes.
+// headroom of a task. Its load may rise while a new neighbour runs, so callers take the
+// lower of that and of LowHeadroom.
 package pressure
 
 import (
@@ -143,6 +144,14 @@
 	value, variance float64
 }
 
+// correct is the update of a Kalman filter: with a neighbour at a share, the headroom
+// deviated from what was expected, and variance is that of the deviation.
+func (e *estimate) correct(share, deviation, variance float64) {
+	gain := e.variance * share / variance
+	e.value = max(0, e.value-gain*deviation)
+	e.variance = max(minVariance, e.variance*(1-gain*share))
+}
+
 // change is a change of a neighbour's share between two reports.
 type change struct {
 	*estimate
@@ -223,9 +232,7 @@
 	limit := maxDeviations * math.Sqrt(variance)
 	deviation := max(-limit, min(limit, headroom-t.headroom-expected))
 	for _, c := range m.changes {
-		gain := c.variance * c.share / variance
-		c.value = max(0, c.value-gain*deviation)
-		c.variance = max(minVariance, c.variance*(1-gain*c.share))
+		c.correct(c.share, deviation, variance)
 	}
 }
 
@@ -270,10 +277,7 @@
 	}
 	for _, s := range neighbours {
 		if s.Serving {
-			e := i.estimateOf(s.Neighbour)
-			gain := e.variance * s.Value / variance
-			e.value = max(0, e.value-gain*deviation)
-			e.variance = max(minVariance, e.variance*(1-gain*s.Value))
+			i.estimateOf(s.Neighbour).correct(s.Value, deviation, variance)
 		}
 	}
 	i.reports++
