--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -278,12 +278,12 @@
 		c.counters.StartsRejected++
 		c.noteRun(a, "start rejected", rare, string(rejected.Cause))
 		c.markStartUnknown(now, a)
-		w.health.avoid(now)
+		w.health.Avoid(now)
 	case errors.As(err, &rejected):
 		c.counters.StartsRejected++
 		c.noteRun(a, "start rejected", rare, string(rejected.Cause))
 		c.release(a)
-		w.health.avoid(now)
+		w.health.Avoid(now)
 		w.holdNow(now)
 		c.handleRejection(now, o, rejected)
 		c.enqueue(a.task)
@@ -291,7 +291,7 @@
 		c.noteRun(a, "start not done", rare, err.Error())
 		c.release(a)
 		if !failedInTransit(err) {
-			w.health.avoid(now)
+			w.health.Avoid(now)
 		}
 		c.callFailed(now, w, err)
 		w.holdNow(now)
@@ -302,7 +302,7 @@
 		c.noteRun(a, "start unanswered", rare, err.Error())
 		c.markStartUnknown(now, a)
 		if !failedInTransit(err) {
-			w.health.avoid(now)
+			w.health.Avoid(now)
 		}
 	}
 }
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -14,27 +14,10 @@
 	// paceUnknown is the pace of an adopted run, which a former owner may have
 	// throttled.
 	paceUnknown = -1
-	// slowdownWeight is the weight of a new sample in the slowdown of a worker, which has
-	// few samples.
-	slowdownWeight = 0.3
-	// avoidFor is how long a worker gets no new task after it did not accept an order.
-	avoidFor = 300 * time.Millisecond
 	// standingStartTimeout is how long a standing task may take to come up.
 	standingStartTimeout = 4 * time.Second
 )
 
-// health is the state by which placement avoids failing or slow workers.
-type health struct {
-	suspicion.Worker
-	avoidUntil time.Time
-	// slowdown is the mean of actual over expected run time, minus one.
-	slowdown float64
-}
-
-func (h *health) avoid(now time.Time) { h.avoidUntil = now.Add(avoidFor) }
-
-func (h *health) accepts(now time.Time) bool { return !now.Before(h.avoidUntil) && h.Available(now) }
-
 // runTimeKey returns the name under which run times of a step are learned: its image or,
 // if it has none, its queue.
 func runTimeKey(spec *bamboofall.Job, s *bamboofall.Step) string {
@@ -59,7 +42,7 @@
 		return
 	}
 	took := now.Sub(a.startedAt)
-	w.health.slowdown += slowdownWeight * (float64(took)/float64(c.expectedRunTime(s)) - 1 - w.health.slowdown)
+	w.health.RecordRunTime(float64(took) / float64(c.expectedRunTime(s)))
 	c.durations.Observe(runTimeKey(s.occ.job.Job, s.Step), s.Estimate, took)
 	s.durations.Add(took)
 }
@@ -123,7 +106,7 @@
 		c.recordStall(now, a)
 		c.rerun(now, a, "the run is stalled")
 	case !s.BestEffort && !a.resumed && p.Slow():
-		a.worker.health.slowdown = max(a.worker.health.slowdown, p.Factor()-1)
+		a.worker.health.RecordSlowRun(p.Factor())
 		c.rerun(now, a, "the run is slow")
 	}
 }
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -324,7 +324,7 @@
 	}
 	s := t.step
 	view := placement.Worker{
-		Room: w.info.Room, Free: w.free(), Failures: w.health.Failures(), Slowdown: w.health.slowdown,
+		Room: w.info.Room, Free: w.free(), Failures: w.health.Failures(), Slowdown: w.health.Slowdown(),
 	}
 	rack := s.Rack
 	if s.rack != "" {
--- a/internal/jobs/cell/resize.go
+++ b/internal/jobs/cell/resize.go
@@ -7,6 +7,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/freshness"
+	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 )
 
 // WorkersRead records that the list of workers has been read completely. Until it has
@@ -54,15 +55,7 @@
 		return
 	}
 	c.note(Note{Event: "worker resized", Worker: w.info.ID, Detail: fmt.Sprintf(
-		"%s to %s; reserved %s", formatResources(former.Room), formatResources(w.info.Room), formatResources(w.used))})
-}
-
-func formatResources(r bamboofall.Resources) string {
-	text := fmt.Sprintf("%d milliprocessors, %d MB", r.MilliProcessors, r.MemoryBytes>>20)
-	if r.Accelerators != 0 {
-		text += fmt.Sprintf(", %d accelerators", r.Accelerators)
-	}
-	return text
+		"%s to %s; reserved %s", jobspec.DescribeResources(former.Room), jobspec.DescribeResources(w.info.Room), jobspec.DescribeResources(w.used))})
 }
 
 // withdrawUnordered withdraws starts that are not ordered yet: all of a silent or draining
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -9,6 +9,7 @@
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
+	"bamboofall.example/bamboofall/internal/jobs/suspicion"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
 
@@ -110,7 +111,7 @@
 	inUnstoredEnds bool
 	// acknowledgedEnd is the last run end that a hold order has acknowledged as stored.
 	acknowledgedEnd uint64
-	health          health
+	health          suspicion.Health
 	// lastGain is the number of the last event after which more tasks may fit here.
 	// avoided is set while the worker is in fitCache.avoided. wasUsable is the value of
 	// usable at the last scan.
@@ -203,7 +204,7 @@
 // acceptsStart reports whether a worker may be given a task now. A run with a much shorter
 // lease might end before the worker answers again.
 func (c *Cell) acceptsStart(now time.Time, w *worker) bool {
-	return w.trial == nil && w.health.accepts(now) && c.remainingLease(now, w) >= min(renewalWindow, c.cfg.Lease/2)
+	return w.trial == nil && w.health.Accepts(now) && c.remainingLease(now, w) >= min(renewalWindow, c.cfg.Lease/2)
 }
 
 // grantLease returns the end of a lease granted now, on the worker's clock, and extends
@@ -376,7 +377,7 @@
 	w.answered, w.usedByFormer, w.endsReported = false, false, false
 	w.storedEnd, w.receivedEnd, w.receivedEndFlush, w.acknowledgedEnd = 0, 0, 0, 0
 	w.nextHoldAt = now
-	w.health = health{}
+	w.health = suspicion.Health{}
 	w.drainingSince = time.Time{}
 	c.recordWorker(w)
 }
--- a/internal/jobs/jobspec/describe.go
+++ b/internal/jobs/jobspec/describe.go
@@ -46,3 +46,12 @@
 	}
 	return b.String()
 }
+
+// DescribeResources formats resources for log entries.
+func DescribeResources(r bamboofall.Resources) string {
+	text := fmt.Sprintf("%d milliprocessors, %d MB", r.MilliProcessors, r.MemoryBytes>>20)
+	if r.Accelerators != 0 {
+		text += fmt.Sprintf(", %d accelerators", r.Accelerators)
+	}
+	return text
+}
