jobs/downtime, jobs/cell, entry/front: tell which accepted jobs do not run and why

Each summary now counts the jobs with ready tasks of which none runs, and names the one that has been so for longest with room for it: placement, recovery, a run that is not given up, an unknown queue and a fault of the owner read differently. Gauges: ownerIdleJobs, ownerIdleSeconds, ownerIdleWithRoomSeconds, ownerInboxReadAgeSeconds.

--- a/internal/entry/front/status.go
+++ b/internal/entry/front/status.go
@@ -120,7 +120,7 @@
 	s["ownerStrongestOther"], s["ownerVMsHeard"] = float64(strongest), float64(vms)
 	for name, age := range map[string]time.Duration{
 		"ownerReadySeconds": p.restoredAt.age(at), "ownerStepAgeSeconds": p.steppedAt.age(at), "ownerStoredAgeSeconds": p.storedAt.age(at),
-		"ownerStoringSeconds": p.storingSince.age(at),
+		"ownerStoringSeconds": p.storingSince.age(at), "ownerInboxReadAgeSeconds": p.inboxReadAt.age(at),
 	} {
 		if age != noAge {
 			s[name] = age.Seconds()
@@ -135,12 +135,15 @@
 		"ownerWorkersDirect": loop.direct, "ownerWorkersRelayed": loop.relayed, "ownerWorkersDirectSilent": loop.silentDirect, "ownerWorkersRelayedSilent": loop.silentRelayed,
 		"ownerRelays": loop.relays, "ownerRelaysSuspended": loop.relaysSuspended,
 		"ownerStandingTasks": loop.cell.Standing, "ownerStandingTasksRunning": loop.cell.StandingRunning,
+		"ownerIdleJobs": loop.cell.IdleJobs,
 	} {
 		s[name] = float64(n)
 	}
 	s["ownerRecovering"] = toFloat(loop.cell.Recovering)
 	s["ownerStandingDownSeconds"] = loop.cell.LongestDown.Seconds()
 	s["ownerStandingDownWithRoomSeconds"] = loop.cell.LongestDownWithRoom.Seconds()
+	s["ownerIdleSeconds"] = loop.cell.LongestIdle.Seconds()
+	s["ownerIdleWithRoomSeconds"] = loop.cell.LongestIdleWithRoom.Seconds()
 }
 
 func toFloat(b bool) float64 {
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -307,10 +307,11 @@
 	}
 	c.note(Note{Event: "summary", Detail: fmt.Sprintf(
 		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, best-effort %d using %d; jobs %d known %d open; tasks waiting %d; "+
-			"workers known %d unlisted %d; standing tasks %d running %d, longest down %v, with room %v; recovering %t; processor seconds: %v",
+			"workers known %d unlisted %d; standing tasks %d running %d, longest down %v, with room %v; idle jobs %d, longest %v, with room %v; recovering %t; processor seconds: %v",
 		status.Usable, serving, status.Silent, room, used, standing, bestEffort, bestEffortUse, known, open, waiting,
 		status.Known, status.Unlisted, status.Standing, status.StandingRunning,
-		status.LongestDown.Round(time.Millisecond), status.LongestDownWithRoom.Round(time.Millisecond), status.Recovering, &c.usage)})
+		status.LongestDown.Round(time.Millisecond), status.LongestDownWithRoom.Round(time.Millisecond),
+		status.IdleJobs, status.LongestIdle.Round(time.Millisecond), status.LongestIdleWithRoom.Round(time.Millisecond), status.Recovering, &c.usage)})
 }
 
 func (c *Cell) note(n Note) { c.out.Notes = append(c.out.Notes, n) }
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -7,6 +7,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/crashloop"
+	"bamboofall.example/bamboofall/internal/jobs/downtime"
 	"bamboofall.example/bamboofall/internal/jobs/duration"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 )
@@ -48,6 +49,8 @@
 	bestEffort bool
 	// shed is set while the job is ranked behind those that can finish in time.
 	shed bool
+	// idle is the time for which none of its ready tasks has run, as of the last summary.
+	idle downtime.Clock
 }
 
 // occurrence is one execution of the steps of a job.
@@ -128,9 +131,8 @@
 	// stalledOn is the ID of the worker where a run of the task last stalled, unless it has
 	// come up since.
 	stalledOn string
-	// downSince is the first summary in a row at which a standing task did not run, or
-	// zero if it ran at the last one.
-	downSince time.Time
+	// downtime is that of a standing task, as of the last summary.
+	downtime downtime.Clock
 }
 
 func (t *task) name() bamboofall.TaskName {
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -36,7 +36,7 @@
 	if !w.usable() {
 		return obstacleUnusable
 	}
-	if w.info.Service != s.occ.job.queue.Service {
+	if q := s.occ.job.queue; q == nil || w.info.Service != q.Service {
 		return obstacleService
 	}
 	free := w.free()
--- a/internal/jobs/cell/status.go
+++ b/internal/jobs/cell/status.go
@@ -5,10 +5,9 @@
 	"fmt"
 	"slices"
 	"time"
-)
 
-// maxRoomChecks bounds the steps for which a summary looks for a worker with room.
-const maxRoomChecks = 32
+	"bamboofall.example/bamboofall/internal/jobs/downtime"
+)
 
 // Status describes the workers and the standing tasks as of the last summary.
 type Status struct {
@@ -21,6 +20,10 @@
 	// LongestDownWithRoom that of the tasks for which a worker has room. Both are
 	// counted from the first summary that found the task not running.
 	LongestDown, LongestDownWithRoom time.Duration
+	// IdleJobs is the number of jobs with ready tasks of which none runs. LongestIdle and
+	// LongestIdleWithRoom correspond to LongestDown and LongestDownWithRoom.
+	IdleJobs                         int
+	LongestIdle, LongestIdleWithRoom time.Duration
 	// Recovering reports whether tasks may be running at workers that have not answered
 	// this owner.
 	Recovering bool
@@ -35,8 +38,8 @@
 	return w != nil && w.silent()
 }
 
-// updateStatus computes the status, and logs the standing task that has been down with
-// room for longest.
+// updateStatus computes the status, and logs the standing task and the idle job that have
+// been down with room for longest.
 func (c *Cell) updateStatus(now time.Time) {
 	s := Status{Known: len(c.workerList), Recovering: c.recovering}
 	for _, w := range c.workerList {
@@ -50,60 +53,71 @@
 			s.Unlisted++
 		}
 	}
-	down := c.findStandingDown(now, &s)
-	if len(down) > 0 {
-		s.LongestDown = now.Sub(down[0].downSince)
-	}
-	if t := c.firstWithRoom(down); t != nil {
-		s.LongestDownWithRoom = now.Sub(t.downSince)
-		if s.LongestDownWithRoom > 0 {
-			c.noteDown(now, t)
+	var standing, idle []downTask
+	for _, j := range c.open {
+		standing = c.appendStandingDown(standing, now, j, &s)
+		if t := c.firstIdle(now, j); t != nil {
+			idle = append(idle, downTask{Value: t, Downtime: j.idle.Downtime(now)})
 		}
 	}
+	s.IdleJobs = len(idle)
+	s.LongestDown, s.LongestDownWithRoom = c.noteLongestDown(now, "standing task", standing)
+	s.LongestIdle, s.LongestIdleWithRoom = c.noteLongestDown(now, "job", idle)
 	c.status = s
 }
 
-// findStandingDown counts the standing tasks. It returns, of each step with tasks that do
-// not run, the one that has been down for longest, ordered by that time.
-func (c *Cell) findStandingDown(now time.Time, s *Status) []*task {
-	var down []*task
-	for _, j := range c.open {
-		for _, o := range j.occurrences {
-			for _, step := range o.steps {
-				if !step.Standing || step.unfinishedDeps > 0 {
+// downTask is a standing task that does not run, or a ready task of an idle job.
+type downTask = downtime.Item[*task]
+
+// appendStandingDown counts the standing tasks of a job. It appends, of each step with tasks
+// that do not run, the one that has been down for longest.
+func (c *Cell) appendStandingDown(down []downTask, now time.Time, j *job, s *Status) []downTask {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if !st.Standing || st.unfinishedDeps > 0 {
+				continue
+			}
+			var first downTask
+			for i := range st.tasks {
+				t := &st.tasks[i]
+				if t.done {
 					continue
 				}
-				if t := c.countStanding(now, step, s); t != nil {
-					down = append(down, t)
+				running := c.confirmedRunning(now, t)
+				t.downtime.Observe(now, running)
+				s.Standing++
+				if running {
+					s.StandingRunning++
+				} else if d := t.downtime.Downtime(now); first.Value == nil || d > first.Downtime {
+					first = downTask{Value: t, Downtime: d}
 				}
 			}
+			if first.Value != nil {
+				down = append(down, first)
+			}
 		}
 	}
-	slices.SortFunc(down, func(a, b *task) int { return cmp.Or(a.downSince.Compare(b.downSince), a.step.compare(b.step)) })
 	return down
 }
 
-// countStanding counts the tasks of a standing step and returns the one that has been
-// down for longest, or nil.
-func (c *Cell) countStanding(now time.Time, st *step, s *Status) (first *task) {
-	for i := range st.tasks {
-		t := &st.tasks[i]
-		if t.done {
-			continue
-		}
-		s.Standing++
-		if c.confirmedRunning(now, t) {
-			s.StandingRunning++
-			t.downSince = time.Time{}
-			continue
-		}
-		if t.downSince.IsZero() {
-			t.downSince = now
-		}
-		if first == nil || t.downSince.Before(first.downSince) {
-			first = t
+// firstIdle returns the first ready task of a job without standing tasks of which none runs,
+// or nil.
+func (c *Cell) firstIdle(now time.Time, j *job) (first *task) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				t := &s.tasks[i]
+				if s.Standing || c.confirmedRunning(now, t) {
+					j.idle.Observe(now, true)
+					return nil
+				}
+				if first == nil && s.unfinishedDeps == 0 && !t.done {
+					first = t
+				}
+			}
 		}
 	}
+	j.idle.Observe(now, first == nil)
 	return first
 }
 
@@ -115,38 +129,46 @@
 	})
 }
 
-// firstWithRoom returns the first of the tasks, of different steps, for which a listed
-// worker has room, or nil. It considers at most maxRoomChecks tasks.
-func (c *Cell) firstWithRoom(tasks []*task) *task {
-	for _, t := range tasks[:min(len(tasks), maxRoomChecks)] {
-		if slices.ContainsFunc(c.workerList, t.step.hasRoomAt) {
-			return t
-		}
+// noteLongestDown returns the longest downtime and that with room. It logs why the task
+// with the latter does not run.
+func (c *Cell) noteLongestDown(now time.Time, what string, down []downTask) (longest, withRoom time.Duration) {
+	hasRoom := func(t *task) bool { return slices.ContainsFunc(c.workerList, t.step.hasRoomAt) }
+	byName := func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.step.occ.job.ID, b.step.occ.job.ID), a.step.compare(b.step))
+	}
+	longest, first, found := downtime.Longest(down, byName, hasRoom)
+	if found && first.Downtime > 0 {
+		c.noteDown(now, what, first)
 	}
-	return nil
+	return longest, first.Downtime
 }
 
 // hasRoomAt reports whether a worker has room for a task of the step, whatever this owner
 // believes of the worker's health.
 func (s *step) hasRoomAt(w *worker) bool {
-	return w.listed && !w.info.Draining && s.occ.job.queue != nil && w.info.Service == s.occ.job.queue.Service &&
+	q := s.occ.job.queue
+	return w.listed && !w.info.Draining && (q == nil || w.info.Service == q.Service) &&
 		w.orphans == 0 && s.Size.Fits(w.free()) && (s.Label == "" || slices.Contains(w.info.Labels, s.Label))
 }
 
-// noteDown logs why a standing task does not run although a worker has room for it.
-func (c *Cell) noteDown(now time.Time, t *task) {
+// noteDown logs why a task does not run although a worker has room for it.
+func (c *Cell) noteDown(now time.Time, what string, down downTask) {
+	t := down.Value
 	state := "not waiting"
 	switch {
+	case t.step.occ.job.queue == nil:
+		state = "its queue is not configured"
 	case len(t.attempts) > 0:
 		a, w := t.attempts[0], t.attempts[0].worker
 		state = fmt.Sprintf("run %d at %s (listed %t, silent %t) is %s, leases end in %v", a.run, w.info.ID, w.listed, w.silent(), a.state, w.leasesEnd.Sub(now).Round(time.Millisecond))
 	case t.queued && c.mayRunUnreported(now, t.step):
-		state = "may be running at a worker that has not reported"
+		owing := slices.DeleteFunc(slices.Clone(c.workerList), func(w *worker) bool { return !w.owesReport() })
+		state = fmt.Sprintf("may be running at one of %d workers that have not reported", len(owing))
 	case t.queued:
 		state = "waiting"
 	}
 	c.note(Note{Event: "waiting", Job: t.step.occ.job.ID, Task: t.name().String(), Detail: fmt.Sprintf(
-		"standing task down for %v with room for it: %s; workers: %s", now.Sub(t.downSince).Round(time.Millisecond), state, c.describeObstacles(now, t))})
+		"%s down for %v with room for it: %s; workers: %s", what, down.Downtime.Round(time.Millisecond), state, c.describeObstacles(now, t))})
 }
 
 // String returns the state for log entries.
--- a/internal/jobs/cell/status_test.go
+++ b/internal/jobs/cell/status_test.go
@@ -24,13 +24,21 @@
 }
 
 func newStandingCell(t *testing.T) *standingCell {
+	s := newStatusCell(t)
+	submit(s.Cell, "0000000000000001", "q", bamboofall.Step{Count: 1, Size: statusSize, Standing: true})
+	return s
+}
+
+var statusSize = bamboofall.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}
+
+// newStatusCell returns a cell with two workers and no jobs.
+func newStatusCell(t *testing.T) *standingCell {
 	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2})
 	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
 	s := &standingCell{Cell: c, t: t, now: testStart, running: make(map[string][]bamboofall.RunningTask)}
 	for n := range 2 {
 		c.SetWorker(testStart, testWorker(n+1))
 	}
-	submit(c, "0000000000000001", "q", bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}, Standing: true})
 	return s
 }
 
@@ -124,6 +132,54 @@
 	assert.Assert(t, status.LongestDown >= 5*time.Second, "%v", status.LongestDown)
 }
 
+func allAnswer(string) bool { return false }
+
+// A job whose starts are all refused has nothing running though there is room for it.
+func TestStatusOfIdleJobWhoseStartsAreRefused(t *testing.T) {
+	s := newStatusCell(t)
+	submit(s.Cell, "0000000000000001", "q", bamboofall.Step{Count: 3, Size: statusSize, Estimate: time.Minute})
+	s.run(9*time.Second, true, allAnswer)
+	status := s.Status()
+	assert.Equal(t, status.IdleJobs, 1)
+	assert.Assert(t, status.LongestIdleWithRoom >= 5*time.Second, "%v", status.LongestIdleWithRoom)
+	note := s.lastNote("waiting", "job down")
+	assert.Equal(t, note.Task, "0000000000000001.0.0.0")
+	assert.Assert(t, strings.Contains(note.Detail, "waiting; workers: "), note.Detail)
+	summary := s.lastNote("summary", "")
+	assert.Assert(t, strings.Contains(summary.Detail, fmt.Sprintf("idle jobs 1, longest %v", status.LongestIdle)), summary.Detail)
+}
+
+func TestStatusOfIdleJobWithoutRoom(t *testing.T) {
+	s := newStatusCell(t)
+	submit(s.Cell, "0000000000000001", "q", bamboofall.Step{Count: 1, Size: bamboofall.Resources{MilliProcessors: 1 << 30}, Estimate: time.Minute})
+	s.run(9*time.Second, false, allAnswer)
+	status := s.Status()
+	assert.Equal(t, status.IdleJobs, 1)
+	assert.Assert(t, status.LongestIdle >= 5*time.Second, "%v", status.LongestIdle)
+	assert.Equal(t, status.LongestIdleWithRoom, time.Duration(0))
+}
+
+// The status of an idle job starts anew once one of its tasks has run.
+func TestStatusOfJobThatRuns(t *testing.T) {
+	s := newStatusCell(t)
+	submit(s.Cell, "0000000000000001", "q", bamboofall.Step{Count: 3, Size: statusSize, Estimate: time.Minute})
+	s.run(5*time.Second, true, allAnswer)
+	assert.Equal(t, s.Status().IdleJobs, 1)
+	s.run(4*time.Second, false, allAnswer)
+	assert.Equal(t, s.Status(), cell.Status{Known: 2, Usable: 2})
+}
+
+// The line for a job tells that the owner does not know its queue.
+func TestStatusOfIdleJobOfUnknownQueue(t *testing.T) {
+	s := newStatusCell(t)
+	_, refusal := s.Submit(s.now, &bamboofall.Job{ID: "0000000000000001", Queue: "unknown", Steps: []bamboofall.Step{{Count: 1, Size: statusSize, Estimate: time.Second}}}, true)
+	assert.Assert(t, refusal == nil)
+	s.run(9*time.Second, false, allAnswer)
+	assert.Assert(t, s.Status().LongestIdleWithRoom >= 5*time.Second, "%v", s.Status().LongestIdleWithRoom)
+	note := s.lastNote("waiting", "job down")
+	assert.Assert(t, strings.Contains(note.Detail, "its queue is not configured"), note.Detail)
+}
+
 // BenchmarkStatus measures the status of 490 workers and 3870 standing tasks. With the
 // workers unlisted and the leases expired, all tasks are down and no worker has room.
 func BenchmarkStatus(b *testing.B) {
