front, jobs/cell: jobs accepted through the inbox are known at once

What callers saw: a job is answered with 200, and for as long as the owner cannot store its changes a GET for the job is answered 410, as if it had never been accepted (LOST after visible_ms, 3 s).

Cause: an owner whose append is unanswered, refused or late answers no submission, so after 0.9 s the entry VM stores the job in the inbox and accepts it. The owner has had the job since the submission and sees it in the inbox, but the record of the job waits for the next flush, which is not taken while an append is in flight. Lookup took a job in that state for unknown, and the inbox is up to date, so the owner said "unknown". With a third of the writes unanswered for 1.5 s each, a flush takes more than 3 s now and then, with the cell's partition away it takes as long as that lasts.

A job from a submission without an answer is neither known nor unknown, as its entry VM may be storing it in the inbox at that moment: the entry VM that asks repeats the question, as it does while the inbox is not up to date.

Test: TestAcceptedJobIsKnownWhileOwnerCannotStore. Before: "timeout hit after 20s: status 410, body {"error":"unknownJob"}".

--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -160,8 +160,9 @@
 
 func (f *Front) lookupLocal(ctx context.Context, m *jobpb.LookupRequest) (*jobpb.LookupResponse, error) {
 	return runInLocalOwner(ctx, f, func(o *owner, at time.Time, reply func(*jobpb.LookupResponse)) {
-		state, known := o.cell.Lookup(bamboofall.JobID(m.GetId()))
-		if !known && !o.inboxUpToDate(at) {
+		id := bamboofall.JobID(m.GetId())
+		state, known := o.cell.Lookup(id)
+		if !known && (o.cell.IsSubmitted(id) || !o.inboxUpToDate(at)) {
 			reply(&jobpb.LookupResponse{NotOwner: true})
 			return
 		}
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -28,6 +28,9 @@
 	doneCount int
 	// started is set once a worker has started one of the tasks.
 	started bool
+	// promised is set if the caller was told that the job is accepted before this owner
+	// stored it.
+	promised bool
 	// stateFlush is the flush that makes the latest state durable.
 	stateFlush uint64
 	// visibleState is the durable state, which callers see.
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -29,6 +29,7 @@
 // refuses.
 func (c *Cell) Submit(now time.Time, spec *bamboofall.Job, mustAccept bool) (uint64, *Refusal) {
 	if j := c.jobs[spec.ID]; j != nil {
+		j.promised = j.promised || mustAccept
 		return j.stateFlush, nil
 	}
 	q := c.queues[spec.Queue]
@@ -40,6 +41,7 @@
 		return 0, &Refusal{Reason: ReasonAdviceNotSupported, RetryAfter: admission.MaxRetryAfter}
 	}
 	j := c.newJob(spec, q, now)
+	j.promised = mustAccept
 	v := c.evaluate(now, j)
 	if !v.Accept && !mustAccept {
 		c.counters.Refused++
@@ -213,10 +215,11 @@
 	return flush
 }
 
-// Lookup returns the durable state of a job.
+// Lookup returns the durable state of a job. It reports false if the job is unknown, or
+// only known from a submission that has not been answered.
 func (c *Cell) Lookup(id bamboofall.JobID) (bamboofall.JobState, bool) {
 	j := c.jobs[id]
-	if j == nil || j.stateFlush > c.pending.storedFlush && c.pending.specs[id] != nil {
+	if j == nil || !j.promised && j.stateFlush > c.pending.storedFlush && c.pending.specs[id] != nil {
 		return 0, false
 	}
 	if j.visibleState == bamboofall.JobQueued && j.started {
@@ -225,6 +228,10 @@
 	return j.visibleState, true
 }
 
+// IsSubmitted reports whether a job was submitted, even if the submission has not been
+// answered.
+func (c *Cell) IsSubmitted(id bamboofall.JobID) bool { return c.jobs[id] != nil }
+
 // PendingJobs returns the number of open jobs in a queue without a started task.
 func (c *Cell) PendingJobs(queue string) int {
 	n := 0
