front, jobs/cell: the inbox has the settings of a job's queue

What callers saw: a job is answered with 200 and stays "queued" until the next change of the owner, though workers have room for it (LOST: accepted, could run, does not).

Cause: the entry VM that accepts a job into the inbox checks its queue against its own configuration. The owner that reads the inbox may have another one: an earlier one, if its read of the configuration is late, or a later one without the queue. It accepted the job without a queue, and placement passes over such jobs. No later configuration gave the job its queue, and no log line named it: "waiting" leaves such jobs out as well. Only the next owner, if its configuration had the queue, ran it.

Fix: the inbox record holds the settings of the queue, as the record of a job in the cell does. An owner that does not know the queue takes them, and logs "queue not configured". A submission straight to the owner is still refused if the owner does not know the queue: the caller is told so.

Test: TestAcceptedJobRunsThoughOwnerDoesNotKnowItsQueue, an owner with an earlier and one with a later configuration. Before, both: "timeout hit after 20s: status 200, body {"state":"queued"}".

Inbox records of earlier builds have no settings; their jobs still wait for an owner that knows the queue.

--- a/internal/entry/front/accepted_test.go
+++ b/internal/entry/front/accepted_test.go
@@ -2,10 +2,17 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"bamboofall.example/bamboofall/platform"
+	"bamboofall.example/bamboofall/platform/standin"
 )
 
 // An owner whose appends fail does not answer a submission in time, and the entry VM stores
@@ -35,3 +42,76 @@
 	f.waitForState(1, id(3), "completed")
 	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
 }
+
+// The entry VM that accepts a job and the next owner may have read different
+// configurations. A job whose queue the owner does not know was never run.
+func TestAcceptedJobRunsThoughOwnerDoesNotKnowItsQueue(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// ownerIsBehind is set if the owner has the earlier one of the configurations.
+		ownerIsBehind bool
+		queue         string
+	}{
+		{"queue is new", true, "new"},
+		{"queue was removed", false, "q"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var frozen atomic.Bool
+			refused := make(chan struct{}, 1)
+			f := newClusterWithStoreFault(t, 1, 2, func(http.ResponseWriter, *http.Request) bool { return false })
+			behind := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if frozen.Load() && r.URL.Query().Get("topic") == platform.TopicOperator {
+					refuseCall(w, r)
+					notify(refused)
+					return
+				}
+				f.store.ServeHTTP(w, r)
+			}))
+			t.Cleanup(behind.Close)
+			upToDate := httptest.NewServer(f.store)
+			t.Cleanup(upToDate.Close)
+			f.startEntry(1, strings.TrimPrefix(behind.URL, "http://"))
+			f.startEntry(2, strings.TrimPrefix(upToDate.URL, "http://"))
+			f.waitForQueue(1, "q")
+			f.waitForQueue(2, "q")
+			frozen.Store(true)
+			<-refused // the last read that may still get records has ended
+			f.store.Put(platform.TopicOperator, "config", standin.Configuration(2, testService, "new"))
+			f.waitForQueue(2, "new")
+			acceptor, successor := 1, 2
+			if c.ownerIsBehind {
+				acceptor, successor = 2, 1
+			}
+			f.entries[acceptor].startDraining() // it makes no claims
+			f.entries[0].stop()
+			status, body := f.request(acceptor, http.MethodPost, "/"+c.queue+"/"+id(1), twoStepJob)
+			assert.Equal(t, status, http.StatusOK, body)
+			f.entries[0] = f.entries[successor]
+			assert.Equal(t, f.waitForOwner(-1), 0)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				status, body := f.request(acceptor, http.MethodGet, "/"+c.queue+"/"+id(1), "")
+				if status == http.StatusOK && strings.Contains(body, `"completed"`) {
+					return poll.Success()
+				}
+				return poll.Continue("status %d, body %s", status, body)
+			}, poll.WithTimeout(20*time.Second), poll.WithDelay(50*time.Millisecond))
+			assert.DeepEqual(t, f.audit.Violations(), []string(nil))
+		})
+	}
+}
+
+// waitForQueue waits until an entry VM knows a queue.
+func (f *testCluster) waitForQueue(at int, queue string) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if conf := f.entries[at].config.Load(); conf != nil {
+			for _, q := range conf.Queues {
+				if q.Name == "r-"+queue {
+					return poll.Success()
+				}
+			}
+		}
+		return poll.Continue("entry VM %d does not know queue %s", at, queue)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -475,8 +475,8 @@
 // once the effect is stored.
 func (o *owner) applyDeferred(at time.Time, key string, deferred *jobpb.Deferred) {
 	var flush uint64
-	if deferred.GetJob() != nil {
-		flush, _ = o.cell.Submit(at, jobspec.Decode(deferred.GetJob()), true)
+	if job := deferred.GetJob(); job != nil {
+		flush = o.cell.SubmitAccepted(at, jobspec.Decode(job), jobspec.DecodeQueue(job.GetQueue(), job.GetSettings()))
 	} else {
 		flush = o.cell.CancelBeforeSubmit(at, bamboofall.JobID(deferred.GetCancel()))
 	}
--- a/internal/entry/front/requests.go
+++ b/internal/entry/front/requests.go
@@ -169,7 +169,7 @@
 		if err != nil {
 			return malformedRequest(err)
 		}
-		return f.submit(ctx, job)
+		return f.submit(ctx, job, queue)
 	case http.MethodGet:
 		return f.lookup(ctx, id)
 	case http.MethodDelete:
@@ -178,9 +178,11 @@
 	return response{status: http.StatusMethodNotAllowed, reason: "method"}
 }
 
-// submit submits a job to the owner, or stores the submission in the inbox.
-func (f *Front) submit(ctx context.Context, job *bamboofall.Job) response {
+// submit submits a job to the owner, or stores the submission in the inbox with the
+// settings of its queue, which the next owner may not know.
+func (f *Front) submit(ctx context.Context, job *bamboofall.Job, queue *bamboofall.Queue) response {
 	req := &jobpb.SubmitRequest{Job: jobspec.Encode(job)}
+	req.Job.Settings = jobspec.EncodeQueue(queue)
 	return f.callOwnerOrDefer(ctx, "s"+string(job.ID), &jobpb.Deferred{Job: req.Job}, bamboofall.JobQueued, func() (*response, error) {
 		res, err := callOwner(ctx, f, req, f.submitLocal, jobpb.JobsClient.Submit, (*jobpb.SubmitResponse).GetNotOwner)
 		if err != nil {
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -28,11 +28,27 @@
 // durable, or the refusal. With mustAccept, for a job that was accepted before, it never
 // refuses.
 func (c *Cell) Submit(now time.Time, spec *bamboofall.Job, mustAccept bool) (uint64, *Refusal) {
+	return c.submit(now, spec, c.queues[spec.Queue], mustAccept)
+}
+
+// SubmitAccepted is Submit for a job that was accepted before. Its queue has the
+// configured settings, or the given ones if the queue is not configured here: the job may
+// have been accepted by an earlier or a later configuration.
+func (c *Cell) SubmitAccepted(now time.Time, spec *bamboofall.Job, settings *bamboofall.Queue) uint64 {
+	q := c.queues[spec.Queue]
+	if q == nil && c.jobs[spec.ID] == nil {
+		q = settings
+		c.note(Note{Event: "queue not configured", Job: spec.ID, Detail: fmt.Sprintf("queue %s, accepted with its settings: %t", spec.Queue, settings != nil)})
+	}
+	flush, _ := c.submit(now, spec, q, true)
+	return flush
+}
+
+func (c *Cell) submit(now time.Time, spec *bamboofall.Job, q *bamboofall.Queue, mustAccept bool) (uint64, *Refusal) {
 	if j := c.jobs[spec.ID]; j != nil {
 		j.promised = j.promised || mustAccept
 		return j.stateFlush, nil
 	}
-	q := c.queues[spec.Queue]
 	if q == nil && !mustAccept {
 		return 0, &Refusal{Reason: ReasonNoSuchQueue}
 	}
