front, lease: a replaced owner does not call accepted jobs unknown

What callers saw: a GET at the VM of a former owner is answered 410 for a job that its successor has accepted (LOST after visible_ms).

Cause: an owner that loses the store for longer than 1.6 s is replaced and cannot know it. When the store is back, its reads of the inbox, its reads of the ownership and its renewals succeed independently of each other, up to 1.5 s apart if their connections are silent. From the first read of the inbox on it took itself for up to date and reported all jobs of its successor as unknown, to the callers of its own VM and to VMs that had lost the store with it. With only a part of the store's partitions reachable it lasts as long as that.

Fix: "unknown" is said only while no other VM can have claimed the cell: within 1.6 s of sending the last renewal that was confirmed, as others claim 1.6 s after they have read it at the earliest. Otherwise the entry VM asks again, as while the inbox is not up to date.

Tests: TestReplacedOwnerDoesNotReportJobsAsUnknown. TestOwnerIsSoleUntilOthersMayClaim compares the bound with the claims of another process.

--- a/internal/entry/front/accepted_test.go
+++ b/internal/entry/front/accepted_test.go
@@ -115,3 +115,31 @@
 		return poll.Continue("entry VM %d does not know queue %s", at, queue)
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
 }
+
+// An owner that has been replaced without noticing knows none of the jobs that its successor
+// has accepted. It must not report them as unknown.
+func TestReplacedOwnerDoesNotReportJobsAsUnknown(t *testing.T) {
+	t.Parallel()
+	var cut atomic.Bool
+	f := newClusterWithStoreFault(t, 2, 0, func(w http.ResponseWriter, r *http.Request) bool {
+		topic := r.URL.Query().Get("topic")
+		if !cut.Load() || topic != topicOwners && topic != topicCells {
+			return false
+		}
+		refuseCall(w, r)
+		return true
+	})
+	assert.Equal(t, f.waitForOwner(-1), 0)
+	cut.Store(true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if o := f.entries[1].owner.Load(); o != nil && o.ready.Load() {
+			return poll.Success()
+		}
+		return poll.Continue("entry VM 1 does not own the cell")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	status, body := f.request(1, http.MethodPost, "/q/"+id(1), `{"repetitions":1,"steps":[{"count":1,"cpu":500}]}`)
+	assert.Equal(t, status, http.StatusOK, body)
+	assert.Assert(t, f.entries[0].owner.Load() != nil, "the former owner has noticed its replacement")
+	status, body = f.request(0, http.MethodGet, "/q/"+id(1), "")
+	assert.Assert(t, status != http.StatusGone, body)
+}
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -201,6 +201,15 @@
 	return f.lease.MayAct(now(), epoch)
 }
 
+// isSoleOwner reports whether this VM is certainly the only owner. The owner of a cell that
+// was claimed by another VM may not have noticed it.
+func (o *owner) isSoleOwner(at time.Time) bool {
+	f := o.front
+	f.leaseMu.Lock()
+	defer f.leaseMu.Unlock()
+	return !o.isReleasing() && f.lease.SoleOwner(at, o.record.Epoch)
+}
+
 // confirmedAt returns the last time at which this VM was known to be the only owner.
 func (f *Front) confirmedAt() time.Time {
 	f.leaseMu.Lock()
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -162,7 +162,7 @@
 	return runInLocalOwner(ctx, f, func(o *owner, at time.Time, reply func(*jobpb.LookupResponse)) {
 		id := bamboofall.JobID(m.GetId())
 		state, known := o.cell.Lookup(id)
-		if !known && (o.cell.IsSubmitted(id) || !o.inboxUpToDate(at)) {
+		if !known && (o.cell.IsSubmitted(id) || !o.inboxUpToDate(at) || !o.isSoleOwner(at)) {
 			reply(&jobpb.LookupResponse{NotOwner: true})
 			return
 		}
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -363,6 +363,12 @@
 	return l.ownEpoch == epoch && epoch != 0 && now.Sub(l.confirmedAt) < l.timing.ActFor
 }
 
+// SoleOwner reports whether the owner of an epoch is certainly the only one. Another process
+// claims the cell ExpireAfter after the last record at the earliest.
+func (l *Lease) SoleOwner(now time.Time, epoch uint64) bool {
+	return l.ownEpoch == epoch && epoch != 0 && now.Sub(l.confirmedAt) < l.timing.ExpireAfter
+}
+
 // StopClaiming prevents further claims by this process.
 func (l *Lease) StopClaiming() { l.stopClaims = true }
 
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -119,3 +119,25 @@
 	l.ObserveEnd(at(3*time.Second), 2)
 	assert.Equal(t, l.RecordSeenAt(), at(time.Second))
 }
+
+// A process must not take itself for the only owner when another one may have claimed the
+// cell.
+func TestOwnerIsSoleUntilOthersMayClaim(t *testing.T) {
+	a, b := New(start, timing, "a", address, 0), New(start, timing, "b", address, 0)
+	a.ObserveEnd(start, 0)
+	r, _, _ := a.Claim(start)
+	a.Claimed(start, r, 1)
+	b.Observe(start, r, 1)
+	sole := true
+	for d := time.Duration(0); d < 2*timing.ExpireAfter; d += 10 * time.Millisecond {
+		_, _, claim := b.Claim(at(d))
+		was := sole
+		sole = a.SoleOwner(at(d), r.Epoch)
+		assert.Assert(t, !sole || !claim, d)
+		assert.Assert(t, was || !sole, d)
+	}
+	assert.Assert(t, !sole)
+	a.Confirmed(r.Epoch, at(timing.ExpireAfter), 2)
+	assert.Assert(t, a.SoleOwner(at(timing.ExpireAfter), r.Epoch))
+	assert.Assert(t, !a.SoleOwner(at(timing.ExpireAfter), r.Epoch+1))
+}
