front: a topic whose unread records were trimmed is not up to date

What callers saw: nothing that is known.

Cause: follow took the answer "trimmed" for a successful read and called caughtUp, with the marker fromNewest, -1, as the end. The owner then counted the inbox as read, and the list of workers, whose capacities it relied on; the follower of the ownership might claim.

Fix: caughtUp is called after the newest records have been read.

Test: TestTrimmedTopicIsNotUpToDateUntilNewestIsRead. Before: "caught up before the newest records were read", "caught up to offset -1".

--- a/internal/entry/front/follow_test.go
+++ b/internal/entry/front/follow_test.go
@@ -112,3 +112,44 @@
 	}
 	assert.Assert(t, late <= cycles*(clientMargin-retryReadTimeout), late)
 }
+
+// trimmedStore is a store whose history was trimmed. Its newest records cannot be read
+// until outageEnd.
+type trimmedStore struct {
+	bamboofall.KeyedStore
+	outageEnd  time.Time
+	newestRead bool
+}
+
+func (s *trimmedStore) Read(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (bamboofall.StorePage, error) {
+	const first = 10
+	if from < first {
+		return bamboofall.StorePage{}, &bamboofall.TrimmedError{Topic: topic, Partition: partition, Oldest: first}
+	}
+	sleep(ctx, wait)
+	return bamboofall.StorePage{Next: from}, ctx.Err()
+}
+
+func (s *trimmedStore) Newest(context.Context, string, int) ([]bamboofall.StoredRecord, int64, error) {
+	if time.Now().Before(s.outageEnd) {
+		return nil, 0, &bamboofall.NotDoneError{Call: "newest", Reason: "HTTP status 503"}
+	}
+	s.newestRead = true
+	return nil, 10, nil
+}
+
+// A topic whose unread records were trimmed has not been read until its newest records have:
+// an owner would report jobs in the inbox as unknown, and rely on outdated workers.
+func TestTrimmedTopicIsNotUpToDateUntilNewestIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &trimmedStore{outageEnd: time.Now().Add(3 * time.Second)}
+		f := &Front{log: NewLog(io.Discard, "entry-0"), store: store}
+		assert.NilError(t, f.follow(ctx, topicInbox, 5, inboxLongPoll, nil, func(end int64) {
+			assert.Check(t, store.newestRead, "caught up before the newest records were read")
+			assert.Check(t, end >= 10, "caught up to offset %d", end)
+			cancel()
+		}))
+	})
+}
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -293,7 +293,8 @@
 
 // follow applies the records of a keyed topic from offset next on, or first the newest
 // record of each key. It returns only when ctx is cancelled. After each successful read
-// it calls caughtUp with the offset after the last record.
+// it calls caughtUp with the offset after the last record, unless records were trimmed
+// before they were read.
 func (f *Front) follow(ctx context.Context, topic string, next int64, wait time.Duration, apply func(bamboofall.StoredRecord), caughtUp func(end int64)) error {
 	failures := 0
 	for ctx.Err() == nil {
@@ -323,7 +324,7 @@
 			failures = 0
 			f.log.Event("store regained", logrus.Fields{"topic": topic})
 		}
-		if caughtUp != nil {
+		if caughtUp != nil && next != fromNewest {
 			caughtUp(next)
 		}
 	}
