front: workers whose removal was trimmed are removed

What callers saw: nothing that is known. A worker that leaves while the owner cannot read the list of workers, and whose removal is trimmed meanwhile, stays listed at the owner for as long as that lasts. It is silent once it has exited and is then called several times a second for good; until then tasks are started there.

Cause: after "trimmed" the follower applied the newest record of each key. A key without a record has been dropped, but nothing compared the list with what was known.

Fix: the newest records replace the list, in one event of the owner's loop.

Test: TestWorkerWhoseRemovalWasTrimmedIsRemoved.

--- a/internal/entry/front/follow_test.go
+++ b/internal/entry/front/follow_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/platform"
+	"bamboofall.example/bamboofall/platform/standin"
 )
 
 // clientMargin is what the client of the store adds to the wait of a read for its timeout.
@@ -51,10 +54,10 @@
 		defer cancel()
 		store.outageEnd = time.Now().Add(outage)
 		f := &Front{log: NewLog(io.Discard, "entry-0"), store: &store}
-		assert.NilError(t, f.follow(ctx, topic, 0, wait, nil, func(int64) {
+		assert.NilError(t, f.follow(ctx, topic, 0, wait, topicReader{caughtUp: func(int64) {
 			took = time.Since(store.outageEnd)
 			cancel()
-		}))
+		}}))
 	})
 	return took
 }
@@ -146,10 +149,42 @@
 		defer cancel()
 		store := &trimmedStore{outageEnd: time.Now().Add(3 * time.Second)}
 		f := &Front{log: NewLog(io.Discard, "entry-0"), store: store}
-		assert.NilError(t, f.follow(ctx, topicInbox, 5, inboxLongPoll, nil, func(end int64) {
+		assert.NilError(t, f.follow(ctx, topicInbox, 5, inboxLongPoll, topicReader{caughtUp: func(end int64) {
 			assert.Check(t, store.newestRead, "caught up before the newest records were read")
 			assert.Check(t, end >= 10, "caught up to offset %d", end)
 			cancel()
-		}))
+		}}))
 	})
 }
+
+// A worker whose removal was trimmed before the owner read it stayed listed for good.
+func TestWorkerWhoseRemovalWasTrimmedIsRemoved(t *testing.T) {
+	t.Parallel()
+	f := newTestCluster(t, 1, 2, time.Millisecond)
+	f.waitForOwner(-1)
+	o := f.entries[0].owner.Load()
+	waitForWorkers := func(n int) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if loop := o.progress.loop.Load(); loop != nil && loop.direct == n {
+				return poll.Success()
+			}
+			return poll.Continue("the owner does not list %d workers", n)
+		}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	}
+	waitForWorkers(2)
+	refused := make(chan struct{}, 1)
+	f.store.SetFault(func(r *http.Request) standin.Fault {
+		if r.URL.Path != "/v1/log-read" || r.URL.Query().Get("topic") != platform.TopicWorkers {
+			return standin.FaultNone
+		}
+		notify(refused)
+		return standin.FaultRefused
+	})
+	<-refused // the last read that may still get records has ended
+	f.workers[1].silence()
+	f.store.Put(platform.TopicWorkers, f.workers[1].id, nil)
+	f.store.Trim(platform.TopicWorkers)
+	f.store.SetFault(nil)
+	waitForWorkers(1)
+}
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -268,7 +268,7 @@
 
 // followConfiguration tracks the newest valid configuration.
 func (f *Front) followConfiguration(ctx context.Context) error {
-	return f.follow(ctx, platform.TopicOperator, fromNewest, configurationLongPoll, func(r bamboofall.StoredRecord) {
+	return f.follow(ctx, platform.TopicOperator, fromNewest, configurationLongPoll, topicReader{apply: func(r bamboofall.StoredRecord) {
 		if !platform.IsConfiguration(r.Key) || len(r.Value) == 0 {
 			return
 		}
@@ -285,29 +285,39 @@
 		if o := f.owner.Load(); o != nil {
 			o.setConfiguration(conf)
 		}
-	}, nil)
+	}})
 }
 
 // fromNewest makes follow start with the newest record of each key.
 const fromNewest = -1
 
-// follow applies the records of a keyed topic from offset next on, or first the newest
-// record of each key. It returns only when ctx is cancelled. After each successful read
-// it calls caughtUp with the offset after the last record, unless records were trimmed
-// before they were read.
-func (f *Front) follow(ctx context.Context, topic string, next int64, wait time.Duration, apply func(bamboofall.StoredRecord), caughtUp func(end int64)) error {
+// topicReader receives what follow reads. All fields are optional.
+type topicReader struct {
+	// apply is called with each record.
+	apply func(bamboofall.StoredRecord)
+	// applyNewest is called with the newest record of each key, which replace all records
+	// that were read before. Without it, apply is called with each of them.
+	applyNewest func([]bamboofall.StoredRecord)
+	// caughtUp is called after each successful read with the offset after the last record.
+	caughtUp func(end int64)
+}
+
+// follow reads a keyed topic from offset next on, or first the newest record of each key,
+// as it does when records were trimmed before they were read. It returns only when ctx is
+// cancelled.
+func (f *Front) follow(ctx context.Context, topic string, next int64, wait time.Duration, to topicReader) error {
 	failures := 0
 	for ctx.Err() == nil {
 		var err error
 		switch {
 		case next == fromNewest:
-			next, err = f.readNewest(ctx, topic, apply)
+			next, err = f.readNewest(ctx, topic, to)
 		case failures == 0:
-			next, err = f.readFrom(ctx, topic, next, wait, apply)
+			next, err = f.readFrom(ctx, topic, next, wait, to.apply)
 		case topic == topicOwners: // the owner needs time to renew
-			next, err = f.retryReadFrom(ctx, topic, next, wait, failures, apply)
+			next, err = f.retryReadFrom(ctx, topic, next, wait, failures, to.apply)
 		default:
-			next, err = f.retryReadFrom(ctx, topic, next, 0, failures, apply)
+			next, err = f.retryReadFrom(ctx, topic, next, 0, failures, to.apply)
 		}
 		if err != nil {
 			if ctx.Err() != nil {
@@ -324,8 +334,8 @@
 			failures = 0
 			f.log.Event("store regained", logrus.Fields{"topic": topic})
 		}
-		if caughtUp != nil && next != fromNewest {
-			caughtUp(next)
+		if to.caughtUp != nil && next != fromNewest {
+			to.caughtUp(next)
 		}
 	}
 	return nil
@@ -333,13 +343,17 @@
 
 // readNewest applies the newest record of each key and returns the offset at which to
 // continue.
-func (f *Front) readNewest(ctx context.Context, topic string, apply func(bamboofall.StoredRecord)) (int64, error) {
+func (f *Front) readNewest(ctx context.Context, topic string, to topicReader) (int64, error) {
 	records, end, err := f.store.Newest(ctx, topic, cellPartition)
 	if err != nil {
 		return fromNewest, err
 	}
+	if to.applyNewest != nil {
+		to.applyNewest(records)
+		return end, nil
+	}
 	for _, r := range records {
-		apply(r)
+		to.apply(r)
 	}
 	return end, nil
 }
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -414,9 +414,30 @@
 
 // followWorkers applies worker records from an offset on.
 func (o *owner) followWorkers(ctx context.Context, from int64) error {
-	return o.front.follow(ctx, platform.TopicWorkers, from, workersLongPoll, func(r bamboofall.StoredRecord) {
-		o.push(ctx, func(at time.Time) { o.applyWorkerRecord(at, r) })
-	}, func(int64) { o.push(ctx, o.cell.WorkersRead) })
+	return o.front.follow(ctx, platform.TopicWorkers, from, workersLongPoll, topicReader{
+		apply: func(r bamboofall.StoredRecord) {
+			o.push(ctx, func(at time.Time) { o.applyWorkerRecord(at, r) })
+		},
+		applyNewest: func(records []bamboofall.StoredRecord) {
+			o.push(ctx, func(at time.Time) { o.applyNewestWorkers(at, records) })
+		},
+		caughtUp: func(int64) { o.push(ctx, o.cell.WorkersRead) },
+	})
+}
+
+// applyNewestWorkers applies the records of all workers that the platform lists, and
+// removes the others.
+func (o *owner) applyNewestWorkers(at time.Time, records []bamboofall.StoredRecord) {
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+		o.applyWorkerRecord(at, r)
+	}
+	for id := range o.dispatcher.table.Routes() {
+		if !listed[id] {
+			o.removeWorker(at, id)
+		}
+	}
 }
 
 // applyWorkerRecord adds or updates a worker, or removes it if the record is empty or
@@ -445,10 +466,11 @@
 // followInbox applies the requests that entry VMs stored while they could not reach an
 // owner, from an offset on.
 func (o *owner) followInbox(ctx context.Context, from int64) error {
-	return o.front.follow(ctx, topicInbox, from, inboxLongPoll, func(r bamboofall.StoredRecord) {
-		o.push(ctx, func(at time.Time) { o.applyInboxRecord(at, r) })
-	}, func(int64) {
-		o.push(ctx, o.progress.inboxReadAt.set)
+	return o.front.follow(ctx, topicInbox, from, inboxLongPoll, topicReader{
+		apply: func(r bamboofall.StoredRecord) {
+			o.push(ctx, func(at time.Time) { o.applyInboxRecord(at, r) })
+		},
+		caughtUp: func(int64) { o.push(ctx, o.progress.inboxReadAt.set) },
 	})
 }
 
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -62,7 +62,7 @@
 		}
 	}
 	defer f.owners.Wait()
-	return f.follow(ctx, topicOwners, fromNewest, ownersLongPoll, apply, func(end int64) { f.claimIfExpired(ctx, end) })
+	return f.follow(ctx, topicOwners, fromNewest, ownersLongPoll, topicReader{apply: apply, caughtUp: func(end int64) { f.claimIfExpired(ctx, end) }})
 }
 
 // notify sends to a channel of capacity one unless it is full.
