front: gauge and counter of the inbox

No metric told whether an accepted job lay in the inbox. The gauge ownerInboxAgeSeconds tells since when the owner has not read it to its end, and inboxRecordsApplied counts what was taken from it, to compare with callsDeferred of all VMs.

--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -496,6 +496,7 @@
 // applyDeferred applies a request from the inbox to the cell, and deletes its record
 // once the effect is stored.
 func (o *owner) applyDeferred(at time.Time, key string, deferred *jobpb.Deferred) {
+	o.front.metrics.Increment("inboxRecordsApplied", nil)
 	var flush uint64
 	if job := deferred.GetJob(); job != nil {
 		flush = o.cell.SubmitAccepted(at, jobspec.Decode(job), jobspec.DecodeQueue(job.GetQueue(), job.GetSettings()))
--- a/internal/entry/front/status.go
+++ b/internal/entry/front/status.go
@@ -120,7 +120,7 @@
 	s["ownerStrongestOther"], s["ownerVMsHeard"] = float64(strongest), float64(vms)
 	for name, age := range map[string]time.Duration{
 		"ownerReadySeconds": p.restoredAt.age(at), "ownerStepAgeSeconds": p.steppedAt.age(at), "ownerStoredAgeSeconds": p.storedAt.age(at),
-		"ownerStoringSeconds": p.storingSince.age(at),
+		"ownerStoringSeconds": p.storingSince.age(at), "ownerInboxAgeSeconds": p.inboxReadAt.age(at),
 	} {
 		if age != noAge {
 			s[name] = age.Seconds()
--- a/internal/entry/front/status_test.go
+++ b/internal/entry/front/status_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,3 +142,22 @@
 		assert.NilError(t, json.Unmarshal([]byte(line), &fields), line)
 	}
 }
+
+func TestStatusShowsInboxThatIsNotRead(t *testing.T) {
+	t.Parallel()
+	var failing atomic.Bool
+	f := newClusterWithStoreFault(t, 1, 1, func(w http.ResponseWriter, r *http.Request) bool {
+		if !failing.Load() || r.URL.Path != "/v1/log-read" || r.URL.Query().Get("topic") != topicInbox {
+			return false
+		}
+		refuseCall(w, r)
+		return true
+	})
+	fr := f.entries[0].Front
+	f.waitForStatus(fr, func(s map[string]float64) bool {
+		age, known := s["ownerInboxAgeSeconds"]
+		return known && age < 2
+	})
+	failing.Store(true)
+	f.waitForStatus(fr, func(s map[string]float64) bool { return s["ownerInboxAgeSeconds"] > 2 })
+}
