front: test that jobs are restored after any part of a flush

A flush is stored in parts, and the owner may be replaced after any of them. The test applies the parts of submissions, cancellations and the removal of ended jobs one record at a time, and restores a cell after each: no job that was stored before is missing, and no record is left out.

--- a/internal/entry/front/ownerappend_test.go
+++ b/internal/entry/front/ownerappend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
 	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
 	"bamboofall.example/bamboofall/platform"
@@ -177,3 +179,82 @@
 	}
 	assert.Equal(t, store.appends, 3)
 }
+
+// An owner may be replaced after any of the appends of a flush. Its successor must find every
+// job that was stored before, and restore all records.
+func TestJobsAreRestoredAfterAnyPartOfFlush(t *testing.T) {
+	const jobs = 12
+	began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	conf := &bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: testService, MaxAttempts: 1, Stretch: 1}}}
+	newCell := func() *cell.Cell {
+		c := cell.New(cell.Config{Token: 1, Lease: time.Second, EndedJobRetention: time.Second})
+		c.SetConfiguration(conf)
+		return c
+	}
+	c := newCell()
+	stored := make(map[string][]byte)
+	known := make(map[bamboofall.JobID]bool)
+	restore := func(when string) {
+		t.Helper()
+		var records []bamboofall.StoredRecord
+		for key, value := range stored {
+			records = append(records, bamboofall.StoredRecord{StoreRecord: bamboofall.StoreRecord{Key: key, Value: value}})
+		}
+		successor := newCell()
+		for _, err := range successor.Restore(began, records) {
+			t.Errorf("%s: %v", when, err)
+		}
+		for job := range known {
+			_, found := successor.Lookup(job)
+			assert.Check(t, found, "%s: job %s is lost", when, job)
+		}
+	}
+	parts := 0
+	flush := func(now time.Time, when string) {
+		t.Helper()
+		records, n, err := c.Flush()
+		assert.NilError(t, err)
+		for i, batch := range appendBatches(records, 1) {
+			for _, r := range batch {
+				if len(r.Value) == 0 {
+					delete(stored, r.Key)
+				} else {
+					stored[r.Key] = r.Value
+				}
+			}
+			restore(fmt.Sprintf("%s, part %d", when, i))
+			parts++
+		}
+		c.Stored(now, n)
+	}
+	for i := range jobs {
+		spec := &bamboofall.Job{ID: bamboofall.JobID(id(i)), Queue: "q", Steps: []bamboofall.Step{{Count: 2}}}
+		c.Submit(began, spec, true)
+		if i%3 == 0 {
+			c.Cancel(began, spec.ID)
+		}
+	}
+	c.CancelBeforeSubmit(began, bamboofall.JobID(id(jobs)))
+	flush(began, "submissions")
+	for i := range jobs {
+		known[bamboofall.JobID(id(i))] = true
+	}
+	for i := 1; i < jobs; i += 3 {
+		c.Cancel(began, bamboofall.JobID(id(i)))
+	}
+	flush(began, "cancellations")
+	for i := range jobs {
+		if i%3 != 2 {
+			delete(known, bamboofall.JobID(id(i)))
+		}
+	}
+	later := began.Add(time.Minute)
+	c.Step(later)
+	flush(later, "removal of ended jobs")
+	for key := range stored {
+		if key[0] == 'j' || key[0] == 'p' {
+			assert.Check(t, known[bamboofall.JobID(key[1:])], "%s is left", key)
+		}
+	}
+	assert.Assert(t, parts > 3*jobs, parts)
+}
