front: failed deletions of inbox records are repeated

What callers saw: nothing that is known. A record that stays in the inbox is applied by the next owner. Once its job has ended and is forgotten, after status_s and 10 s, that submits the job again, and it runs a second time.

Cause: a deletion that failed was logged and not repeated.

Fix: the owner repeats the deletion every second until it succeeds or the owner stops. An owner that is replaced before leaves the record to its successor, which knows the job still and deletes it.

Test: TestInboxIsClearedAfterFailedDeletion. Before: "timeout hit after 20s: 1 records in the inbox".

--- a/internal/entry/front/accepted_test.go
+++ b/internal/entry/front/accepted_test.go
@@ -8,9 +8,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/jobspec"
+	"bamboofall.example/bamboofall/internal/wire/jobpb"
 	"bamboofall.example/bamboofall/platform"
 	"bamboofall.example/bamboofall/platform/standin"
 )
@@ -143,3 +147,45 @@
 	status, body = f.request(0, http.MethodGet, "/q/"+id(1), "")
 	assert.Assert(t, status != http.StatusGone, body)
 }
+
+// A record that stays in the inbox would submit its job again once the job is forgotten.
+func TestInboxIsClearedAfterFailedDeletion(t *testing.T) {
+	t.Parallel()
+	var failing atomic.Bool
+	failing.Store(true)
+	f := newClusterWithStoreFault(t, 1, 1, func(w http.ResponseWriter, r *http.Request) bool {
+		if !failing.Load() || r.URL.Path != "/v1/log-append" || r.URL.Query().Get("topic") != topicInbox {
+			return false
+		}
+		refuseCall(w, r)
+		return true
+	})
+	healthy := httptest.NewServer(f.store)
+	t.Cleanup(healthy.Close)
+	f.startEntry(1, strings.TrimPrefix(healthy.URL, "http://"))
+	f.waitForOwner(-1)
+	job, err := platform.DecodeJob(bamboofall.JobID(id(1)), "r-q", []byte(twoStepJob))
+	assert.NilError(t, err)
+	value, err := proto.Marshal(&jobpb.Deferred{Job: jobspec.Encode(job)})
+	assert.NilError(t, err)
+	store := f.entries[1].store
+	_, err = store.Append(t.Context(), bamboofall.StoreAppend{
+		Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: "s" + id(1), Value: value}}, ExpectedEnd: -1,
+	})
+	assert.NilError(t, err)
+	f.waitForState(1, id(1), "completed")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Contains(f.log.String(), "inbox not cleared") {
+			return poll.Success()
+		}
+		return poll.Continue("the inbox is not being cleared")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	failing.Store(false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		records, _, err := store.Newest(t.Context(), topicInbox, cellPartition)
+		if err == nil && len(records) == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%d records in the inbox, %v", len(records), err)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(50*time.Millisecond))
+}
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -40,6 +40,8 @@
 	// inboxMaxAge is the maximum age of the last complete read of the inbox at which
 	// the owner may report a job as unknown.
 	inboxMaxAge = 1200 * time.Millisecond
+	// inboxDeletionRetryDelay is the time between attempts to delete an inbox record.
+	inboxDeletionRetryDelay = time.Second
 	// maxAppendBytes bounds the records of an append, unless it has only one. The
 	// platform accepts 2 MB, and a VM with a slow link must be able to send them within
 	// the timeout of a call.
@@ -506,14 +508,22 @@
 	o.whenStored(flush, func() { go o.deleteInboxRecord(key) })
 }
 
+// deleteInboxRecord deletes a record whose effect is stored. It retries until it succeeds or
+// the owner stops, as the next owner knows the job only until it is forgotten.
 func (o *owner) deleteInboxRecord(key string) {
-	_, err := o.front.store.Append(o.ctx, bamboofall.StoreAppend{
-		Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: key}}, ExpectedEnd: -1,
-	})
-	if err != nil {
-		// The next owner applies the record again, which has no effect as the job is
-		// known.
-		o.front.log.Event("inbox not cleared", logrus.Fields{"key": key, "error": err.Error()})
+	for failed := false; o.ctx.Err() == nil; failed = true {
+		if failed {
+			sleep(o.ctx, inboxDeletionRetryDelay)
+		}
+		_, err := o.front.store.Append(o.ctx, bamboofall.StoreAppend{
+			Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: key}}, ExpectedEnd: -1,
+		})
+		if err == nil {
+			return
+		}
+		if !failed {
+			o.front.log.Event("inbox not cleared", logrus.Fields{"key": key, "error": err.Error()})
+		}
 	}
 }
 
