--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -40,6 +40,8 @@
 	// inboxMaxAge is the maximum age of the last complete read of the inbox at which
 	// the owner may report a job as unknown.
 	inboxMaxAge = 1200 * time.Millisecond
+	// inboxDeletionRetryDelay is the time between attempts to delete an inbox record.
+	inboxDeletionRetryDelay = time.Second
 	// maxAppendBytes bounds the records of an append, unless it has only one. The
 	// platform accepts 2 MB, and a VM with a slow link must be able to send them within
 	// the timeout of a call.
@@ -414,9 +416,30 @@
 
 // followWorkers applies worker records from an offset on.
 func (o *owner) followWorkers(ctx context.Context, from int64) error {
-	return o.front.follow(ctx, platform.TopicWorkers, from, workersLongPoll, func(r bamboofall.StoredRecord) {
-		o.push(ctx, func(at time.Time) { o.applyWorkerRecord(at, r) })
-	}, func(int64) { o.push(ctx, o.cell.WorkersRead) })
+	return o.front.follow(ctx, platform.TopicWorkers, from, workersLongPoll, topicReader{
+		apply: func(r bamboofall.StoredRecord) {
+			o.push(ctx, func(at time.Time) { o.applyWorkerRecord(at, r) })
+		},
+		applyNewest: func(records []bamboofall.StoredRecord) {
+			o.push(ctx, func(at time.Time) { o.applyNewestWorkers(at, records) })
+		},
+		caughtUp: func(int64) { o.push(ctx, o.cell.WorkersRead) },
+	})
+}
+
+// applyNewestWorkers applies the records of all workers that the platform lists, and
+// removes the others.
+func (o *owner) applyNewestWorkers(at time.Time, records []bamboofall.StoredRecord) {
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+		o.applyWorkerRecord(at, r)
+	}
+	for id := range o.dispatcher.table.Routes() {
+		if !listed[id] {
+			o.removeWorker(at, id)
+		}
+	}
 }
 
 // applyWorkerRecord adds or updates a worker, or removes it if the record is empty or
@@ -445,10 +468,11 @@
 // followInbox applies the requests that entry VMs stored while they could not reach an
 // owner, from an offset on.
 func (o *owner) followInbox(ctx context.Context, from int64) error {
-	return o.front.follow(ctx, topicInbox, from, inboxLongPoll, func(r bamboofall.StoredRecord) {
-		o.push(ctx, func(at time.Time) { o.applyInboxRecord(at, r) })
-	}, func(int64) {
-		o.push(ctx, o.progress.inboxReadAt.set)
+	return o.front.follow(ctx, topicInbox, from, inboxLongPoll, topicReader{
+		apply: func(r bamboofall.StoredRecord) {
+			o.push(ctx, func(at time.Time) { o.applyInboxRecord(at, r) })
+		},
+		caughtUp: func(int64) { o.push(ctx, o.progress.inboxReadAt.set) },
 	})
 }
 
@@ -474,23 +498,32 @@
 // applyDeferred applies a request from the inbox to the cell, and deletes its record
 // once the effect is stored.
 func (o *owner) applyDeferred(at time.Time, key string, deferred *jobpb.Deferred) {
+	o.front.metrics.Increment("inboxRecordsApplied", nil)
 	var flush uint64
-	if deferred.GetJob() != nil {
-		flush, _ = o.cell.Submit(at, jobspec.Decode(deferred.GetJob()), true)
+	if job := deferred.GetJob(); job != nil {
+		flush = o.cell.SubmitAccepted(at, jobspec.Decode(job), jobspec.DecodeQueue(job.GetQueue(), job.GetSettings()))
 	} else {
 		flush = o.cell.CancelBeforeSubmit(at, bamboofall.JobID(deferred.GetCancel()))
 	}
 	o.whenStored(flush, func() { go o.deleteInboxRecord(key) })
 }
 
+// deleteInboxRecord deletes a record whose effect is stored. It retries until it succeeds or
+// the owner stops, as the next owner knows the job only until it is forgotten.
 func (o *owner) deleteInboxRecord(key string) {
-	_, err := o.front.store.Append(o.ctx, bamboofall.StoreAppend{
-		Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: key}}, ExpectedEnd: -1,
-	})
-	if err != nil {
-		// The next owner applies the record again, which has no effect as the job is
-		// known.
-		o.front.log.Event("inbox not cleared", logrus.Fields{"key": key, "error": err.Error()})
+	for failed := false; o.ctx.Err() == nil; failed = true {
+		if failed {
+			sleep(o.ctx, inboxDeletionRetryDelay)
+		}
+		_, err := o.front.store.Append(o.ctx, bamboofall.StoreAppend{
+			Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: key}}, ExpectedEnd: -1,
+		})
+		if err == nil {
+			return
+		}
+		if !failed {
+			o.front.log.Event("inbox not cleared", logrus.Fields{"key": key, "error": err.Error()})
+		}
 	}
 }
 
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -28,10 +28,27 @@
 // durable, or the refusal. With mustAccept, for a job that was accepted before, it never
 // refuses.
 func (c *Cell) Submit(now time.Time, spec *bamboofall.Job, mustAccept bool) (uint64, *Refusal) {
+	return c.submit(now, spec, c.queues[spec.Queue], mustAccept)
+}
+
+// SubmitAccepted is Submit for a job that was accepted before. Its queue has the
+// configured settings, or the given ones if the queue is not configured here: the job may
+// have been accepted by an earlier or a later configuration.
+func (c *Cell) SubmitAccepted(now time.Time, spec *bamboofall.Job, settings *bamboofall.Queue) uint64 {
+	q := c.queues[spec.Queue]
+	if q == nil && c.jobs[spec.ID] == nil {
+		q = settings
+		c.note(Note{Event: "queue not configured", Job: spec.ID, Detail: fmt.Sprintf("queue %s, accepted with its settings: %t", spec.Queue, settings != nil)})
+	}
+	flush, _ := c.submit(now, spec, q, true)
+	return flush
+}
+
+func (c *Cell) submit(now time.Time, spec *bamboofall.Job, q *bamboofall.Queue, mustAccept bool) (uint64, *Refusal) {
 	if j := c.jobs[spec.ID]; j != nil {
+		j.promised = j.promised || mustAccept
 		return j.stateFlush, nil
 	}
-	q := c.queues[spec.Queue]
 	if q == nil && !mustAccept {
 		return 0, &Refusal{Reason: ReasonNoSuchQueue}
 	}
@@ -40,6 +57,7 @@
 		return 0, &Refusal{Reason: ReasonAdviceNotSupported, RetryAfter: admission.MaxRetryAfter}
 	}
 	j := c.newJob(spec, q, now)
+	j.promised = mustAccept
 	v := c.evaluate(now, j)
 	if !v.Accept && !mustAccept {
 		c.counters.Refused++
@@ -213,10 +231,11 @@
 	return flush
 }
 
-// Lookup returns the durable state of a job.
+// Lookup returns the durable state of a job. It reports false if the job is unknown, or
+// only known from a submission that has not been answered.
 func (c *Cell) Lookup(id bamboofall.JobID) (bamboofall.JobState, bool) {
 	j := c.jobs[id]
-	if j == nil || j.stateFlush > c.pending.storedFlush && c.pending.specs[id] != nil {
+	if j == nil || !j.promised && j.stateFlush > c.pending.storedFlush && c.pending.specs[id] != nil {
 		return 0, false
 	}
 	if j.visibleState == bamboofall.JobQueued && j.started {
@@ -225,6 +244,10 @@
 	return j.visibleState, true
 }
 
+// IsSubmitted reports whether a job was submitted, even if the submission has not been
+// answered.
+func (c *Cell) IsSubmitted(id bamboofall.JobID) bool { return c.jobs[id] != nil }
+
 // PendingJobs returns the number of open jobs in a queue without a started task.
 func (c *Cell) PendingJobs(queue string) int {
 	n := 0
