jobs/sim: audit that accepted tasks run which could

RunnableAudit goes by what the workers run and have room for, whatever the owner knows of them: standing tasks that are down for 3 s with room for them, 10 s after the last fault, and jobs that have nothing running for 3 s although there is room for a task of theirs twice over and less than half of the processors are reserved, 15 s after the last fault. It also finds jobs that are shown as completed while tasks of theirs are not.

The model gains what this needs: jobs in the inbox, gangs that work and end only together, standing tasks that take time to come up and fail or stall at workers where all runs do, and the time for which best-effort tasks harm a service. The audit of the order of steps took a gang for completed only once each of its tasks had reported an end; one end stands for all of them, as in the platform's interface.

Known red: TestBestEffortJobRunsBesideSensitiveServicesAtAllWorkers. Best-effort jobs are not started beside services that they disturb, with three quarters of the processors free.

--- a/internal/jobs/sim/handover.go
+++ b/internal/jobs/sim/handover.go
@@ -34,6 +34,7 @@
 	for _, err := range w.cell.Restore(w.now, records) {
 		w.reportViolation("restore: %v", err)
 	}
+	w.takeInbox()
 	for _, x := range w.workers {
 		if x.listed() {
 			w.cell.SetWorker(w.now, x.announcement())
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -43,6 +43,9 @@
 	// Pressure maps each best-effort image and serving image to the pressure of the
 	// first on the second: the utilization that it adds per whole worker.
 	Pressure map[string]map[string]float64
+	// StrictRuns makes the tasks of a gang work and end only together, and makes standing
+	// tasks take time to come up, and fail or stall at workers where all runs do.
+	StrictRuns bool
 	// Owner is the capacity of each owner's VM. If it is nil, the owner's work
 	// takes no time.
 	Owner *OwnerVM
@@ -82,12 +85,16 @@
 	appending bool
 	// StoreDown is set while the store does not answer.
 	StoreDown bool
-	version   uint64
+	// inbox holds the jobs in the store's inbox that no owner is known to have stored.
+	inbox   []*bamboofall.Job
+	version uint64
 
 	// deadly are the deadly tasks, and brokenGangs the runs of gangs that a crash has
 	// broken.
 	deadly      map[bamboofall.TaskName]*deadlyTask
 	brokenGangs map[gangRun]bool
+	// doneGangs are the runs of gangs that are completed.
+	doneGangs map[gangRun]bool
 	// OnDeadlyStart, if set, is called when a worker has begun the nth run of a deadly
 	// task, before it crashes.
 	OnDeadlyStart func(task bamboofall.TaskName, n int)
@@ -122,6 +129,9 @@
 	// TailSamples counts the reported tail latencies of serving tasks, OverTarget
 	// those above the target.
 	TailSamples, OverTarget int
+	// LongestHarm is the longest time for which the reported tail latencies of a serving task
+	// were above its target beside best-effort tasks at work.
+	LongestHarm time.Duration
 	// FirstStart holds the time from submission to the first start of a run, for
 	// each job that was started.
 	FirstStart []time.Duration
@@ -218,7 +228,7 @@
 		cfg: cfg, now: start, startedAt: start, random: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		store: make(map[string][]byte), jobs: make(map[bamboofall.JobID]*submission),
 		tasks: make(map[bamboofall.TaskName]*taskAudit), byID: make(map[string]*Worker),
-		deadly: make(map[bamboofall.TaskName]*deadlyTask), brokenGangs: make(map[gangRun]bool), nextIndex: cfg.Workers,
+		deadly: make(map[bamboofall.TaskName]*deadlyTask), brokenGangs: make(map[gangRun]bool), doneGangs: make(map[gangRun]bool), nextIndex: cfg.Workers,
 	}
 	for i := range cfg.Workers {
 		x := newWorker(w, i)
