--- a/internal/jobs/sim/starved_test.go
+++ b/internal/jobs/sim/starved_test.go
@@ -11,11 +11,13 @@
 	"bamboofall.example/bamboofall/internal/jobs/sim"
 )
 
-// A service that best-effort tasks disturb strongly runs at every worker, on a small part of
-// its processors. A job must not wait for a worker at which it would disturb nothing.
-func TestBestEffortJobRunsBesideSensitiveServicesAtAllWorkers(t *testing.T) {
+// checkSensitiveServices runs best-effort jobs beside a service that they disturb strongly. It
+// runs at every worker, on a small part of the processors. No job must wait for a worker at which
+// it would disturb nothing.
+func checkSensitiveServices(t *testing.T, edit func(*bamboofall.Step)) {
+	t.Helper()
 	cfg := config(10)
-	cfg.FailShare = 0
+	cfg.FailShare, cfg.StrictRuns = 0, true
 	cfg.Pressure = map[string]map[string]float64{"heavy": {"a": 4.5}}
 	w := sim.New(cfg)
 	w.AuditRunnable(30 * time.Second)
@@ -27,10 +29,13 @@
 	})
 	const jobs = 30
 	for n := range jobs {
+		step := bamboofall.Step{
+			Count: 8, Size: bamboofall.Resources{MilliProcessors: 7000, MemoryBytes: 4 * gb}, Estimate: 1700 * time.Millisecond,
+			BestEffort: true, Image: "heavy", Checkpointing: n%2 == 0,
+		}
+		edit(&step)
 		w.At(10*time.Second+time.Duration(n)*200*time.Millisecond, func() {
-			w.Submit(&bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n)), Queue: "batch", Steps: []bamboofall.Step{{
-				Count: 8, Size: bamboofall.Resources{MilliProcessors: 7000, MemoryBytes: 4 * gb}, Estimate: 1700 * time.Millisecond, BestEffort: true, Image: "heavy", Checkpointing: n%2 == 0,
-			}}})
+			w.Submit(&bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n)), Queue: "batch", Steps: []bamboofall.Step{step}})
 		})
 	}
 	w.Run(60 * time.Second)
@@ -38,3 +43,12 @@
 	const allowed = 4 * time.Second
 	assert.Check(t, w.Stats.LongestHarm < allowed, "a service was over its target for %v", w.Stats.LongestHarm)
 }
+
+func TestBestEffortJobRunsBesideSensitiveServicesAtAllWorkers(t *testing.T) {
+	checkSensitiveServices(t, func(*bamboofall.Step) {})
+}
+
+func TestBestEffortGangRunsBesideSensitiveServicesAtAllWorkers(t *testing.T) {
+	skipKnownRed(t)
+	checkSensitiveServices(t, func(s *bamboofall.Step) { s.Gang, s.Count = true, 4 })
+}
