jobs/cell: run jobs whose queue is configured after they were read

Callers saw an accepted job that was never started. An entry VM that has a new configuration may accept a job for a queue of it and leave it in the inbox. An owner that reads the inbox before it has that configuration takes the job without settings, and placement passes over such jobs. The configuration that followed changed only the settings for later jobs, so the job waited for the next owner.

A new configuration now sets the queue of open jobs without one, and their deadlines.

Evidence: TestJobFromInboxRunsOnceItsQueueIsConfigured failed before: nothing was started 4 s after the configuration.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -216,6 +216,11 @@
 	for i := range conf.Queues {
 		c.queues[conf.Queues[i].Name] = &conf.Queues[i]
 	}
+	for _, j := range c.open {
+		if j.queue == nil {
+			j.setQueue(c.queues[j.Job.Queue])
+		}
+	}
 	c.placementDue = true
 }
 
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -140,7 +140,7 @@
 // newJob returns a job without open occurrences.
 func (c *Cell) newJob(spec *bamboofall.Job, q *bamboofall.Queue, accepted time.Time) *job {
 	j := &job{
-		Job: spec, queue: q, accepted: accepted, state: bamboofall.JobQueued, visibleState: bamboofall.JobQueued,
+		Job: spec, accepted: accepted, state: bamboofall.JobQueued, visibleState: bamboofall.JobQueued,
 	}
 	j.work = jobspec.Work(spec)
 	j.bestEffort = slices.ContainsFunc(spec.Steps, func(s bamboofall.Step) bool { return s.BestEffort })
@@ -153,10 +153,16 @@
 			j.remainingPaths[dep] = max(j.remainingPaths[dep], path)
 		}
 	}
+	j.setQueue(q)
+	return j
+}
+
+// setQueue sets the queue, or nil if it is not known, and the deadline that follows from it.
+func (j *job) setQueue(q *bamboofall.Queue) {
+	j.queue = q
 	if q != nil {
-		j.due = accepted.Add(time.Duration(q.Stretch*float64(j.criticalPath)) + q.Slack)
+		j.due = j.accepted.Add(time.Duration(q.Stretch*float64(j.criticalPath)) + q.Slack)
 	}
-	return j
 }
 
 // compareNumber compares the number of the occurrence with another.
