--- a/internal/jobs/cell/fitcache.go
+++ b/internal/jobs/cell/fitcache.go
@@ -1,9 +1,11 @@
 package cell
 
 import (
+	"math"
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/pacing"
 )
 
 // In a full fleet capacity is freed at a few workers at a time while thousands of tasks
@@ -19,16 +21,27 @@
 const (
 	// tierRecent is for tasks that became ready less than recentWait ago, tierWaiting for
 	// others, and tierStarved for the first task of a job that has waited too long.
+	// tierUnbounded is for such a task that no worker takes by that bound, and allows workers
+	// whose services meet their targets without best-effort tasks.
 	tierRecent tailTier = iota
 	tierWaiting
 	tierStarved
+	tierUnbounded
 	numTailTiers
 )
 
 // limit returns the highest predicted tail latency, as a fraction of its target, at which
 // a task may be placed.
 func (t tailTier) limit() float64 {
-	return [numTailTiers]float64{maxRecentTail, maxExpectedTail, maxStarvedTail}[t]
+	return [numTailTiers]float64{maxRecentTail, maxExpectedTail, maxStarvedTail, math.Inf(1)}[t]
+}
+
+// pace returns the pace of a task that is placed by the bound.
+func (t tailTier) pace() int {
+	if t == tierUnbounded {
+		return pacing.Cautious
+	}
+	return fullPace
 }
 
 // taskShape holds the properties of a task that decide where it fits.
