jobs/cell: call an idle worker until a lease that may have been granted is answered

Callers would see accepted tasks wait beside idle workers for up to 15 s. A start grants a lease, and leases of a worker that leaves calls unanswered all end 7 s after the first of them, so a worker gets no start from 5 s after that on (acceptsStart). Only an answer ends this. A start that the owner withheld, or that a relay did not send, has no answer, nor has the hold call that goes with it. When its task is placed elsewhere or cancelled the worker is idle, and an idle worker is called only when its clock is 20 s old.

Such a worker is now called until it answers, as one with a run is. It costs calls only after a start that got no answer.

It concerns each idle worker whose start was not sent, as when the claim is not confirmed or an order is older than 0.5 s, if the task is not tried there again.

--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -75,7 +75,7 @@
 		if !unstored {
 			w.storedEnd = w.receivedEnd
 		}
-		if w.answered && !w.silent() && len(w.attempts) == 0 && !w.hasUnacknowledgedEnds() && now.Sub(w.clockAt) < maxClockAge {
+		if w.answered && !w.silent() && len(w.attempts) == 0 && w.unansweredSince.IsZero() && !w.hasUnacknowledgedEnds() && now.Sub(w.clockAt) < maxClockAge {
 			continue
 		}
 		// The runs of a worker only expire once a call to it has failed.
