jobs/cell: store when former leases end at a worker that does not answer a new owner

With a handover every few seconds they never start.

The record of a worker that answers its owner lists no runs, so the next owner waits until all leases of owners before it have ended. It counts these from its own claim. But an owner grants no lease to a worker that has not answered it: the leases there end with those of the owner before, and that was not in the store. It was for silent workers whose runs the owner knows (closed records) only.

An owner now adds the end to the open record of a worker that has been silent to it for a second, relative to its mark as in closed records, and waits for tasks that may run at such workers until the last of these ends. When the worker answers, it gets no lease before the store has the record without the end, as with closed records. A worker that answers within a second costs nothing.

A process that has just started has seen no marks before, and gains nothing. For others the record stands until the worker answers or is dropped.

TestTasksOfLostWorkerRestartOnlyAfterLeasesOfAnyOwner passes before, and fails if the record is not rewritten when the worker answers.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -66,6 +66,8 @@
 	// recovering is set while released tasks may be running at workers that have not
 	// answered this owner.
 	recovering bool
+	// unreportedEnd is when the last lease ends at these workers, as of the last scan.
+	unreportedEnd time.Time
 	// restoredAt is when the records of the former owner were restored.
 	restoredAt time.Time
 	// placementDue is set when an event may allow waiting tasks to be placed.
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -411,7 +411,7 @@
 	wasSilent := w.silent()
 	w.failures = 0
 	c.clearCrash(w)
-	if w.recordClosed && w.recorded {
+	if (w.recordClosed || w.recordTellsEnd) && w.recorded {
 		c.recordWorker(w)
 	}
 	if wasSilent {
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -284,7 +284,7 @@
 		c.restoreJobStarts(c.jobs[bamboofall.JobID(id)], p)
 	}
 	slices.SortFunc(c.ended, func(a, b *job) int { return a.endedAt.Compare(b.endedAt) })
-	c.restoredAt = now
+	c.restoredAt, c.unreportedEnd = now, c.cfg.FormerLeasesEnd
 	c.recovering = len(c.workers) > 0
 	c.placementDue = true
 	return errs
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -43,9 +43,9 @@
 	// recordClosed reports whether the record lists every run that may exist here.
 	// Nothing else may then be started until the record is reopened.
 	recordClosed bool
-	// endRecorded is set if the store may hold a closed record that tells when the leases
-	// end.
-	endRecorded bool
+	// endRecorded is set if the store may hold a record that tells when the leases end, and
+	// recordTellsEnd if an open record does, as the worker has not answered this owner.
+	endRecorded, recordTellsEnd bool
 
 	// attempts are in placement order.
 	attempts []*attempt
@@ -258,7 +258,7 @@
 	c.pending.workers[w.info.ID] = w
 	delete(c.pending.deleted, keyWorker+w.info.ID)
 	w.recordFlush = c.pending.nextFlush
-	w.recorded, w.recordClosed = true, false
+	w.recorded, w.recordClosed, w.recordTellsEnd = true, false, false
 }
 
 // closeRecord replaces the record of a worker that became silent by one that lists every
@@ -326,6 +326,7 @@
 		Draining: m.GetDraining(),
 	})
 	w.leasesEnd, w.endRecorded = c.restoredLeasesEnd(m), m.GetMark() != 0
+	w.recordTellsEnd = w.endRecorded && !m.GetSilent()
 	w.recorded, w.recordClosed, w.usedByFormer = true, m.GetSilent(), !m.GetSilent()
 	c.addWorker(w)
 	return nil
@@ -454,7 +455,8 @@
 	if !c.recovering {
 		return
 	}
-	if !c.surelyExpired(now, c.cfg.FormerLeasesEnd.Add(LateEndGrace)) && slices.ContainsFunc(c.workerList, (*worker).owesReport) {
+	c.unreportedEnd = c.watchUnreported(now)
+	if !c.surelyExpired(now, c.unreportedEnd.Add(LateEndGrace)) {
 		return
 	}
 	c.recovering = false
@@ -469,7 +471,7 @@
 // mayRunUnreported reports whether a task of a step may be running at a worker that has
 // not answered this owner, or may have completed there.
 func (c *Cell) mayRunUnreported(now time.Time, s *step) bool {
-	return c.recovering && s.released && (s.atMostOnce() || !c.surelyExpired(now, c.cfg.FormerLeasesEnd))
+	return c.recovering && s.released && (s.atMostOnce() || !c.surelyExpired(now, c.unreportedEnd))
 }
 
 // reportDeadline returns the time after which the worker can no longer report anything
