jobs/cell: start a starved job's first best-effort task wherever its memory fits

Callers would see a best-effort job without a running task for as long as the best-effort tasks of other jobs hold all CPU that is left over, though little or nothing of the workers is reserved. Best-effort tasks do not count against a worker's capacity and share what the others leave, so there is room for the job by that measure.

Placement keeps the sizes of the best-effort tasks at a worker within its unused CPU, so that each makes good progress. It did so too for the first task of a starved job, which must start where much is unreserved, so that this waited for the end of another one. Paused tasks hold their share of that CPU for as long as they are paused.

The bound on CPU is now left out for these tasks. Memory, health and the bound on tails remain.

It would show as a "waiting" entry with "noRoom" while the summary tells that best-effort tasks hold what is left.

TestStarvedJobStartsBesideBestEffortTasksOfAnotherJob: no task of the second job runs after 3 s before, with nothing reserved.

--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -31,7 +31,7 @@
 
 // obstacleAt returns what prevents a task from starting at a worker, apart from predicted
 // tail latencies.
-func (c *Cell) obstacleAt(now time.Time, t *task, w *worker) obstacle {
+func (c *Cell) obstacleAt(now time.Time, t *task, tier tailTier, w *worker) obstacle {
 	s := t.step
 	if !w.usable() {
 		return obstacleUnusable
@@ -43,7 +43,10 @@
 	if w.orphans > 0 || !free.Valid() {
 		return obstacleRoom
 	}
-	if s.BestEffort {
+	switch {
+	case s.BestEffort && tier == tierStarved:
+		free.MilliProcessors = s.Size.MilliProcessors // it shares what the others there use
+	case s.BestEffort:
 		free.MilliProcessors = w.unusedCPU() - w.bestEffortCPU
 	}
 	if !s.Size.Fits(free) {
@@ -107,7 +110,7 @@
 func (c *Cell) describeObstacles(now time.Time, t *task) string {
 	count := make(map[obstacle]int)
 	for _, w := range c.workerList {
-		o := c.obstacleAt(now, t, w)
+		o := c.obstacleAt(now, t, tierOf(now, t.step), w)
 		if o == noObstacle && t.step.BestEffort && c.worstTailWith(now, w, t.step) > tierOf(now, t.step).limit() {
 			o = obstacleTail
 		}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -314,7 +314,7 @@
 // It reports false if the task cannot start there. The index affects serving tasks only.
 func (c *Cell) score(now time.Time, t *task, tier tailTier, w *worker, index int) (float64, bool) {
 	c.fits.checks++
-	switch c.obstacleAt(now, t, w) {
+	switch c.obstacleAt(now, t, tier, w) {
 	case noObstacle:
 	case obstacleHealth, obstacleOutdated:
 		c.addAvoided(w)
@@ -439,7 +439,7 @@
 
 // slotsAt returns how many tasks of a step fit at a worker, at most maxSlots.
 func (c *Cell) slotsAt(now time.Time, s *step, w *worker, maxSlots int) int {
-	switch c.obstacleAt(now, &s.tasks[0], w) {
+	switch c.obstacleAt(now, &s.tasks[0], tierOf(now, s), w) {
 	case noObstacle:
 	case obstacleHealth, obstacleOutdated:
 		c.addAvoided(w)
--- /dev/null
+++ b/internal/jobs/cell/starvedfills_test.go
@@ -0,0 +1,25 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+)
+
+// Best-effort tasks do not count against a worker's CPU. Those of one job must not keep
+// another job without a running task.
+func TestStarvedJobStartsBesideBestEffortTasksOfAnotherJob(t *testing.T) {
+	const workers = 2
+	r := newResizedCell(t, workers)
+	fill := bamboofall.Step{Count: 8 * workers, Size: bamboofall.Resources{MilliProcessors: 4000, MemoryBytes: 1 << 30}, Estimate: time.Hour, BestEffort: true, Image: "batch"}
+	r.Submit(r.now, &bamboofall.Job{ID: "0000000000000001", Queue: "q", Steps: []bamboofall.Step{fill}}, true)
+	r.run(time.Second)
+	assert.Equal(t, r.countRunning(1), 8*workers)
+	fill.Count = 1
+	r.Submit(r.now, &bamboofall.Job{ID: "0000000000000002", Queue: "q", Steps: []bamboofall.Step{fill}}, true)
+	r.run(3 * time.Second)
+	assert.Equal(t, r.countRunning(2), 1)
+}
