--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -75,7 +75,7 @@
 		if !unstored {
 			w.storedEnd = w.receivedEnd
 		}
-		if w.answered && !w.silent() && len(w.attempts) == 0 && !w.hasUnacknowledgedEnds() && now.Sub(w.clockAt) < maxClockAge {
+		if w.answered && !w.silent() && len(w.attempts) == 0 && w.unansweredSince.IsZero() && !w.hasUnacknowledgedEnds() && now.Sub(w.clockAt) < maxClockAge {
 			continue
 		}
 		// The runs of a worker only expire once a call to it has failed.
@@ -411,7 +411,7 @@
 	wasSilent := w.silent()
 	w.failures = 0
 	c.clearCrash(w)
-	if w.recordClosed && w.recorded {
+	if (w.recordClosed || w.recordTellsEnd) && w.recorded {
 		c.recordWorker(w)
 	}
 	if wasSilent {
