jobs/cell: let a paused task go on when the serving tasks have left

Paces were decided only while a worker has serving tasks. A best-effort task that was slowed or paused for one kept its pace once the last serving task had left the worker. A checkpointing task is moved then if it fits elsewhere; any other, and all of them where nothing fits, stayed paused until the worker was lost, and the job was never completed.

Paces are now decided as long as a worker has tasks of either kind. TestPausedTaskGoesOnAfterServingTaskHasLeft failed before: no pace was ordered within 5 s.

--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -100,7 +100,7 @@
 			c.stop(now, a, "the outcome of the start is unknown")
 		}
 	}
-	if len(w.serving) > 0 {
+	if len(w.serving) > 0 || len(w.bestEffort) > 0 {
 		c.observeTails(now, w)
 	}
 	for i := range running {
