--- a/internal/jobs/cell/fitcache.go
+++ b/internal/jobs/cell/fitcache.go
@@ -20,25 +20,27 @@
 
 const (
 	// tierRecent is for tasks that became ready less than recentWait ago, tierWaiting for
-	// others, and tierStarved for the first task of a job that has waited too long.
-	// tierUnbounded is for such a task that no worker takes by that bound, and allows workers
-	// whose services meet their targets without best-effort tasks.
+	// others, and the rest for the first task of a job that has waited too long: tierStarved
+	// if it fits, tierThrottled if it starts throttled where no target is missed at present,
+	// whatever tails are expected, and tierCrowded if it also shares the idle CPU with other
+	// best-effort tasks.
 	tierRecent tailTier = iota
 	tierWaiting
 	tierStarved
-	tierUnbounded
+	tierThrottled
+	tierCrowded
 	numTailTiers
 )
 
 // limit returns the highest predicted tail latency, as a fraction of its target, at which
 // a task may be placed.
 func (t tailTier) limit() float64 {
-	return [numTailTiers]float64{maxRecentTail, maxExpectedTail, maxStarvedTail, math.Inf(1)}[t]
+	return [numTailTiers]float64{maxRecentTail, maxExpectedTail, maxStarvedTail, math.Inf(1), math.Inf(1)}[t]
 }
 
-// pace returns the pace of a task that is placed by the bound.
-func (t tailTier) pace() int {
-	if t == tierUnbounded {
+// pace returns the pace at which a task that is placed by the bound starts at a worker.
+func (t tailTier) pace(w *worker) int {
+	if t >= tierThrottled && len(w.serving) > 0 {
 		return pacing.Cautious
 	}
 	return fullPace
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -54,6 +54,8 @@
 	shed bool
 	// idle is the time for which none of its ready tasks has run, as of the last summary.
 	idle downtime.Clock
+	// starvedSince is since when the job is starved, or zero.
+	starvedSince time.Time
 }
 
 // occurrence is one execution of the steps of a job.
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -43,11 +43,8 @@
 	if w.orphans > 0 || !free.Valid() {
 		return obstacleRoom
 	}
-	switch {
-	case s.BestEffort && tier == tierStarved:
-		free.MilliProcessors = s.Size.MilliProcessors // it shares what the others there use
-	case s.BestEffort:
-		free.MilliProcessors = w.unusedCPU() - w.bestEffortCPU
+	if s.BestEffort {
+		free.MilliProcessors = w.freeForBestEffort(tier)
 	}
 	if !s.Size.Fits(free) {
 		if s.Size.MemoryBytes > free.MemoryBytes {
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -239,7 +239,7 @@
 	s.gang.run = run
 	for i, w := range chosen {
 		c.start(now, w, &s.tasks[i], run)
-		s.tasks[i].attempts[0].targetPace = tier.pace()
+		s.tasks[i].attempts[0].targetPace = tier.pace(w)
 	}
 }
 
@@ -327,6 +327,9 @@
 	view := placement.Worker{
 		Room: w.info.Room, Free: w.free(), Failures: w.health.Failures(), Slowdown: w.health.Slowdown(),
 	}
+	if tier == tierCrowded {
+		view.Free.MilliProcessors -= w.bestEffortCPU
+	}
 	rack := s.Rack
 	if s.rack != "" {
 		rack = s.rack
@@ -343,7 +346,7 @@
 	}
 	if kind != placement.Normal {
 		view.Tail = c.worstTailWith(now, w, s)
-		if kind == placement.BestEffort && (view.Tail > tier.limit() || tier == tierUnbounded && c.tailAlone(now, w) > maxStarvedTail) {
+		if kind == placement.BestEffort && (view.Tail > tier.limit() || tier >= tierThrottled && w.missesTarget()) {
 			return 0, false
 		}
 	}
@@ -426,6 +429,15 @@
 	return free + int64((1-standingUtilization)*float64(w.standingCPU))
 }
 
+// freeForBestEffort returns the CPU in milliprocessors that another best-effort task may
+// use.
+func (w *worker) freeForBestEffort(tier tailTier) int64 {
+	if tier == tierCrowded {
+		return w.unusedCPU()
+	}
+	return w.unusedCPU() - w.bestEffortCPU
+}
+
 // gangBlocked reports whether the workers are known to have too little capacity for a
 // gang. Each worker with a gain is counted with all the tasks that fit there now.
 func (c *Cell) gangBlocked(now time.Time, s *step) bool {
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -126,8 +126,11 @@
 	spareUtilization = 0.52
 	// starvationDelay is how long such a job waits before it is given a task.
 	starvationDelay = 2 * time.Second
-	// maxStarvedTail is the predicted tail latency up to which that task is placed.
-	// Pacing corrects what it disturbs beyond the prediction.
+	// crowdedDelay is how much longer it waits for idle CPU that no other best-effort task
+	// was given.
+	crowdedDelay = 400 * time.Millisecond
+	// maxStarvedTail is the predicted tail latency up to which that task starts at full
+	// pace. Pacing corrects what it disturbs beyond the prediction.
 	maxStarvedTail = 1.0
 )
 
@@ -155,7 +158,7 @@
 		return cmp.Or(a.readyAt.Compare(b.readyAt), cmp.Compare(a.occ.job.ID, b.occ.job.ID), a.compare(b))
 	})
 	for _, s := range starved {
-		for _, tier := range tiersOfStarved(s) {
+		for _, tier := range tiersOfStarved(now, s) {
 			if !s.occ.job.hasRuns() {
 				c.startStarvedStep(now, s, tier)
 			}
@@ -183,16 +186,23 @@
 		delete(c.ready, s)
 	}
 	c.startWaiting(now, w, t)
-	t.attempts[0].targetPace = tier.pace()
+	t.attempts[0].targetPace = tier.pace(w)
 }
 
 // tiersOfStarved returns the tiers for a task of a job that has waited too long, in the order
 // in which they are tried.
-func tiersOfStarved(s *step) []tailTier {
-	if s.BestEffort {
-		return []tailTier{tierStarved, tierUnbounded}
+func tiersOfStarved(now time.Time, s *step) []tailTier {
+	if !s.BestEffort {
+		return []tailTier{tierRecent}
 	}
-	return []tailTier{tierRecent}
+	j := s.occ.job
+	if j.starvedSince.IsZero() {
+		j.starvedSince = now
+	}
+	if now.Sub(j.starvedSince) < crowdedDelay {
+		return []tailTier{tierStarved, tierThrottled}
+	}
+	return []tailTier{tierStarved, tierThrottled, tierCrowded}
 }
 
 // firstWaiting returns the first waiting task that still needs a run, or nil. A report
--- a/internal/jobs/cell/tails.go
+++ b/internal/jobs/cell/tails.go
@@ -87,6 +87,10 @@
 	return lowest
 }
 
+// missesTarget reports whether a tail latency was above its target when tail latencies were
+// last evaluated.
+func (w *worker) missesTarget() bool { return w.tailsWithinTargetAt.Before(w.tailsObservedAt) }
+
 // reservedShares returns the fractions of a worker's CPU that are assigned to images.
 func (w *worker) reservedShares() pressure.Shares {
 	shares := w.servingShares()
@@ -96,16 +100,6 @@
 	return shares
 }
 
-// tailAlone returns the highest tail latency expected at a worker without best-effort tasks,
-// as a fraction of its target.
-func (c *Cell) tailAlone(now time.Time, w *worker) float64 {
-	lowest, shares := math.Inf(1), w.servingShares()
-	for _, s := range w.serving {
-		lowest = min(lowest, c.pressure.LowHeadroom(s.Image, shares), w.ownHeadroom(now, s.Image))
-	}
-	return 1 / max(minHeadroom, lowest)
-}
-
 // servingShares returns the fractions assigned to serving images.
 func (w *worker) servingShares() pressure.Shares {
 	shares := make(pressure.Shares, 0, len(w.bestEffort)+len(w.serving))
