jobs/cell: start starved jobs where every worker misses a target

Callers would see an accepted job without a run for as long as the serving tasks of all workers with room miss their targets by themselves, with most of the processors unreserved. The rule against that has no exception for tails.

The last of the bounds for a starved job now allows workers that miss a target, the one with the lowest expected tail first. The task starts throttled, and pacing pauses it while the target is missed, so it has a run, and goes on once the tails are low.

--- a/internal/jobs/cell/fitcache.go
+++ b/internal/jobs/cell/fitcache.go
@@ -22,8 +22,8 @@
 	// tierRecent is for tasks that became ready less than recentWait ago, tierWaiting for
 	// others, and the rest for the first task of a job that has waited too long: tierStarved
 	// if it fits, tierThrottled if it starts throttled where no target is missed at present,
-	// whatever tails are expected, and tierCrowded if it also shares the idle CPU with other
-	// best-effort tasks.
+	// whatever tails are expected, and tierCrowded if targets may be missed and it may share
+	// the idle CPU with other best-effort tasks.
 	tierRecent tailTier = iota
 	tierWaiting
 	tierStarved
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -346,7 +346,7 @@
 	}
 	if kind != placement.Normal {
 		view.Tail = c.worstTailWith(now, w, s)
-		if kind == placement.BestEffort && (view.Tail > tier.limit() || tier >= tierThrottled && w.missesTarget()) {
+		if kind == placement.BestEffort && (view.Tail > tier.limit() || tier == tierThrottled && w.missesTarget()) {
 			return 0, false
 		}
 	}
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -126,8 +126,8 @@
 	spareUtilization = 0.52
 	// starvationDelay is how long such a job waits before it is given a task.
 	starvationDelay = 2 * time.Second
-	// crowdedDelay is how much longer it waits for idle CPU that no other best-effort task
-	// was given.
+	// crowdedDelay is how much longer it waits for a worker at which no target is missed and
+	// idle CPU is left that no other best-effort task was given.
 	crowdedDelay = 400 * time.Millisecond
 	// maxStarvedTail is the predicted tail latency up to which that task starts at full
 	// pace. Pacing corrects what it disturbs beyond the prediction.
