--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -88,7 +88,7 @@
 	// zoneLossyAt is when each data centre was last found to be losing answers.
 	zoneLossyAt map[bamboofall.DataCentre]time.Time
 	// owner is the delay that the owner itself adds to orders and answers.
-	owner ownerDelay
+	owner callbudget.Delay
 	// confirmedAt is when this owner's claim on the cell was last confirmed.
 	confirmedAt time.Time
 	// mark is the last mark that this owner has stored.
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -155,7 +155,7 @@
 // scaleByOwnerDelay lengthens a call interval in proportion to the owner's own delay, to
 // twice the interval at SlowOwnerDelay, since further calls would delay all others.
 func (c *Cell) scaleByOwnerDelay(now time.Time, d time.Duration) time.Duration {
-	factor := 1 + float64(c.ownerDelayAt(now))/float64(SlowOwnerDelay)
+	factor := 1 + float64(c.owner.At(now))/float64(SlowOwnerDelay)
 	return time.Duration(min(factor, maxSlowOwnerFactor) * float64(d))
 }
 
@@ -240,7 +240,7 @@
 	}
 	w.nextHoldAt = now
 	if c.ownerSlow(now) {
-		w.holdAfter = now.Add(min(c.ownerDelayAt(now), maxSlowOwnerPause))
+		w.holdAfter = now.Add(min(c.owner.At(now), maxSlowOwnerPause))
 	}
 	if c.endsUnstored(w) || !c.mayGrant(w) {
 		w.nextHoldAt = now.Add(c.scaleByOwnerDelay(now, unstoredHoldInterval))
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -95,7 +95,7 @@
 		return
 	}
 	expected := c.expectedRunTime(s)
-	if s.Rack != "" && a.worker.rack() != s.Rack {
+	if s.Rack != "" && a.worker.info.Rack() != s.Rack {
 		expected = time.Duration(float64(expected) * c.cfg.RemoteFactor)
 	}
 	p := suspicion.Progress{
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -3,71 +3,52 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
-	"strings"
 	"time"
 
+	"bamboofall.example/bamboofall/internal/jobs/obstacle"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
 
-// obstacle is the reason why a task cannot start at a worker now.
-type obstacle string
-
-// The obstacles, in the order in which they are checked.
-const (
-	noObstacle           obstacle = "fits"
-	obstacleUnusable     obstacle = "unusable"
-	obstacleService      obstacle = "otherService"
-	obstacleRoom         obstacle = "noRoom"
-	obstacleMemory       obstacle = "noMemory"
-	obstacleOutdated     obstacle = "outdated"
-	obstacleHealth       obstacle = "suspect"
-	obstacleLabel        obstacle = "otherLabel"
-	obstacleAlreadyHere  obstacle = "runsThere"
-	obstacleMaxPerWorker obstacle = "apart"
-	obstacleTail         obstacle = "tail"
-)
-
 // obstacleAt returns what prevents a task from starting at a worker, apart from predicted
 // tail latencies.
-func (c *Cell) obstacleAt(now time.Time, t *task, tier tailTier, w *worker) obstacle {
+func (c *Cell) obstacleAt(now time.Time, t *task, tier tailTier, w *worker) obstacle.Reason {
 	s := t.step
 	if !w.usable() {
-		return obstacleUnusable
+		return obstacle.Unusable
 	}
 	if q := s.occ.job.queue; q == nil || w.info.Service != q.Service {
-		return obstacleService
+		return obstacle.Service
 	}
 	free := w.free()
 	if w.orphans > 0 || !free.Valid() {
-		return obstacleRoom
+		return obstacle.Room
 	}
 	if s.BestEffort {
 		free.MilliProcessors = w.freeForBestEffort(tier)
 	}
 	if !s.Size.Fits(free) {
 		if s.Size.MemoryBytes > free.MemoryBytes {
-			return obstacleMemory
+			return obstacle.Memory
 		}
-		return obstacleRoom
+		return obstacle.Room
 	}
 	if !c.capacityReliable(now, w) {
-		return obstacleOutdated
+		return obstacle.Outdated
 	}
 	if !c.acceptsStart(now, w) {
-		return obstacleHealth
+		return obstacle.Health
 	}
 	if s.Label != "" && !slices.Contains(w.info.Labels, s.Label) {
-		return obstacleLabel
+		return obstacle.Label
 	}
 	for _, a := range t.attempts {
 		if a.worker == w {
-			return obstacleAlreadyHere
+			return obstacle.AlreadyHere
 		}
 	}
 	if s.MaxPerWorker == 0 {
-		return noObstacle
+		return obstacle.None
 	}
 	here := 0
 	for _, a := range w.attempts {
@@ -76,9 +57,9 @@
 		}
 	}
 	if here >= s.MaxPerWorker {
-		return obstacleMaxPerWorker
+		return obstacle.MaxPerWorker
 	}
-	return noObstacle
+	return obstacle.None
 }
 
 // noteObstacles logs why the most urgent waiting task waits.
@@ -105,17 +86,13 @@
 // describeObstacles returns the number of workers by what prevents a task from starting
 // there.
 func (c *Cell) describeObstacles(now time.Time, t *task) string {
-	count := make(map[obstacle]int)
+	count := make(obstacle.Counts)
 	for _, w := range c.workerList {
 		o := c.obstacleAt(now, t, tierOf(now, t.step), w)
-		if o == noObstacle && t.step.BestEffort && c.worstTailWith(now, w, t.step) > tierOf(now, t.step).limit() {
-			o = obstacleTail
+		if o == obstacle.None && t.step.BestEffort && c.worstTailWith(now, w, t.step) > tierOf(now, t.step).limit() {
+			o = obstacle.Tail
 		}
 		count[o]++
 	}
-	var parts []string
-	for _, reason := range slices.Sorted(maps.Keys(count)) {
-		parts = append(parts, fmt.Sprintf("%s %d", reason, count[reason]))
-	}
-	return strings.Join(parts, ", ")
+	return count.String()
 }
--- a/internal/jobs/cell/overload.go
+++ b/internal/jobs/cell/overload.go
@@ -2,38 +2,20 @@
 
 import "time"
 
-const (
-	// SlowOwnerDelay is the delay from which an owner counts as slow. It is a quarter of
-	// the order timeout, so that most answers still arrive in time.
-	SlowOwnerDelay = 100 * time.Millisecond
-	// ownerDelayTTL is how long a reported delay is used without a newer one.
-	ownerDelayTTL = 2 * time.Second
-)
-
-// ownerDelay is the delay that the owner itself adds to orders and answers.
-type ownerDelay struct {
-	delay      time.Duration
-	reportedAt time.Time
-}
+// SlowOwnerDelay is the delay from which an owner counts as slow. It is a quarter of the
+// order timeout, so that most answers still arrive in time.
+const SlowOwnerDelay = 100 * time.Millisecond
 
 // SetOwnerDelay reports how long orders and answers wait in the owner itself: from the
 // decision until they are written, or from their arrival until they are handled,
 // whichever is longer. After the first call, calls to workers are limited to the rate
 // that the owner can handle.
 func (c *Cell) SetOwnerDelay(now time.Time, d time.Duration) {
-	c.owner.delay, c.owner.reportedAt = max(0, d), now
-}
-
-// ownerDelayAt returns the owner's own delay, or zero without a recent report.
-func (c *Cell) ownerDelayAt(now time.Time) time.Duration {
-	if now.Sub(c.owner.reportedAt) > ownerDelayTTL {
-		return 0
-	}
-	return c.owner.delay
+	c.owner.Report(now, d)
 }
 
 // ownerSlow reports whether the owner itself may be the reason for late answers.
-func (c *Cell) ownerSlow(now time.Time) bool { return c.ownerDelayAt(now) >= SlowOwnerDelay }
+func (c *Cell) ownerSlow(now time.Time) bool { return c.owner.At(now) >= SlowOwnerDelay }
 
 // slowOwnerFailures is the number of consecutive failed calls after which a slow owner
 // considers a worker silent.
@@ -51,7 +33,7 @@
 }
 
 // callsLimited reports whether calls are limited: the owner's delay is reported.
-func (c *Cell) callsLimited() bool { return !c.owner.reportedAt.IsZero() }
+func (c *Cell) callsLimited() bool { return c.owner.Reported() }
 
 // mayStart reports whether the budget allows another start.
 func (c *Cell) mayStart() bool { return !c.callsLimited() || c.budget.MayStart() }
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"bamboofall.example/bamboofall/internal/jobs/obstacle"
 	"bamboofall.example/bamboofall/internal/jobs/placement"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
@@ -196,7 +197,7 @@
 func (c *Cell) startWaiting(now time.Time, w *worker, t *task) {
 	t.queued = false
 	if s := t.step; s.SameRack && s.rack == "" {
-		s.rack = w.rack()
+		s.rack = w.info.Rack()
 	}
 	c.start(now, w, t, c.nextRun(t))
 }
@@ -223,7 +224,7 @@
 		}
 		chosen = append(chosen, w)
 		if s.SameRack && s.rack == "" {
-			s.rack = w.rack()
+			s.rack = w.info.Rack()
 		}
 		reserved = append(reserved, c.reserve(w, &s.tasks[i], run))
 	}
@@ -316,8 +317,8 @@
 func (c *Cell) score(now time.Time, t *task, tier tailTier, w *worker, index int) (float64, bool) {
 	c.fits.checks++
 	switch c.obstacleAt(now, t, tier, w) {
-	case noObstacle:
-	case obstacleHealth, obstacleOutdated:
+	case obstacle.None:
+	case obstacle.Health, obstacle.Outdated:
 		c.addAvoided(w)
 		return 0, false
 	default:
@@ -334,7 +335,7 @@
 	if s.rack != "" {
 		rack = s.rack
 	}
-	view.OnRack = rack != "" && w.rack() == rack
+	view.OnRack = rack != "" && w.info.Rack() == rack
 	kind := placement.Normal
 	switch {
 	case s.BestEffort:
@@ -453,8 +454,8 @@
 // slotsAt returns how many tasks of a step fit at a worker, at most maxSlots.
 func (c *Cell) slotsAt(now time.Time, s *step, w *worker, maxSlots int) int {
 	switch c.obstacleAt(now, &s.tasks[0], tierOf(now, s), w) {
-	case noObstacle:
-	case obstacleHealth, obstacleOutdated:
+	case obstacle.None:
+	case obstacle.Health, obstacle.Outdated:
 		c.addAvoided(w)
 		return 0
 	default:
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -168,16 +168,6 @@
 
 func (w *worker) free() bamboofall.Resources { return w.info.Room.Sub(w.used) }
 
-// rack returns the rack label of the worker, an "r" followed by a digit, or nothing.
-func (w *worker) rack() string {
-	for _, l := range w.info.Labels {
-		if len(l) > 1 && l[0] == 'r' && l[1] >= '0' && l[1] <= '9' {
-			return l
-		}
-	}
-	return ""
-}
-
 func (w *worker) silent() bool { return w.failures >= silentFailures }
 
 // usable reports whether tasks may be placed at the worker.
--- /dev/null
+++ b/internal/jobs/obstacle/obstacle.go
@@ -0,0 +1,39 @@
+// Package obstacle names the reasons why a task cannot start at a worker.
+package obstacle
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Reason is a reason why a task cannot start at a worker now.
+type Reason string
+
+// The reasons, in the order in which they are checked.
+const (
+	None         Reason = "fits"
+	Unusable     Reason = "unusable"
+	Service      Reason = "otherService"
+	Room         Reason = "noRoom"
+	Memory       Reason = "noMemory"
+	Outdated     Reason = "outdated"
+	Health       Reason = "suspect"
+	Label        Reason = "otherLabel"
+	AlreadyHere  Reason = "runsThere"
+	MaxPerWorker Reason = "apart"
+	Tail         Reason = "tail"
+)
+
+// Counts is the number of workers by reason.
+type Counts map[Reason]int
+
+// String lists the numbers, ordered by reason, for log entries.
+func (c Counts) String() string {
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(c)) {
+		parts = append(parts, fmt.Sprintf("%s %d", reason, c[reason]))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/jobs.go
+++ b/jobs.go
@@ -205,6 +205,16 @@
 	Clock time.Duration
 }
 
+// Rack returns the rack label of the worker, an "r" followed by a digit, or nothing.
+func (w *Worker) Rack() string {
+	for _, l := range w.Labels {
+		if len(l) > 1 && l[0] == 'r' && l[1] >= '0' && l[1] <= '9' {
+			return l
+		}
+	}
+	return ""
+}
+
 // RunningTask is a running task, as its worker reports it.
 type RunningTask struct {
 	Task TaskName
