jobs/cell: wait for reports of runs that may have completed, and bind stored ends of leases to an epoch

A finite task could run a second time after it had completed: leases that ended before an owner took over say nothing about ends that this owner could not hear of yet. Finite tasks wait until the worker has also been silent to this owner for LateEndGrace, as those in closed records do.

A successor that grants leases without rewriting the record, as one of an earlier build does, left an end in it that the owner after it would rely on: a standing task could run twice if builds alternate. The end is in a field of its own now, which earlier builds ignore, with the epoch of the owner that sent it, and holds for the next owner only. TestTasksOfLostWorkerRestartOnlyAfterLeasesOfLaterOwner fails without the comparison of epochs: restarted after 9.1 s, last lease ends after 12.0 s.

--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		// The runs of a worker only expire once a call to it has failed.
-		if !w.answered && !w.listed && len(w.attempts) == 0 && now.After(w.reportDeadline()) {
+		if !w.answered && !w.listed && len(w.attempts) == 0 && now.After(c.reportDeadline(w)) {
 			continue
 		}
 		if !c.mayCall(now, w) {
--- a/internal/jobs/cell/leaseend.go
+++ b/internal/jobs/cell/leaseend.go
@@ -16,45 +16,88 @@
 // it gets a lease.
 const recordEndAfter = time.Second
 
-// watchUnreported returns when the last lease of a former owner ends at the workers that owe
-// this one a report, or zero if none does. It stores the end at a worker that does not answer,
-// and thus gets no lease, so that its tasks do not wait anew after another handover.
-func (c *Cell) watchUnreported(now time.Time) (last time.Time) {
+// watchUnreported returns when the workers that owe this owner a report can no longer give
+// one, or zero if none does. It stores when leases end at a worker that does not answer, and
+// thus gets none, so that its tasks do not wait anew after another handover.
+func (c *Cell) watchUnreported(now time.Time) (reportsEnd time.Time) {
+	c.unreportedEnd = time.Time{}
 	for _, w := range c.workerList {
 		if !w.owesReport() {
 			continue
 		}
-		end := c.cfg.FormerLeasesEnd
+		leases, reports := c.cfg.FormerLeasesEnd, c.cfg.FormerLeasesEnd.Add(LateEndGrace)
 		if !w.answered {
-			end = w.leasesEnd
-		}
-		if end.After(last) {
-			last = end
+			leases, reports = w.leasesEnd, c.reportDeadline(w)
 		}
+		c.unreportedEnd, reportsEnd = later(c.unreportedEnd, leases), later(reportsEnd, reports)
 		if w.recorded && !w.answered && !w.recordTellsEnd && w.silent() && now.Sub(w.silentSince) >= recordEndAfter {
 			w.recordTellsEnd = true
 			c.pending.workers[w.info.ID] = w
 		}
 	}
-	return last
+	return reportsEnd
+}
+
+// reportDeadline returns the time after which a worker can no longer report anything about
+// the runs started there.
+func (c *Cell) reportDeadline(w *worker) time.Time {
+	switch {
+	case !w.owesReport():
+		return w.leasesEnd
+	case w.answered:
+		return w.leasesEnd.Add(LateEndGrace)
+	}
+	// The leases may have ended before this owner could reach the worker.
+	deadline := c.cfg.FormerLeasesEnd.Add(LateEndGrace)
+	if w.silent() {
+		deadline = earlier(deadline, later(w.leasesEnd, w.silentSince).Add(LateEndGrace))
+	}
+	return deadline
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // encodeLeasesEnd adds the end of the leases of a silent worker to its record.
 func (c *Cell) encodeLeasesEnd(w *worker, m *jobpb.Worker) {
-	if (w.recordClosed || w.recordTellsEnd) && !w.leasesEnd.IsZero() && !c.mark.At.IsZero() {
+	if w.leasesEnd.IsZero() || c.mark.At.IsZero() {
+		return
+	}
+	leasesEnd := w.leasesEnd.Sub(c.mark.At).Milliseconds() + 1
+	switch {
+	case w.recordClosed:
+		w.endRecorded = true
+		m.Mark, m.LeasesEndMs = c.mark.End, leasesEnd
+	case w.recordTellsEnd:
 		w.endRecorded = true
-		m.Mark, m.LeasesEndMs = c.mark.End, w.leasesEnd.Sub(c.mark.At).Milliseconds()+1
+		m.Former = &jobpb.FormerLeases{Epoch: uint64(c.cfg.Token), Mark: c.mark.End, LeasesEndMs: leasesEnd}
 	}
 }
 
-// restoredLeasesEnd returns the end of the leases of a restored worker.
+// restoredLeasesEnd returns the end of the leases of a restored worker. An open record tells it
+// to the next owner only.
 func (c *Cell) restoredLeasesEnd(m *jobpb.Worker) time.Time {
+	mark, leasesEnd := m.GetMark(), m.GetLeasesEndMs()
+	if f := m.GetFormer(); f.GetEpoch()+1 == uint64(c.cfg.Token) {
+		mark, leasesEnd = f.GetMark(), f.GetLeasesEndMs()
+	}
 	end := c.cfg.FormerLeasesEnd
-	if m.GetMark() == 0 || c.cfg.MarkSeenBy == nil {
+	if mark == 0 || c.cfg.MarkSeenBy == nil {
 		return end
 	}
-	seen := c.cfg.MarkSeenBy(m.GetMark())
-	if recorded := seen.Add(time.Duration(m.GetLeasesEndMs()) * time.Millisecond); !seen.IsZero() && recorded.Before(end) {
+	seen := c.cfg.MarkSeenBy(mark)
+	if recorded := seen.Add(time.Duration(leasesEnd) * time.Millisecond); !seen.IsZero() && recorded.Before(end) {
 		return recorded
 	}
 	return end
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -287,7 +287,7 @@
 // started, so that a new owner does not wait for its answer.
 func (c *Cell) dropRecord(now time.Time, w *worker) {
 	leaving := !w.listed || w.info.Draining
-	if !w.recorded || !leaving || len(w.attempts) > 0 || !w.answered && !now.After(w.reportDeadline()) {
+	if !w.recorded || !leaving || len(w.attempts) > 0 || !w.answered && !now.After(c.reportDeadline(w)) {
 		return
 	}
 	delete(c.pending.workers, w.info.ID)
@@ -317,7 +317,6 @@
 		Draining: m.GetDraining(),
 	})
 	w.leasesEnd, w.endRecorded = c.restoredLeasesEnd(m), m.GetMark() != 0
-	w.recordTellsEnd = w.endRecorded && !m.GetSilent()
 	w.recorded, w.recordClosed, w.usedByFormer = true, m.GetSilent(), !m.GetSilent()
 	c.addWorker(w)
 	return nil
@@ -387,7 +386,7 @@
 		w.unlistedAt = now
 	}
 	c.dropRecord(now, w)
-	if !w.listed && len(w.attempts) == 0 && now.After(w.reportDeadline()) && now.Sub(w.unlistedAt) > unlistedRetention && !w.holdOpen {
+	if !w.listed && len(w.attempts) == 0 && now.After(c.reportDeadline(w)) && now.Sub(w.unlistedAt) > unlistedRetention && !w.holdOpen {
 		w.clearExpired()
 		delete(c.workers, w.info.ID)
 		c.workerList = slices.DeleteFunc(c.workerList, func(x *worker) bool { return x == w })
@@ -446,8 +445,8 @@
 	if !c.recovering {
 		return
 	}
-	c.unreportedEnd = c.watchUnreported(now)
-	if !c.surelyExpired(now, c.unreportedEnd.Add(LateEndGrace)) {
+	reportsEnd := c.watchUnreported(now)
+	if !c.surelyExpired(now, reportsEnd) {
 		return
 	}
 	c.recovering = false
@@ -465,15 +464,6 @@
 	return c.recovering && s.released && (s.atMostOnce() || !c.surelyExpired(now, c.unreportedEnd))
 }
 
-// reportDeadline returns the time after which the worker can no longer report anything
-// about the runs started there.
-func (w *worker) reportDeadline() time.Time {
-	if w.owesReport() {
-		return w.leasesEnd.Add(LateEndGrace)
-	}
-	return w.leasesEnd
-}
-
 // addWorker adds a worker to the map and to the list sorted by ID.
 func (c *Cell) addWorker(w *worker) {
 	c.workers[w.info.ID] = w
