--- a/internal/jobs/sim/doc.go
+++ b/internal/jobs/sim/doc.go
@@ -19,5 +19,6 @@
 // after its completion was acknowledged, none starts before the steps that it
 // depends on are completed or after its cancellation was confirmed, no worker gets
 // more tasks than fit its capacity, no deadly task is started again and again, and no
-// job is shown as failed without a cause. Equal seeds give equal results.
+// job is shown as failed without a cause. World.AuditRunnable adds an audit that accepted
+// tasks run which could. Equal seeds give equal results.
 package sim
