jobs/cell: count all listed workers when looking for spare processors

Callers count a job without a run as lost while less than half of the processors of its service are reserved. The owner compared what is reserved at usable workers with the room of these. While others drain or do not answer, more than 0.52 of the former may be reserved though less than half of all is: then no starved job was started.

What is reserved and the room are now those of all listed workers.

--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -225,11 +225,12 @@
 	return s.runs > 0
 }
 
-// hasSpare reports whether much of a service's CPU is not reserved.
+// hasSpare reports whether much of a service's CPU is not reserved, that of workers which
+// get no tasks at present included.
 func (c *Cell) hasSpare(service string) bool {
 	used, room := int64(0), int64(0)
 	for _, w := range c.workerList {
-		if w.usable() && w.info.Service == service {
+		if w.listed && w.info.Service == service {
 			used += w.used.MilliProcessors
 			room += w.info.Room.MilliProcessors
 		}
--- a/internal/jobs/sim/starved_test.go
+++ b/internal/jobs/sim/starved_test.go
@@ -11,12 +11,11 @@
 	"bamboofall.example/bamboofall/internal/jobs/sim"
 )
 
-// submitServing submits a job with one serving task at each of the workers of a config,
-// which reserve three eighths of the processors.
-func submitServing(w *sim.World, workers int) {
+// submitServing submits a job with one serving task at each of a number of workers.
+func submitServing(w *sim.World, workers int, milliProcessors int64) {
 	w.At(200*time.Millisecond, func() {
 		w.Submit(&bamboofall.Job{ID: "00000000000000ff", Queue: "standing", Steps: []bamboofall.Step{{
-			Count: workers, Size: bamboofall.Resources{MilliProcessors: 12_000}, Estimate: time.Second, Standing: true,
+			Count: workers, Size: bamboofall.Resources{MilliProcessors: milliProcessors}, Estimate: time.Second, Standing: true,
 			Image: "a", TailTarget: 50 * time.Millisecond, MaxPerWorker: 1,
 		}}})
 	})
@@ -58,7 +57,7 @@
 		cfg.Pressure = map[string]map[string]float64{"heavy": {"a": 4}}
 		cfg.Queues[1].Slack = 20 * time.Second
 		w := sim.New(cfg)
-		submitServing(w, cfg.Workers)
+		submitServing(w, cfg.Workers, 12_000)
 		const jobs = 24
 		for n := range jobs {
 			w.At(4*time.Second+time.Duration(n)*250*time.Millisecond, func() {
@@ -80,7 +79,7 @@
 		cfg := config(seed)
 		cfg.FailShare = 0
 		w := sim.New(cfg)
-		submitServing(w, cfg.Workers)
+		submitServing(w, cfg.Workers, 12_000)
 		submit := func(n, tasks int, estimate time.Duration) {
 			w.Submit(&bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n)), Queue: "batch", Steps: []bamboofall.Step{{
 				Count: tasks, Size: bamboofall.Resources{MilliProcessors: 4000, MemoryBytes: 4 * gb}, Estimate: estimate, BestEffort: true, Image: "light", Checkpointing: true,
@@ -95,3 +94,33 @@
 		assert.DeepEqual(t, w.Violations(), []string(nil))
 	}
 }
+
+// Workers that are draining and empty do not count as used: less than half of the processors
+// are reserved, but more than half of those of the other workers.
+func TestJobsRunWhileEmptyWorkersDrain(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		cfg := config(seed)
+		cfg.FailShare = 0
+		cfg.Pressure = map[string]map[string]float64{"heavy": {"a": 4}}
+		cfg.Queues[1].Slack = 20 * time.Second
+		w := sim.New(cfg)
+		submitServing(w, 8, 20_000)
+		w.At(3900*time.Millisecond, func() {
+			for _, x := range w.Workers() {
+				if x.Running() == 0 {
+					x.Drain(40 * time.Second)
+				}
+			}
+		})
+		for n := range 12 {
+			w.At(4*time.Second+time.Duration(n)*250*time.Millisecond, func() {
+				w.Submit(&bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n)), Queue: "batch", Steps: []bamboofall.Step{{
+					Count: 6, Size: bamboofall.Resources{MilliProcessors: 4000, MemoryBytes: 4 * gb}, Estimate: 2 * time.Second, BestEffort: true, Image: "heavy", Checkpointing: true,
+				}}})
+			})
+		}
+		longest := longestWithoutRun(w, 30*time.Second)
+		assert.Assert(t, longest < maxWithoutRun, "seed %d: a job had no run for %v", seed, longest)
+		assert.DeepEqual(t, w.Violations(), []string(nil))
+	}
+}
