--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -10,6 +10,7 @@
 	"bamboofall.example/bamboofall/internal/jobs/duration"
 	"bamboofall.example/bamboofall/internal/jobs/freshness"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
+	"bamboofall.example/bamboofall/internal/jobs/tailtier"
 	"bamboofall.example/bamboofall/internal/jobs/usage"
 	"bamboofall.example/bamboofall/internal/state/lease"
 )
@@ -301,9 +302,9 @@
 	c.updateStatus(now)
 	status := c.status
 	known, open := c.Jobs()
-	if full := c.pressure.ImagesBelow(1 / maxExpectedTail); len(full) > 0 {
+	if full := c.pressure.ImagesBelow(1 / tailtier.MaxExpected); len(full) > 0 {
 		c.note(Note{Event: "images without fills", Detail: fmt.Sprintf(
-			"%d images are expected above %v of their tail-latency target without best-effort tasks, the first: %v", len(full), maxExpectedTail, full[:min(len(full), maxLoggedNames)])})
+			"%d images are expected above %v of their tail-latency target without best-effort tasks, the first: %v", len(full), tailtier.MaxExpected, full[:min(len(full), maxLoggedNames)])})
 	}
 	c.note(Note{Event: "summary", Detail: fmt.Sprintf(
 		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, best-effort %d using %d; jobs %d known %d open; tasks waiting %d; "+
--- a/internal/jobs/cell/fitcache.go
+++ b/internal/jobs/cell/fitcache.go
@@ -1,10 +1,10 @@
 package cell
 
 import (
-	"math"
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/tailtier"
 )
 
 // In a full fleet capacity is freed at a few workers at a time while thousands of tasks
@@ -13,37 +13,13 @@
 // longer avoided, or, for best-effort tasks, predicted tail latencies have changed. Gains
 // are numbered.
 
-// tailTier selects the bound on the predicted tail latency for placing a best-effort
-// task.
-type tailTier uint8
-
-const (
-	// tierRecent is for tasks that became ready less than recentWait ago, tierWaiting for
-	// others, and the rest for the first task of a job that has waited too long: tierStarved
-	// if it fits, tierThrottled if it starts throttled where no target is missed at present,
-	// whatever tails are expected, and tierCrowded if it also shares the idle CPU with other
-	// best-effort tasks.
-	tierRecent tailTier = iota
-	tierWaiting
-	tierStarved
-	tierThrottled
-	tierCrowded
-	numTailTiers
-)
-
-// limit returns the highest predicted tail latency, as a fraction of its target, at which
-// a task may be placed.
-func (t tailTier) limit() float64 {
-	return [numTailTiers]float64{maxRecentTail, maxExpectedTail, maxStarvedTail, math.Inf(1), math.Inf(1)}[t]
-}
-
 // taskShape holds the properties of a task that decide where it fits.
 type taskShape struct {
 	class *shapeClass
 	size  bamboofall.Resources
 	// blockedGain is, by tier, the number of the last gain as of which the shape fitted
 	// nowhere, or zero if that was never checked.
-	blockedGain [numTailTiers]uint64
+	blockedGain [tailtier.Count]uint64
 	// blockedPass is the last placement pass in which a task of the shape fitted nowhere.
 	blockedPass uint64
 }
@@ -51,7 +27,7 @@
 // shapeClass groups shapes that differ in size only.
 type shapeClass struct {
 	// lastFailed is, by tier, the smallest size found to fit nowhere since the last gain.
-	lastFailed [numTailTiers]failedFit
+	lastFailed [tailtier.Count]failedFit
 }
 
 // failedFit records that, as of a gain, a size fitted at no worker with a gain later than
@@ -207,15 +183,15 @@
 }
 
 // tierOf returns the tier for a task of a step.
-func tierOf(now time.Time, s *step) tailTier {
+func tierOf(now time.Time, s *step) tailtier.Tier {
 	if !s.BestEffort || now.Sub(s.readyAt) < recentWait {
-		return tierRecent
+		return tailtier.Recent
 	}
-	return tierWaiting
+	return tailtier.Waiting
 }
 
 // stillBlocked reports whether a shape is known to fit nowhere.
-func (c *Cell) stillBlocked(s *taskShape, tier tailTier) bool {
+func (c *Cell) stillBlocked(s *taskShape, tier tailtier.Tier) bool {
 	last := c.fits.lastGain
 	if s.blockedGain[tier] == last {
 		return true
@@ -229,7 +205,7 @@
 }
 
 // block records that a shape fits nowhere.
-func (c *Cell) block(s *taskShape, tier tailTier) {
+func (c *Cell) block(s *taskShape, tier tailtier.Tier) {
 	last := c.fits.lastGain
 	if f := &s.class.lastFailed[tier]; f.gain != last || s.size.MilliProcessors <= f.size.MilliProcessors {
 		*f = failedFit{size: s.size, gain: last, since: s.blockedGain[tier]}
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"bamboofall.example/bamboofall/internal/jobs/tailtier"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
 
@@ -31,7 +32,7 @@
 
 // obstacleAt returns what prevents a task from starting at a worker, apart from predicted
 // tail latencies.
-func (c *Cell) obstacleAt(now time.Time, t *task, w *worker, tier tailTier) obstacle {
+func (c *Cell) obstacleAt(now time.Time, t *task, w *worker, tier tailtier.Tier) obstacle {
 	s := t.step
 	if !w.usable() {
 		return obstacleUnusable
@@ -108,7 +109,7 @@
 	count := make(map[obstacle]int)
 	for _, w := range c.workerList {
 		o := c.obstacleAt(now, t, w, tierOf(now, t.step))
-		if o == noObstacle && t.step.BestEffort && c.worstTailWith(now, w, t.step) > tierOf(now, t.step).limit() {
+		if o == noObstacle && t.step.BestEffort && c.worstTailWith(now, w, t.step) > tierOf(now, t.step).MaxTail() {
 			o = obstacleTail
 		}
 		count[o]++
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bamboofall.example/bamboofall/internal/jobs/placement"
+	"bamboofall.example/bamboofall/internal/jobs/tailtier"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
 
@@ -249,7 +250,7 @@
 
 // chooseWorkerInTier is chooseWorker with an explicit bound on the predicted tail
 // latency.
-func (c *Cell) chooseWorkerInTier(now time.Time, t *task, tier tailTier) *worker {
+func (c *Cell) chooseWorkerInTier(now time.Time, t *task, tier tailtier.Tier) *worker {
 	if t.step.occ.job.queue == nil {
 		return nil
 	}
@@ -266,7 +267,7 @@
 
 // bestWorker returns the best worker for a task among those with a capacity gain later
 // than since, or nil.
-func (c *Cell) bestWorker(now time.Time, t *task, tier tailTier, since uint64) *worker {
+func (c *Cell) bestWorker(now time.Time, t *task, tier tailtier.Tier, since uint64) *worker {
 	best := candidate{}
 	c.eachFit(now, t, tier, since, func(x candidate) {
 		if x.before(best) {
@@ -290,7 +291,7 @@
 
 // eachFit calls a function for every worker that can take a task and has had a capacity
 // gain later than since.
-func (c *Cell) eachFit(now time.Time, t *task, tier tailTier, since uint64, visit func(candidate)) {
+func (c *Cell) eachFit(now time.Time, t *task, tier tailtier.Tier, since uint64, visit func(candidate)) {
 	if since > 0 {
 		c.gainedSince(since, func(w *worker) {
 			at := 0
@@ -312,7 +313,7 @@
 
 // score returns the placement score for a task of the worker at an index of workerList.
 // It reports false if the task cannot start there. The index affects serving tasks only.
-func (c *Cell) score(now time.Time, t *task, tier tailTier, w *worker, index int) (float64, bool) {
+func (c *Cell) score(now time.Time, t *task, tier tailtier.Tier, w *worker, index int) (float64, bool) {
 	c.fits.checks++
 	switch c.obstacleAt(now, t, w, tier) {
 	case noObstacle:
@@ -326,7 +327,7 @@
 	view := placement.Worker{
 		Room: w.info.Room, Free: w.free(), Failures: w.health.Failures(), Slowdown: w.health.slowdown,
 	}
-	if tier == tierCrowded {
+	if tier == tailtier.Crowded {
 		view.Free.MilliProcessors -= w.bestEffortCPU
 	}
 	rack := s.Rack
@@ -345,7 +346,7 @@
 	}
 	if kind != placement.Normal {
 		view.Tail = c.worstTailWith(now, w, s)
-		if kind == placement.BestEffort && (view.Tail > tier.limit() || tier >= tierThrottled && w.missesTarget()) {
+		if kind == placement.BestEffort && (view.Tail > tier.MaxTail() || tier >= tailtier.Throttled && w.missesTarget()) {
 			return 0, false
 		}
 	}
@@ -430,8 +431,8 @@
 
 // freeForBestEffort returns the CPU in milliprocessors that another best-effort task may
 // use.
-func (w *worker) freeForBestEffort(tier tailTier) int64 {
-	if tier == tierCrowded {
+func (w *worker) freeForBestEffort(tier tailtier.Tier) int64 {
+	if tier == tailtier.Crowded {
 		return w.unusedCPU()
 	}
 	return w.unusedCPU() - w.bestEffortCPU
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
+	"bamboofall.example/bamboofall/internal/jobs/tailtier"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
 
@@ -129,11 +130,8 @@
 	// crowdedDelay is how much longer it waits for idle CPU that no other best-effort task
 	// was given.
 	crowdedDelay = 400 * time.Millisecond
-	// maxStarvedTail is the predicted tail latency up to which that task starts at full
-	// pace. Pacing corrects what it disturbs beyond the prediction.
-	maxStarvedTail = 1.0
-	// throttledPace is the pace in percent at which it starts elsewhere. Pacing raises it
-	// as the tail latencies allow.
+	// throttledPace is the pace in percent at which a task of tailtier.Throttled or above
+	// starts. Pacing raises it as the tail latencies allow.
 	throttledPace = 25
 )
 
@@ -186,15 +184,15 @@
 	if !t.step.BestEffort {
 		return c.chooseWorker(now, t), false
 	}
-	j, last := t.step.occ.job, tierThrottled
+	j, last := t.step.occ.job, tailtier.Throttled
 	if j.starvedSince.IsZero() {
 		j.starvedSince = now
 	}
 	if now.Sub(j.starvedSince) >= crowdedDelay {
-		last = tierCrowded
+		last = tailtier.Crowded
 	}
-	for tier := tierStarved; w == nil && tier <= last; tier++ {
-		w, throttled = c.chooseWorkerInTier(now, t, tier), tier > tierStarved
+	for tier := tailtier.Starved; w == nil && tier <= last; tier++ {
+		w, throttled = c.chooseWorkerInTier(now, t, tier), tier > tailtier.Starved
 	}
 	return w, throttled && w != nil && len(w.serving) > 0
 }
--- a/internal/jobs/cell/tails.go
+++ b/internal/jobs/cell/tails.go
@@ -15,14 +15,8 @@
 }
 
 const (
-	// maxExpectedTail is the expected tail latency, as a fraction of its target, up to
-	// which a best-effort task is placed.
-	maxExpectedTail = 0.95
-	// maxRecentTail is the stricter bound for tasks that became ready less than
-	// recentWait ago. Without a backlog such a task finds a worker where it disturbs
-	// less, and the wait is short against its objective.
-	maxRecentTail = 0.85
-	recentWait    = 400 * time.Millisecond
+	// recentWait is the time for which a task is in tailtier.Recent.
+	recentWait = 400 * time.Millisecond
 	// minHeadroom is the lowest headroom that is told apart: a tail of five targets.
 	minHeadroom = 0.2
 )
