--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"bamboofall.example/bamboofall/internal/jobs/obstacle"
+	"bamboofall.example/bamboofall/internal/jobs/tailtier"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
 
 // obstacleAt returns what prevents a task from starting at a worker, apart from predicted
 // tail latencies.
-func (c *Cell) obstacleAt(now time.Time, t *task, tier tailTier, w *worker) obstacle.Reason {
+func (c *Cell) obstacleAt(now time.Time, t *task, tier tailtier.Tier, w *worker) obstacle.Reason {
 	s := t.step
 	if !w.usable() {
 		return obstacle.Unusable
@@ -89,7 +90,7 @@
 	count := make(obstacle.Counts)
 	for _, w := range c.workerList {
 		o := c.obstacleAt(now, t, tierOf(now, t.step), w)
-		if o == obstacle.None && t.step.BestEffort && c.worstTailWith(now, w, t.step) > tierOf(now, t.step).limit() {
+		if o == obstacle.None && t.step.BestEffort && c.worstTailWith(now, w, t.step) > tierOf(now, t.step).MaxTail() {
 			o = obstacle.Tail
 		}
 		count[o]++
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
+	"bamboofall.example/bamboofall/internal/jobs/pacing"
+	"bamboofall.example/bamboofall/internal/jobs/tailtier"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
 
@@ -129,9 +131,6 @@
 	// crowdedDelay is how much longer it waits for a worker at which no target is missed and
 	// idle CPU is left that no other best-effort task was given.
 	crowdedDelay = 400 * time.Millisecond
-	// maxStarvedTail is the predicted tail latency up to which that task starts at full
-	// pace. Pacing corrects what it disturbs beyond the prediction.
-	maxStarvedTail = 1.0
 )
 
 // startStarved starts one task of each job that has none running, for services with less
@@ -168,7 +167,7 @@
 
 // startStarvedStep starts a task of a step, or its gang, by a bound on the predicted tail
 // latency.
-func (c *Cell) startStarvedStep(now time.Time, s *step, tier tailTier) {
+func (c *Cell) startStarvedStep(now time.Time, s *step, tier tailtier.Tier) {
 	if s.gang != nil {
 		c.placeGang(now, s, tier)
 		return
@@ -186,23 +185,31 @@
 		delete(c.ready, s)
 	}
 	c.startWaiting(now, w, t)
-	t.attempts[0].targetPace = tier.pace(w)
+	t.attempts[0].targetPace = w.startPace(tier)
+}
+
+// startPace returns the pace at which a task that is placed by a tier starts at the worker.
+func (w *worker) startPace(tier tailtier.Tier) int {
+	if tier >= tailtier.Throttled && len(w.serving) > 0 {
+		return pacing.Cautious
+	}
+	return fullPace
 }
 
 // tiersOfStarved returns the tiers for a task of a job that has waited too long, in the order
 // in which they are tried.
-func tiersOfStarved(now time.Time, s *step) []tailTier {
+func tiersOfStarved(now time.Time, s *step) []tailtier.Tier {
 	if !s.BestEffort {
-		return []tailTier{tierRecent}
+		return []tailtier.Tier{tailtier.Recent}
 	}
 	j := s.occ.job
 	if j.starvedSince.IsZero() {
 		j.starvedSince = now
 	}
 	if now.Sub(j.starvedSince) < crowdedDelay {
-		return []tailTier{tierStarved, tierThrottled}
+		return []tailtier.Tier{tailtier.Starved, tailtier.Throttled}
 	}
-	return []tailTier{tierStarved, tierThrottled, tierCrowded}
+	return []tailtier.Tier{tailtier.Starved, tailtier.Throttled, tailtier.Crowded}
 }
 
 // firstWaiting returns the first waiting task that still needs a run, or nil. A report
@@ -231,11 +238,12 @@
 	return s.runs > 0
 }
 
-// hasSpare reports whether much of a service's CPU is not reserved.
+// hasSpare reports whether much of a service's CPU is not reserved, that of workers which
+// get no tasks at present included.
 func (c *Cell) hasSpare(service string) bool {
 	used, room := int64(0), int64(0)
 	for _, w := range c.workerList {
-		if w.usable() && w.info.Service == service {
+		if w.listed && w.info.Service == service {
 			used += w.used.MilliProcessors
 			room += w.info.Room.MilliProcessors
 		}
