--- a/internal/jobs/cell/fitcache.go
+++ b/internal/jobs/cell/fitcache.go
@@ -3,50 +3,12 @@
 import (
 	"time"
 
-	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/fitcache"
 	"bamboofall.example/bamboofall/internal/jobs/tailtier"
 )
 
-// In a full fleet capacity is freed at a few workers at a time while thousands of tasks
-// wait. A task that fitted nowhere is therefore tried again only at workers with a
-// capacity gain since: a reservation was released, the worker became usable, it is no
-// longer avoided, or, for best-effort tasks, predicted tail latencies have changed. Gains
-// are numbered.
-
-// taskShape holds the properties of a task that decide where it fits.
-type taskShape struct {
-	class *shapeClass
-	size  bamboofall.Resources
-	// blockedGain is, by tier, the number of the last gain as of which the shape fitted
-	// nowhere, or zero if that was never checked.
-	blockedGain [tailtier.Count]uint64
-	// blockedPass is the last placement pass in which a task of the shape fitted nowhere.
-	blockedPass uint64
-}
-
-// shapeClass groups shapes that differ in size only.
-type shapeClass struct {
-	// lastFailed is, by tier, the smallest size found to fit nowhere since the last gain.
-	lastFailed [tailtier.Count]failedFit
-}
-
-// failedFit records that, as of a gain, a size fitted at no worker with a gain later than
-// since.
-type failedFit struct {
-	size        bamboofall.Resources
-	gain, since uint64
-}
-
-// shapeKey identifies a shape.
-type shapeKey struct {
-	service    string
-	size       bamboofall.Resources
-	bestEffort bool
-	label      string
-	// image is set for best-effort tasks only, as it affects which workers fit.
-	image  string
-	serves bool
-}
+// A worker gains capacity when a reservation is released, it becomes usable or is no longer
+// avoided, or, for best-effort tasks, when predicted tail latencies have changed.
 
 // capacityGain is an event after which more tasks may fit at a worker.
 type capacityGain struct {
@@ -57,8 +19,7 @@
 // fitCache remembers which shapes fit nowhere, so that only workers with a capacity gain
 // since are checked again.
 type fitCache struct {
-	shapes  map[shapeKey]*taskShape
-	classes map[shapeKey]*shapeClass
+	shapes fitcache.Shapes
 	// gains is ordered by number. Only the latest gain of a worker counts.
 	gains    []capacityGain
 	lastGain uint64
@@ -72,7 +33,7 @@
 }
 
 func newFitCache() fitCache {
-	return fitCache{shapes: make(map[shapeKey]*taskShape), classes: make(map[shapeKey]*shapeClass), lastGain: 1}
+	return fitCache{shapes: fitcache.NewShapes(), lastGain: 1}
 }
 
 // plain reports whether the placement of a task does not depend on where the other tasks
@@ -139,46 +100,27 @@
 }
 
 // shapeOf returns the shape of the tasks of a step, which plain steps share.
-func (c *Cell) shapeOf(s *step) *taskShape {
-	if s.shape != nil {
-		return s.shape
-	}
-	if !s.plain() {
-		s.shape = &taskShape{class: &shapeClass{}, size: s.Size}
-		return s.shape
-	}
-	key := shapeKey{service: s.occ.job.queue.Service, size: s.Size, bestEffort: s.BestEffort, label: s.Label}
-	if s.BestEffort {
-		key.image, key.serves = s.Image, s.TailTarget > 0
-	}
-	r := &c.fits
-	shape := r.shapes[key]
-	if shape == nil {
-		classKey := key
-		classKey.size = bamboofall.Resources{}
-		if r.classes[classKey] == nil {
-			r.classes[classKey] = &shapeClass{}
+func (c *Cell) shapeOf(s *step) *fitcache.Shape {
+	switch {
+	case s.shape != nil:
+	case !s.plain():
+		s.shape = fitcache.NewShape(s.Size)
+	default:
+		key := fitcache.Key{Service: s.occ.job.queue.Service, Size: s.Size, BestEffort: s.BestEffort, Label: s.Label}
+		if s.BestEffort {
+			key.Image, key.Serves = s.Image, s.TailTarget > 0
 		}
-		shape = &taskShape{class: r.classes[classKey], size: s.Size}
-		r.shapes[key] = shape
+		s.shape = c.fits.shapes.Of(key)
 	}
-	s.shape = shape
-	return shape
+	return s.shape
 }
 
-// maxIdleShapes is the number of shapes above which the cache is cleared.
-const maxIdleShapes = 4096
-
 // dropShapes clears the cache when it holds many shapes that no ready step uses.
 func (c *Cell) dropShapes() {
-	r := &c.fits
-	if len(r.shapes) <= maxIdleShapes+2*len(c.ready) {
-		return
-	}
-	clear(r.classes)
-	clear(r.shapes)
-	for s := range c.ready {
-		s.shape = nil
+	if c.fits.shapes.Clear(len(c.ready)) {
+		for s := range c.ready {
+			s.shape = nil
+		}
 	}
 }
 
@@ -190,29 +132,6 @@
 	return tailtier.Waiting
 }
 
-// stillBlocked reports whether a shape is known to fit nowhere.
-func (c *Cell) stillBlocked(s *taskShape, tier tailtier.Tier) bool {
-	last := c.fits.lastGain
-	if s.blockedGain[tier] == last {
-		return true
-	}
-	f := &s.class.lastFailed[tier]
-	if f.gain != last || f.since > s.blockedGain[tier] || !f.size.Fits(s.size) {
-		return false
-	}
-	s.blockedGain[tier] = last
-	return true
-}
-
-// block records that a shape fits nowhere.
-func (c *Cell) block(s *taskShape, tier tailtier.Tier) {
-	last := c.fits.lastGain
-	if f := &s.class.lastFailed[tier]; f.gain != last || s.size.MilliProcessors <= f.size.MilliProcessors {
-		*f = failedFit{size: s.size, gain: last, since: s.blockedGain[tier]}
-	}
-	s.blockedGain[tier] = last
-}
-
 // gainedSince calls a function for each worker with a later gain.
 func (c *Cell) gainedSince(gain uint64, visit func(*worker)) {
 	for i := len(c.fits.gains) - 1; i >= 0; i-- {
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -9,6 +9,7 @@
 	"bamboofall.example/bamboofall/internal/jobs/crashloop"
 	"bamboofall.example/bamboofall/internal/jobs/downtime"
 	"bamboofall.example/bamboofall/internal/jobs/duration"
+	"bamboofall.example/bamboofall/internal/jobs/fitcache"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 )
 
@@ -92,7 +93,7 @@
 	runs int
 	// inRanking is set while the step is in Cell.ranked or Cell.newlyReady.
 	inRanking bool
-	shape     *taskShape
+	shape     *fitcache.Shape
 	// orphan is set for the step of a run whose task is not known.
 	orphan bool
 	// durations holds the run times of its completed tasks.
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -50,11 +50,11 @@
 			continue
 		}
 		shape := c.shapeOf(s)
-		if shape.blockedPass == c.fits.pass {
+		if shape.BlockedPass == c.fits.pass {
 			continue
 		}
-		if c.stillBlocked(shape, tierOf(now, s)) || !c.placeStep(now, s) {
-			shape.blockedPass = c.fits.pass
+		if shape.Blocked(tierOf(now, s), c.fits.lastGain) || !c.placeStep(now, s) {
+			shape.BlockedPass = c.fits.pass
 		}
 	}
 }
@@ -257,12 +257,12 @@
 		return nil
 	}
 	shape := c.shapeOf(t.step)
-	if c.stillBlocked(shape, tier) {
+	if shape.Blocked(tier, c.fits.lastGain) {
 		return nil
 	}
-	w := c.bestWorker(now, t, tier, shape.blockedGain[tier])
+	w := c.bestWorker(now, t, tier, shape.CheckedGain(tier))
 	if w == nil && len(t.attempts) == 0 {
-		c.block(shape, tier)
+		shape.Block(tier, c.fits.lastGain)
 	}
 	return w
 }
@@ -381,11 +381,11 @@
 	tier := tierOf(now, t.step)
 	shape := c.shapeOf(t.step)
 	if set.last < 0 {
-		if c.stillBlocked(shape, tier) {
+		if shape.Blocked(tier, c.fits.lastGain) {
 			return nil
 		}
 		set.candidates = set.candidates[:0]
-		c.eachFit(now, t, tier, shape.blockedGain[tier], func(x candidate) { set.candidates = append(set.candidates, x) })
+		c.eachFit(now, t, tier, shape.CheckedGain(tier), func(x candidate) { set.candidates = append(set.candidates, x) })
 	} else {
 		x := &set.candidates[set.last]
 		score, fits := c.score(now, t, tier, x.worker, x.index)
@@ -402,7 +402,7 @@
 	}
 	if best.worker == nil {
 		set.last = -1
-		c.block(shape, tier)
+		shape.Block(tier, c.fits.lastGain)
 	}
 	return best.worker
 }
