--- a/internal/jobs/sim/runnable.go
+++ b/internal/jobs/sim/runnable.go
@@ -19,11 +19,13 @@
 	// standingGrace is the time after the last run of a standing task, or after its job was
 	// accepted, before which it need not run.
 	standingGrace = 6 * time.Second
-	// standingCalm is how long there must have been no fault before a standing task has to
-	// run: callers count the end of a fault as 3 s of disruption, and wait for 7 s of calm.
-	standingCalm = 10 * time.Second
+	// handoverTime is how long a usual handover takes. Callers see a fault at its start only.
+	handoverTime = 2 * time.Second
+	// standingCalm is how long there must have been no fault, and an owner, before a standing
+	// task has to run: callers count 3 s after a fault as disrupted, and wait for 7 s of calm.
+	standingCalm = 10*time.Second - handoverTime
 	// finiteCalm is the same for the jobs of finite tasks, at the end of a run.
-	finiteCalm = 15 * time.Second
+	finiteCalm = 15*time.Second - handoverTime
 )
 
 // RunnableAudit audits that accepted tasks run which could. It goes by what workers run and
