jobs/cell: start starved gangs of which only a part fits beside other best-effort tasks

Callers would see an accepted best-effort gang without a run for as long as best-effort tasks of other jobs hold the CPU that one of its tasks needs, with nothing reserved.

Placing a gang reserves its tasks one after the other, and withdraws them if one fits nowhere. reserve also cleared the time since which the job is starved. With room for a part of the gang it was cleared at each attempt, so the job never waited for the 0.4 s after which it may share the idle CPU with other best-effort tasks. It is cleared where a run is started now.

Found by reading. TestStarvedGangStartsBesideBestEffortTasksOfAnotherJob, 15 of 16 places taken and a gang of two: none of its tasks runs after 3 s before.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -125,7 +125,6 @@
 	c.queueHold(w)
 	t.attempts = append(t.attempts, a)
 	t.step.runs++
-	t.step.occ.job.starvedSince = time.Time{}
 	return a
 }
 
@@ -166,6 +165,7 @@
 	mustStore := c.mustStoreStart(t)
 	a := c.reserve(w, t, run)
 	t.lastRun = max(t.lastRun, run)
+	t.step.occ.job.starvedSince = time.Time{}
 	c.budget.Start()
 	w.health.RecordAssignment(now)
 	s := t.step
--- a/internal/jobs/cell/starvedfills_test.go
+++ b/internal/jobs/cell/starvedfills_test.go
@@ -23,3 +23,18 @@
 	r.run(3 * time.Second)
 	assert.Equal(t, r.countRunning(2), 1)
 }
+
+// A gang of which a part fits beside the best-effort tasks of another job must not wait for
+// these to end.
+func TestStarvedGangStartsBesideBestEffortTasksOfAnotherJob(t *testing.T) {
+	const workers = 2
+	r := newResizedCell(t, workers)
+	fill := bamboofall.Step{Count: 8*workers - 1, Size: bamboofall.Resources{MilliProcessors: 4000, MemoryBytes: 1 << 30}, Estimate: time.Hour, BestEffort: true, Image: "batch"}
+	r.Submit(r.now, &bamboofall.Job{ID: "0000000000000001", Queue: "q", Steps: []bamboofall.Step{fill}}, true)
+	r.run(time.Second)
+	assert.Equal(t, r.countRunning(1), 8*workers-1)
+	fill.Count, fill.Gang = 2, true
+	r.Submit(r.now, &bamboofall.Job{ID: "0000000000000002", Queue: "q", Steps: []bamboofall.Step{fill}}, true)
+	r.run(3 * time.Second)
+	assert.Equal(t, r.countRunning(2), 2)
+}
