jobs/cell: do not count runs at silent workers as runs of starved jobs

Callers would see a job without a run for as long as the leases of a lost worker last, up to 13 s, though other tasks of it are ready and most processors are unreserved. A job that has been without a run for 2 s is given one, but an attempt at a worker that does not answer counted as a run until its lease and the grace for a late report had ended.

Only attempts at workers that answer count now. The task of the lost run itself still waits for the end of the lease; another ready task of the job is started. Gangs are placed as before, when all runs have ended.

TestWaitingTaskOfStarvedJobStartsOnceWorkerOfItsRunIsSilent: the second task was not started within 3 s of the first unanswered call before.

--- a/internal/jobs/cell/capacity_test.go
+++ b/internal/jobs/cell/capacity_test.go
@@ -21,9 +21,11 @@
 	born time.Time
 	// storeDown is set while nothing is stored.
 	storeDown bool
-	running   map[string][]bamboofall.RunningTask
-	jobs      int
-	notes     []cell.Note
+	// silent is the ID of a worker that leaves all calls unanswered, or empty.
+	silent  string
+	running map[string][]bamboofall.RunningTask
+	jobs    int
+	notes   []cell.Note
 }
 
 // newResizedCell returns a cell with a number of workers that have answered.
@@ -88,6 +90,10 @@
 func (r *resizedCell) carryOut(o cell.Order) {
 	meta := bamboofall.ResponseMeta{Clock: r.clock(), Born: r.born}
 	at := o.Worker.ID
+	if at == r.silent {
+		r.leaveUnanswered(o)
+		return
+	}
 	switch o.Kind {
 	case cell.OrderStart:
 		r.running[at] = append(r.running[at], bamboofall.RunningTask{Task: o.Start.Task, Run: o.Start.Run, ProgressPercent: 100})
@@ -100,6 +106,20 @@
 	}
 }
 
+func (r *resizedCell) leaveUnanswered(o cell.Order) {
+	unanswered := &bamboofall.UnknownOutcomeError{Call: "call"}
+	switch o.Kind {
+	case cell.OrderStart:
+		r.StartAnswered(r.now, o, bamboofall.ResponseMeta{}, unanswered)
+	case cell.OrderStop:
+		r.StopAnswered(r.now, o, bamboofall.ResponseMeta{}, unanswered)
+	case cell.OrderPace:
+		r.PaceAnswered(r.now, o, bamboofall.ResponseMeta{}, unanswered)
+	case cell.OrderHold:
+		r.HoldAnswered(r.now, o, bamboofall.HoldReport{}, unanswered)
+	}
+}
+
 // Half of what standing tasks reserve counts as idle. An overfull worker must get no
 // best-effort tasks even so.
 func TestOverfullWorkerGetsNoBestEffortTasks(t *testing.T) {
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -203,7 +203,7 @@
 
 // placeGang places either all tasks of a gang or none.
 func (c *Cell) placeGang(now time.Time, s *step, tier tailTier) {
-	if s.hasRuns() || len(s.waiting) < s.tasksLeft {
+	if s.runs > 0 || len(s.waiting) < s.tasksLeft {
 		return // the previous run has not ended everywhere
 	}
 	if c.gangBlocked(now, s) {
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -216,21 +216,20 @@
 	return nil
 }
 
-// hasRuns reports whether a task of the job is at a worker.
+// hasRuns reports whether a task of the job is at a worker that is not silent.
 func (j *job) hasRuns() bool {
 	for _, o := range j.occurrences {
-		if slices.ContainsFunc(o.steps, (*step).hasRuns) {
-			return true
+		for _, s := range o.steps {
+			for i := 0; s.runs > 0 && i < len(s.tasks); i++ {
+				if slices.ContainsFunc(s.tasks[i].attempts, func(a *attempt) bool { return !a.worker.silent() }) {
+					return true
+				}
+			}
 		}
 	}
 	return false
 }
 
-// hasRuns reports whether a task of the step is at a worker.
-func (s *step) hasRuns() bool {
-	return s.runs > 0
-}
-
 // hasSpare reports whether much of a service's CPU is not reserved.
 func (c *Cell) hasSpare(service string) bool {
 	used, room := int64(0), int64(0)
--- a/internal/jobs/cell/starvedfills_test.go
+++ b/internal/jobs/cell/starvedfills_test.go
@@ -38,3 +38,32 @@
 	r.run(3 * time.Second)
 	assert.Equal(t, r.countRunning(2), 2)
 }
+
+// A run at a worker that does not answer may have ended. The waiting tasks of its job must not
+// count on it.
+func TestWaitingTaskOfStarvedJobStartsOnceWorkerOfItsRunIsSilent(t *testing.T) {
+	const workers = 4
+	r := newResizedCell(t, workers)
+	assert.Assert(t, r.submitStep(bamboofall.Step{
+		Count: workers, Size: bamboofall.Resources{MilliProcessors: 8000}, Standing: true, MaxPerWorker: 1,
+		Image: "serving", TailTarget: 50 * time.Millisecond,
+	}))
+	r.run(time.Second)
+	for _, runs := range r.running {
+		assert.Equal(t, len(runs), 1)
+		runs[0].Gauge = 48
+	}
+	r.run(5 * time.Second)
+	r.Submit(r.now, &bamboofall.Job{ID: "0000000000000002", Queue: "q", Steps: []bamboofall.Step{{
+		Count: 2, Size: bamboofall.Resources{MilliProcessors: 2000}, Estimate: time.Minute, BestEffort: true, Image: "batch",
+	}}}, true)
+	r.run(3 * time.Second)
+	assert.Equal(t, r.countRunning(2), 1)
+	for id, runs := range r.running {
+		if len(runs) > 1 {
+			r.silent = id
+		}
+	}
+	r.run(3 * time.Second)
+	assert.Equal(t, r.countRunning(2), 2)
+}
