--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -203,13 +203,13 @@
 	c.start(now, w, t, c.nextRun(t))
 }
 
-// placeGang places either all tasks of a gang or none.
-func (c *Cell) placeGang(now time.Time, s *step, tier tailtier.Tier) {
-	if s.hasRuns() || len(s.waiting) < s.tasksLeft {
-		return // the previous run has not ended everywhere
+// placeGang places either all tasks of a gang or none. It reports false if they do not fit.
+func (c *Cell) placeGang(now time.Time, s *step, tier tailtier.Tier) bool {
+	if s.runs > 0 || len(s.waiting) < s.tasksLeft {
+		return true // the previous run has not ended everywhere
 	}
 	if c.gangBlocked(now, s) {
-		return
+		return false
 	}
 	run := s.gang.run
 	chosen := make([]*worker, 0, len(s.tasks))
@@ -235,7 +235,7 @@
 	if len(chosen) < len(s.tasks) {
 		s.rack = ""
 		s.gang.blockedGain, s.gang.slots = c.fits.lastGain, len(chosen)
-		return
+		return false
 	}
 	c.unqueueStep(s)
 	s.gang.run = run
@@ -243,6 +243,7 @@
 		c.start(now, w, &s.tasks[i], run)
 		s.tasks[i].attempts[0].targetPace = w.startPace(tier)
 	}
+	return true
 }
 
 // chooseWorker returns the best worker for a task, or nil.
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/pacing"
 	"bamboofall.example/bamboofall/internal/jobs/tailtier"
@@ -156,22 +157,32 @@
 	slices.SortFunc(starved, func(a, b *step) int {
 		return cmp.Or(a.readyAt.Compare(b.readyAt), cmp.Compare(a.occ.job.ID, b.occ.job.ID), a.compare(b))
 	})
+	blocked := make(map[gangFit]bool)
 	for _, s := range starved {
 		for _, tier := range tiersOfStarved(now, s) {
-			if !s.occ.job.hasRuns() {
+			switch {
+			case s.occ.job.hasRuns():
+			case s.gang == nil:
 				c.startStarvedStep(now, s, tier)
+			default:
+				k := gangFit{s.occ.job.queue.Service, s.Image, s.Label, s.Size, s.Count, s.MaxPerWorker, s.BestEffort, tier}
+				blocked[k] = blocked[k] || !c.placeGang(now, s, tier)
 			}
 		}
 	}
 }
 
-// startStarvedStep starts a task of a step, or its gang, by a bound on the predicted tail
-// latency.
+// gangFit holds what decides whether a gang fits.
+type gangFit struct {
+	service, image, label string
+	size                  bamboofall.Resources
+	count, maxPerWorker   int
+	bestEffort            bool
+	tier                  tailtier.Tier
+}
+
+// startStarvedStep starts a task of a step by a bound on the predicted tail latency.
 func (c *Cell) startStarvedStep(now time.Time, s *step, tier tailtier.Tier) {
-	if s.gang != nil {
-		c.placeGang(now, s, tier)
-		return
-	}
 	t := s.firstWaiting()
 	if t == nil {
 		return
@@ -223,21 +234,20 @@
 	return nil
 }
 
-// hasRuns reports whether a task of the job is at a worker.
+// hasRuns reports whether a task of the job is at a worker that is not silent.
 func (j *job) hasRuns() bool {
 	for _, o := range j.occurrences {
-		if slices.ContainsFunc(o.steps, (*step).hasRuns) {
-			return true
+		for _, s := range o.steps {
+			for i := 0; s.runs > 0 && i < len(s.tasks); i++ {
+				if slices.ContainsFunc(s.tasks[i].attempts, func(a *attempt) bool { return !a.worker.silent() }) {
+					return true
+				}
+			}
 		}
 	}
 	return false
 }
 
-// hasRuns reports whether a task of the step is at a worker.
-func (s *step) hasRuns() bool {
-	return s.runs > 0
-}
-
 // hasSpare reports whether much of a service's CPU is not reserved, that of workers which
 // get no tasks at present included.
 func (c *Cell) hasSpare(service string) bool {
