--- a/internal/entry/front/ownerappend_test.go
+++ b/internal/entry/front/ownerappend_test.go
@@ -229,7 +229,7 @@
 	}
 	for i := range jobs {
 		spec := &bamboofall.Job{ID: bamboofall.JobID(id(i)), Queue: "q", Steps: []bamboofall.Step{{Count: 2}}}
-		c.Submit(began, spec, true)
+		c.SubmitAccepted(began, spec, nil)
 		if i%3 == 0 {
 			c.Cancel(began, spec.ID)
 		}
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -136,7 +136,7 @@
 func (f *Front) submitLocal(ctx context.Context, m *jobpb.SubmitRequest) (*jobpb.SubmitResponse, error) {
 	spec := jobspec.Decode(m.GetJob())
 	return runInLocalOwner(ctx, f, func(o *owner, at time.Time, reply func(*jobpb.SubmitResponse)) {
-		flush, refusal := o.cell.Submit(at, spec, false)
+		flush, refusal := o.cell.Submit(at, spec)
 		if refusal != nil {
 			reply(&jobpb.SubmitResponse{Refused: true, Reason: refusal.Reason, RetryAfterMs: refusal.RetryAfter.Milliseconds()})
 			return
--- a/internal/jobs/cell/capacity_test.go
+++ b/internal/jobs/cell/capacity_test.go
@@ -52,7 +52,7 @@
 // submitStep submits a job with a step. It reports whether the job was accepted.
 func (r *resizedCell) submitStep(s bamboofall.Step) bool {
 	r.jobs++
-	_, refusal := r.Submit(r.now, &bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", r.jobs)), Queue: "q", Steps: []bamboofall.Step{s}}, false)
+	_, refusal := r.Submit(r.now, &bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", r.jobs)), Queue: "q", Steps: []bamboofall.Step{s}})
 	return refusal == nil
 }
 
--- a/internal/jobs/cell/cell_bench_test.go
+++ b/internal/jobs/cell/cell_bench_test.go
@@ -41,7 +41,7 @@
 }
 
 func submit(c *cell.Cell, id, queue string, s bamboofall.Step) {
-	c.Submit(testStart, &bamboofall.Job{ID: bamboofall.JobID(id), Queue: queue, Steps: []bamboofall.Step{s}}, true)
+	c.SubmitAccepted(testStart, &bamboofall.Job{ID: bamboofall.JobID(id), Queue: queue, Steps: []bamboofall.Step{s}}, nil)
 }
 
 // settle steps the cell, stores its records and answers its orders until none are left.
@@ -170,7 +170,12 @@
 func (o *benchOwner) submit(queue string, s bamboofall.Step) (bamboofall.JobID, *cell.Refusal) {
 	o.jobs++
 	id := bamboofall.JobID(fmt.Sprintf("%016x", o.jobs))
-	_, refusal := o.Submit(o.now, &bamboofall.Job{ID: id, Queue: queue, Steps: []bamboofall.Step{s}}, queue != "hasty")
+	job := &bamboofall.Job{ID: id, Queue: queue, Steps: []bamboofall.Step{s}}
+	if queue != "hasty" {
+		o.SubmitAccepted(o.now, job, nil)
+		return id, nil
+	}
+	_, refusal := o.Submit(o.now, job)
 	return id, refusal
 }
 
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -63,7 +63,7 @@
 	c := newTestCell(testWorker(1))
 	_, refusal := c.Submit(testStart, &bamboofall.Job{ID: "0000000000000001", Queue: "q", Steps: []bamboofall.Step{{
 		Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Second,
-	}}}, false)
+	}}})
 	assert.Assert(t, refusal == nil, "%v", refusal)
 	for range 3 {
 		answer(c, c.Step(testStart), testStart)
--- a/internal/jobs/cell/occurrences_test.go
+++ b/internal/jobs/cell/occurrences_test.go
@@ -24,7 +24,7 @@
 	c.SetWorker(testStart, testWorker(1))
 	_, refusal := c.Submit(testStart, &bamboofall.Job{
 		ID: id, Queue: "q", Steps: []bamboofall.Step{finiteStep}, FirstRun: testStart, Interval: time.Second, Repetitions: repetitions,
-	}, false)
+	})
 	assert.Assert(t, refusal == nil, "%v", refusal)
 
 	starts := make(map[int]int)
--- a/internal/jobs/cell/starved_test.go
+++ b/internal/jobs/cell/starved_test.go
@@ -33,9 +33,9 @@
 			}
 			r.run(5 * time.Second)
 			for n := range jobs {
-				r.Submit(r.now, &bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n+2)), Queue: "q", Steps: []bamboofall.Step{{
+				r.SubmitAccepted(r.now, &bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n+2)), Queue: "q", Steps: []bamboofall.Step{{
 					Count: 2, Size: bamboofall.Resources{MilliProcessors: 2000}, Estimate: time.Minute, BestEffort: true, Image: "batch",
-				}}}, true)
+				}}}, nil)
 			}
 			r.run(limit)
 			for n := range jobs {
--- a/internal/jobs/cell/starvedfills_test.go
+++ b/internal/jobs/cell/starvedfills_test.go
@@ -16,11 +16,11 @@
 	const workers = 2
 	r := newResizedCell(t, workers)
 	fill := bamboofall.Step{Count: 8 * workers, Size: bamboofall.Resources{MilliProcessors: 4000, MemoryBytes: 1 << 30}, Estimate: time.Hour, BestEffort: true, Image: "batch"}
-	r.Submit(r.now, &bamboofall.Job{ID: "0000000000000001", Queue: "q", Steps: []bamboofall.Step{fill}}, true)
+	r.SubmitAccepted(r.now, &bamboofall.Job{ID: "0000000000000001", Queue: "q", Steps: []bamboofall.Step{fill}}, nil)
 	r.run(time.Second)
 	assert.Equal(t, r.countRunning(1), 8*workers)
 	fill.Count = 1
-	r.Submit(r.now, &bamboofall.Job{ID: "0000000000000002", Queue: "q", Steps: []bamboofall.Step{fill}}, true)
+	r.SubmitAccepted(r.now, &bamboofall.Job{ID: "0000000000000002", Queue: "q", Steps: []bamboofall.Step{fill}}, nil)
 	r.run(3 * time.Second)
 	assert.Equal(t, r.countRunning(2), 1)
 }
@@ -31,11 +31,11 @@
 	const workers = 2
 	r := newResizedCell(t, workers)
 	fill := bamboofall.Step{Count: 8*workers - 1, Size: bamboofall.Resources{MilliProcessors: 4000, MemoryBytes: 1 << 30}, Estimate: time.Hour, BestEffort: true, Image: "batch"}
-	r.Submit(r.now, &bamboofall.Job{ID: "0000000000000001", Queue: "q", Steps: []bamboofall.Step{fill}}, true)
+	r.SubmitAccepted(r.now, &bamboofall.Job{ID: "0000000000000001", Queue: "q", Steps: []bamboofall.Step{fill}}, nil)
 	r.run(time.Second)
 	assert.Equal(t, r.countRunning(1), 8*workers-1)
 	fill.Count, fill.Gang = 2, true
-	r.Submit(r.now, &bamboofall.Job{ID: "0000000000000002", Queue: "q", Steps: []bamboofall.Step{fill}}, true)
+	r.SubmitAccepted(r.now, &bamboofall.Job{ID: "0000000000000002", Queue: "q", Steps: []bamboofall.Step{fill}}, nil)
 	r.run(3 * time.Second)
 	assert.Equal(t, r.countRunning(2), 2)
 }
@@ -55,9 +55,9 @@
 		runs[0].Gauge = 48
 	}
 	r.run(5 * time.Second)
-	r.Submit(r.now, &bamboofall.Job{ID: "0000000000000002", Queue: "q", Steps: []bamboofall.Step{{
+	r.SubmitAccepted(r.now, &bamboofall.Job{ID: "0000000000000002", Queue: "q", Steps: []bamboofall.Step{{
 		Count: 2, Size: bamboofall.Resources{MilliProcessors: 2000}, Estimate: time.Minute, BestEffort: true, Image: "batch",
-	}}}, true)
+	}}}, nil)
 	r.run(3 * time.Second)
 	assert.Equal(t, r.countRunning(2), 1)
 	for id, runs := range r.running {
@@ -75,9 +75,9 @@
 	const workers, gangs = 10, 30
 	r := newResizedCell(t, workers)
 	for n := range gangs {
-		r.Submit(r.now, &bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n+1)), Queue: "q", Steps: []bamboofall.Step{{
+		r.SubmitAccepted(r.now, &bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n+1)), Queue: "q", Steps: []bamboofall.Step{{
 			Count: workers + 1, Size: bamboofall.Resources{MilliProcessors: 4000}, Estimate: time.Minute, BestEffort: true, Image: "batch", Gang: true, MaxPerWorker: 1,
-		}}}, true)
+		}}}, nil)
 	}
 	const period = 1500 * time.Millisecond
 	checks := func() int {
--- a/internal/jobs/cell/status_test.go
+++ b/internal/jobs/cell/status_test.go
@@ -172,8 +172,7 @@
 // The line for a job tells that the owner does not know its queue.
 func TestStatusOfIdleJobOfUnknownQueue(t *testing.T) {
 	s := newStatusCell(t)
-	_, refusal := s.Submit(s.now, &bamboofall.Job{ID: "0000000000000001", Queue: "unknown", Steps: []bamboofall.Step{{Count: 1, Size: statusSize, Estimate: time.Second}}}, true)
-	assert.Assert(t, refusal == nil)
+	s.SubmitAccepted(s.now, &bamboofall.Job{ID: "0000000000000001", Queue: "unknown", Steps: []bamboofall.Step{{Count: 1, Size: statusSize, Estimate: time.Second}}}, nil)
 	s.run(9*time.Second, false, allAnswer)
 	assert.Assert(t, s.Status().LongestIdleWithRoom >= 5*time.Second, "%v", s.Status().LongestIdleWithRoom)
 	note := s.lastNote("waiting", "job down")
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -25,15 +25,14 @@
 )
 
 // Submit accepts or refuses a job. It returns the flush that makes an accepted job
-// durable, or the refusal. With mustAccept, for a job that was accepted before, it never
-// refuses.
-func (c *Cell) Submit(now time.Time, spec *bamboofall.Job, mustAccept bool) (uint64, *Refusal) {
-	return c.submit(now, spec, c.queues[spec.Queue], mustAccept)
+// durable, or the refusal.
+func (c *Cell) Submit(now time.Time, spec *bamboofall.Job) (uint64, *Refusal) {
+	return c.submit(now, spec, c.queues[spec.Queue], false)
 }
 
-// SubmitAccepted is Submit for a job that was accepted before. Its queue has the
-// configured settings, or the given ones if the queue is not configured here: the job may
-// have been accepted by an earlier or a later configuration.
+// SubmitAccepted is Submit for a job that was accepted before, and never refuses. Its queue
+// has the configured settings, or the given ones, which may be nil, if the queue is not
+// configured here: the job may have been accepted by an earlier or a later configuration.
 func (c *Cell) SubmitAccepted(now time.Time, spec *bamboofall.Job, settings *bamboofall.Queue) uint64 {
 	q := c.queues[spec.Queue]
 	if q == nil && c.jobs[spec.ID] == nil {
@@ -44,6 +43,7 @@
 	return flush
 }
 
+// submit submits a job with the settings of its queue. With mustAccept it never refuses.
 func (c *Cell) submit(now time.Time, spec *bamboofall.Job, q *bamboofall.Queue, mustAccept bool) (uint64, *Refusal) {
 	if j := c.jobs[spec.ID]; j != nil {
 		j.promised = j.promised || mustAccept
--- a/internal/jobs/cell/unannounced_test.go
+++ b/internal/jobs/cell/unannounced_test.go
@@ -46,9 +46,9 @@
 }
 
 func (u *unannouncedCell) submitBestEffort() {
-	u.Submit(testStart.Add(u.elapsed), &bamboofall.Job{ID: bestEffortJob, Queue: "q", Steps: []bamboofall.Step{{
+	u.SubmitAccepted(testStart.Add(u.elapsed), &bamboofall.Job{ID: bestEffortJob, Queue: "q", Steps: []bamboofall.Step{{
 		Count: 1, Size: bamboofall.Resources{MilliProcessors: 1000}, Estimate: time.Minute, BestEffort: true, Image: "work",
-	}}}, true)
+	}}}, nil)
 }
 
 // runBestEffort makes a worker run the best-effort task.
--- a/internal/jobs/sim/inbox.go
+++ b/internal/jobs/sim/inbox.go
@@ -46,7 +46,7 @@
 func (w *World) takeInbox() {
 	owner := w.cell
 	for _, spec := range w.inbox {
-		flush, _ := owner.Submit(w.now, spec, true)
+		flush := owner.SubmitAccepted(w.now, spec, nil)
 		w.whenStored(owner, flush, func() {
 			w.inbox = slices.DeleteFunc(slices.Clone(w.inbox), func(s *bamboofall.Job) bool { return s == spec })
 		})
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -379,7 +379,7 @@
 			job.queue = q
 		}
 	}
-	_, refusal := w.cell.Submit(w.now, spec, false)
+	_, refusal := w.cell.Submit(w.now, spec)
 	if refusal != nil {
 		w.Stats.Refused++
 		return false, refusal.RetryAfter
