jobs/cell: try one starved gang of each kind in a placement

Callers would see late answers of the owner while many best-effort gangs wait: each starved gang that does not fit was checked against all workers by each of up to three bounds, beside the usual one, in every placement.

Nothing that startStarved does lets a gang fit that has not fitted in the same pass, so other gangs with the same tasks are not tried again by the same bound.

--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -201,13 +201,13 @@
 	c.start(now, w, t, c.nextRun(t))
 }
 
-// placeGang places either all tasks of a gang or none.
-func (c *Cell) placeGang(now time.Time, s *step, tier tailTier) {
+// placeGang places either all tasks of a gang or none. It reports false if they do not fit.
+func (c *Cell) placeGang(now time.Time, s *step, tier tailTier) bool {
 	if s.runs > 0 || len(s.waiting) < s.tasksLeft {
-		return // the previous run has not ended everywhere
+		return true // the previous run has not ended everywhere
 	}
 	if c.gangBlocked(now, s) {
-		return
+		return false
 	}
 	run := s.gang.run
 	chosen := make([]*worker, 0, len(s.tasks))
@@ -233,7 +233,7 @@
 	if len(chosen) < len(s.tasks) {
 		s.rack = ""
 		s.gang.blockedGain, s.gang.slots = c.fits.lastGain, len(chosen)
-		return
+		return false
 	}
 	c.unqueueStep(s)
 	s.gang.run = run
@@ -241,6 +241,7 @@
 		c.start(now, w, &s.tasks[i], run)
 		s.tasks[i].attempts[0].targetPace = tier.pace(w)
 	}
+	return true
 }
 
 // chooseWorker returns the best worker for a task, or nil.
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
@@ -157,22 +158,32 @@
 	slices.SortFunc(starved, func(a, b *step) int {
 		return cmp.Or(a.readyAt.Compare(b.readyAt), cmp.Compare(a.occ.job.ID, b.occ.job.ID), a.compare(b))
 	})
+	blocked := make(map[gangFit]bool)
 	for _, s := range starved {
 		for _, tier := range tiersOfStarved(now, s) {
-			if !s.occ.job.hasRuns() {
+			switch {
+			case s.occ.job.hasRuns():
+			case s.gang == nil:
 				c.startStarvedStep(now, s, tier)
+			default:
+				k := gangFit{s.occ.job.queue.Service, s.Image, s.Label, s.Size, s.Count, s.MaxPerWorker, s.BestEffort, tier}
+				blocked[k] = blocked[k] || !c.placeGang(now, s, tier)
 			}
 		}
 	}
 }
 
-// startStarvedStep starts a task of a step, or its gang, by a bound on the predicted tail
-// latency.
+// gangFit holds what decides whether a gang fits.
+type gangFit struct {
+	service, image, label string
+	size                  bamboofall.Resources
+	count, maxPerWorker   int
+	bestEffort            bool
+	tier                  tailTier
+}
+
+// startStarvedStep starts a task of a step by a bound on the predicted tail latency.
 func (c *Cell) startStarvedStep(now time.Time, s *step, tier tailTier) {
-	if s.gang != nil {
-		c.placeGang(now, s, tier)
-		return
-	}
 	t := s.firstWaiting()
 	if t == nil {
 		return
--- a/internal/jobs/cell/starvedfills_test.go
+++ b/internal/jobs/cell/starvedfills_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,3 +68,25 @@
 	r.run(3 * time.Second)
 	assert.Equal(t, r.countRunning(2), 2)
 }
+
+// Starved gangs that do not fit are tried in each placement. What one of them shows holds for
+// all of its kind.
+func TestStarvedGangsThatDoNotFitAreCheckedOnce(t *testing.T) {
+	const workers, gangs = 10, 30
+	r := newResizedCell(t, workers)
+	for n := range gangs {
+		r.Submit(r.now, &bamboofall.Job{ID: bamboofall.JobID(fmt.Sprintf("%016x", n+1)), Queue: "q", Steps: []bamboofall.Step{{
+			Count: workers + 1, Size: bamboofall.Resources{MilliProcessors: 4000}, Estimate: time.Minute, BestEffort: true, Image: "batch", Gang: true, MaxPerWorker: 1,
+		}}}, true)
+	}
+	const period = 1500 * time.Millisecond
+	checks := func() int {
+		before := r.FitChecks()
+		r.run(period)
+		return r.FitChecks() - before
+	}
+	early := checks()
+	r.run(time.Second)
+	starved := checks()
+	assert.Assert(t, starved < 2*early, "checks of workers for tasks: %d, %d once the gangs are starved", early, starved)
+}
