jobs/cell: pace best-effort tasks by tails of services taken over from a former owner at once

Callers would see a service above its target for more than 4 s after the owner was replaced, by best-effort tasks that the former owner had paused.

A new owner does not know the paces of the runs that it takes over, and raises all to the full one. A serving task counts for pacing 1.5 s after its start, and the start of a run of a former owner is taken to be the time at which it was taken over. Without a serving task that counts, no target counts as missed either, so tasks too small to be blamed by themselves were paused only 2 s after these 1.5 s.

A run of a former owner counts as settled now. It may have been started up to 1.5 s before, in which case its first tails may be off. A task that is still coming up is left out as before.

--- a/internal/jobs/cell/pace.go
+++ b/internal/jobs/cell/pace.go
@@ -11,7 +11,7 @@
 
 const (
 	// tailSettleTime is how long a serving task must have run before its tail latency is
-	// representative.
+	// representative. Tasks taken over from a former owner count as settled.
 	tailSettleTime = 1500 * time.Millisecond
 	// pausedMoveDelay is how long a best-effort task is paused before it is moved.
 	pausedMoveDelay = 600 * time.Millisecond
@@ -38,7 +38,7 @@
 	var worst *step
 	for _, a := range w.attempts {
 		s := a.task.step
-		if s.TailTarget <= 0 || a.state != attemptRunning || a.percent < fullPace || now.Sub(a.startedAt) < tailSettleTime {
+		if s.TailTarget <= 0 || a.state != attemptRunning || a.percent < fullPace || !a.inherited && now.Sub(a.startedAt) < tailSettleTime {
 			continue
 		}
 		tail := float64(a.gauge) / float64(s.TailTarget.Milliseconds())
