jobs/cell: count runs at silent workers until their leases have expired

Since a run did not count as soon as one call to its worker had failed. Many jobs got further tasks while a zone was cut off for a few seconds.

Such a run now counts until its lease has expired. After that it cannot be running, and its task waits only for a late report, 6 s more, for which the other tasks of the job need not wait.

The golden decisions stay the same.

--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -151,7 +151,7 @@
 		if _, known := spare[service]; !known {
 			spare[service] = c.hasSpare(service)
 		}
-		if spare[service] && !j.hasRuns() {
+		if spare[service] && !c.hasRuns(now, j) {
 			starved = append(starved, s)
 		}
 	}
@@ -162,7 +162,7 @@
 	for _, s := range starved {
 		for _, tier := range tiersOfStarved(now, s) {
 			switch {
-			case s.occ.job.hasRuns():
+			case c.hasRuns(now, s.occ.job):
 			case s.gang == nil:
 				c.startStarvedStep(now, s, tier)
 			default:
@@ -227,12 +227,14 @@
 	return nil
 }
 
-// hasRuns reports whether a task of the job is at a worker that is not silent.
-func (j *job) hasRuns() bool {
+// hasRuns reports whether a task of the job is at a worker where its lease may not have expired.
+func (c *Cell) hasRuns(now time.Time, j *job) bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for i := 0; s.runs > 0 && i < len(s.tasks); i++ {
-				if slices.ContainsFunc(s.tasks[i].attempts, func(a *attempt) bool { return !a.worker.silent() }) {
+				if slices.ContainsFunc(s.tasks[i].attempts, func(a *attempt) bool {
+					return !a.worker.silent() || !c.surelyExpired(now, a.worker.leasesEnd)
+				}) {
 					return true
 				}
 			}
