review: case 1, a job whose minions crash is shown as failed

The bed plays the platform, minions and clients for the scripts of the review. Case 1 crashes the minion that runs a task twice, and five times for a job that lasts: the jobs are shown as failed although no run ended so.

--- /dev/null
+++ b/review/bed/cases.go
@@ -0,0 +1,6 @@
+package main
+
+// cases holds the cases by name.
+var cases = map[string]testCase{
+	"crashes": playCrashes,
+}
