--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -3,4 +3,5 @@
 // cases holds the cases by name.
 var cases = map[string]testCase{
 	"crashes": playCrashes,
+	"advised": playAdvised,
 }
