--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -4,4 +4,5 @@
 var cases = map[string]testCase{
 	"crashes": playCrashes,
 	"advised": playAdvised,
+	"drain":   playDrain,
 }
