--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -5,4 +5,5 @@
 	"crashes": playCrashes,
 	"advised": playAdvised,
 	"drain":   playDrain,
+	"pause":   playPause,
 }
