--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,12 +49,14 @@
 	subnet    string
 	listeners []net.Listener
 
-	mu       sync.Mutex
-	log      *os.File
-	vms      []*vm
-	minions  []*minion
-	ended    bool
-	starts   []startEvent
+	mu      sync.Mutex
+	log     *os.File
+	vms     []*vm
+	minions []*minion
+	ended   bool
+	starts  []startEvent
+	// ends counts the tasks that have ended done, by job.
+	ends     map[string]int
 	nextHost int
 }
 
@@ -76,10 +81,10 @@
 		return nil, err
 	}
 	b := &bed{
-		trouble: trouble, began: time.Now(), folder: folder, store: standin.NewStore(), log: log, nextHost: 2,
+		trouble: trouble, began: time.Now(), folder: folder, store: standin.NewStore(), log: log, nextHost: 2, ends: make(map[string]int),
 		subnet: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250)),
 	}
-	if b.storeAt, err = b.serve(b.subnet+"1:0", delayed{b.store}); err != nil {
+	if b.storeAt, err = b.serve(b.subnet+"1:0", delayed{&limited{Handler: b.store, bed: b}}); err != nil {
 		return nil, err
 	}
 	if b.adviceAt, err = b.serve(b.subnet+"1:0", http.HandlerFunc(b.advise)); err != nil {
@@ -100,6 +105,41 @@
 	d.Handler.ServeHTTP(w, r)
 }
 
+// recordBytes is record_bytes of the settings.
+const recordBytes = 262144
+
+// limited rejects appends with a record that is larger than the platform allows.
+type limited struct {
+	http.Handler
+	bed *bed
+	// rejected counts these appends.
+	rejected atomic.Int64
+}
+
+func (l *limited) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/log-append" {
+		l.Handler.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	for rest := body; len(rest) >= 4; {
+		n := int(binary.BigEndian.Uint32(rest))
+		if n > recordBytes {
+			if l.rejected.Add(1)%20 == 1 {
+				l.bed.record("the store rejects an append to %s: a record has %d bytes, the limit is %d (%d rejected)", r.URL.Query().Get("topic"), n, recordBytes, l.rejected.Load())
+			}
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		rest = rest[min(len(rest), 4+n):]
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	l.Handler.ServeHTTP(w, r)
+}
+
 // serve serves HTTP on an address until the end of the run and returns the address.
 func (b *bed) serve(address string, h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", address)
--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -6,4 +6,5 @@
 	"advised": playAdvised,
 	"drain":   playDrain,
 	"pause":   playPause,
+	"images":  playImages,
 }
--- a/review/bed/client.go
+++ b/review/bed/client.go
@@ -97,6 +97,7 @@
 	EstimatedMS   int    `json:"estimated_ms"`
 	LongRunning   bool   `json:"long_running,omitempty"`
 	RequiredLabel string `json:"required_label,omitempty"`
+	Image         string `json:"image,omitempty"`
 }
 
 // jobBody returns the body of a submission.
--- a/review/bed/minion.go
+++ b/review/bed/minion.go
@@ -176,6 +176,7 @@
 	m.ends = append(m.ends, taskEnd{m.lastEnd, r.task, r.number, how})
 	close(m.changed)
 	m.changed = make(chan struct{})
+	m.bed.noteEnd(r.task, how)
 	m.bed.record("%s: run %d of %s ended %s", m.id, r.number, r.task, how)
 }
 
@@ -358,6 +359,15 @@
 	return r.startedAt, true
 }
 
+// noteEnd counts the tasks of a job that have ended done.
+func (b *bed) noteEnd(task, how string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if job, _, found := strings.Cut(task, "."); found && how == "done" {
+		b.ends[job]++
+	}
+}
+
 func (b *bed) noteStart(s startEvent) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
