internal/jobs/cell: log what showed a restart, late answers to starts, adopted second runs

To tell the hypotheses on two runs of a task at once apart:

- 'worker reborn' names both processes, what showed the restart and how many runs were there.
- 'start answered late' tells of answers that came after the run was confirmed, stopped or given up.
They left no line.
- 'run adopted' tells of a run that the first report of a process lists although the task has another one.

Decisions are as before: in decisions.golden only the number and the hash of the lines change, not what was accepted, started or completed.

--- a/internal/entry/front/dispatcher.go
+++ b/internal/entry/front/dispatcher.go
@@ -75,7 +75,7 @@
 		r.counts.relayed++
 	default:
 		r.counts.unqueued++
-		r.fail(at, q, notSentError(callName(order.Kind), vm.Address.String(), "the owner's queue for the relay is full"))
+		r.fail(at, q, notSentError(order.Kind.String(), vm.Address.String(), "the owner's queue for the relay is full"))
 	}
 }
 
@@ -93,7 +93,7 @@
 		r.checkedAt = at
 		for _, order := range r.tracker.AbandonOverdue(at) {
 			r.counts.missing++
-			r.fail(at, order, unknownOutcomeError(callName(order.Kind), "a relay", "no result within the time limit"))
+			r.fail(at, order, unknownOutcomeError(order.Kind.String(), "a relay", "no result within the time limit"))
 		}
 		for _, address := range r.tracker.Unresponsive(at) {
 			r.exclude(at, address, "no results within the time limit")
@@ -153,7 +153,7 @@
 		if repeatable(order) {
 			r.route(at, order.Order)
 		} else {
-			r.fail(at, order, unknownOutcomeError(callName(order.Kind), relay.String(), reason))
+			r.fail(at, order, unknownOutcomeError(order.Kind.String(), relay.String(), reason))
 		}
 	}
 }
@@ -173,7 +173,7 @@
 		f.log.Event("batch not made", logrus.Fields{"epoch": o.record.Epoch, "error": err.Error()})
 		r.tracker.BatchAcknowledged(relay)
 		for _, order := range r.tracker.RevertBatch(batch) {
-			r.fail(at, order, notSentError(callName(order.Kind), "the owner", err.Error()))
+			r.fail(at, order, notSentError(order.Kind.String(), "the owner", err.Error()))
 		}
 		return
 	}
@@ -194,7 +194,7 @@
 	switch {
 	case deposed:
 		for _, order := range r.tracker.RevertBatch(batch) {
-			r.fail(at, order, notSentError(callName(order.Kind), relay.String(), "the relay knows an owner with a higher epoch"))
+			r.fail(at, order, notSentError(order.Kind.String(), relay.String(), "the relay knows an owner with a higher epoch"))
 		}
 	case err != nil && hadNoEffect(err):
 		notSent := r.tracker.RevertBatch(batch)
@@ -245,7 +245,7 @@
 		if status == dispatch.ResultUnwanted {
 			continue
 		}
-		report, err := decodeResult(m, callName(order.Kind), relay.String())
+		report, err := decodeResult(m, order.Kind.String(), relay.String())
 		r.counts.results++
 		switch {
 		case status == dispatch.ResultExpected:
--- a/internal/entry/front/encoding.go
+++ b/internal/entry/front/encoding.go
@@ -161,18 +161,3 @@
 func unknownOutcomeError(call, relay, reason string) error {
 	return &bamboofall.UnknownOutcomeError{Call: call, Err: &bamboofall.RelayError{Relay: relay, Reason: reason}}
 }
-
-// callName returns the name of an order's worker call, for errors.
-func callName(kind cell.OrderKind) string {
-	switch kind {
-	case cell.OrderStart:
-		return "start"
-	case cell.OrderStop:
-		return "stop"
-	case cell.OrderHold:
-		return "hold"
-	case cell.OrderPace:
-		return "pace"
-	}
-	return "order"
-}
--- a/internal/entry/front/relay.go
+++ b/internal/entry/front/relay.go
@@ -115,7 +115,7 @@
 }
 
 func (r *relay) notSentError(o cell.Order, reason string) error {
-	return notSentError(callName(o.Kind), r.front.settings.Peers.String(), reason)
+	return notSentError(o.Kind.String(), r.front.settings.Peers.String(), reason)
 }
 
 // fence drops the queued orders and results of all epochs below the given one.
--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -254,6 +254,7 @@
 	a, w := o.attempt, o.worker
 	sighted := err != nil || c.applyResponseMeta(now, o, s)
 	if !a.attached || a.state != attemptStarting {
+		c.noteRun(a, "start answered late", routine, fmt.Sprintf("%v after the order: %s", now.Sub(o.sentAt).Round(time.Millisecond), outcome(err)))
 		return
 	}
 	if !sighted {
@@ -311,6 +312,14 @@
 	}
 }
 
+// outcome describes the result of an order for the log.
+func outcome(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return "carried out"
+}
+
 // markStartUnknown marks the outcome of a start as unknown and probes the worker for it.
 func (c *Cell) markStartUnknown(now time.Time, a *attempt) {
 	a.state = attemptUnknown
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -160,6 +160,21 @@
 	OrderPace
 )
 
+// String returns the name of the worker call.
+func (k OrderKind) String() string {
+	switch k {
+	case OrderStart:
+		return "start"
+	case OrderStop:
+		return "stop"
+	case OrderHold:
+		return "hold"
+	case OrderPace:
+		return "pace"
+	}
+	return "order"
+}
+
 // Order is an order to a worker. The caller must pass its outcome to StartAnswered,
 // StopAnswered, HoldAnswered or PaceAnswered, according to its kind.
 type Order struct {
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -391,7 +391,7 @@
 	case bamboofall.RejectWrongProcess:
 		switch {
 		case r.Born.After(w.incarnation):
-			c.workerRestarted(now, w, r.Born)
+			c.workerRestarted(now, w, r.Born, "a rejected "+o.Kind.String())
 		case o.incarnation.Equal(w.incarnation): // a later one may have another address
 			c.workerReplaced(now, w)
 		}
@@ -403,7 +403,7 @@
 func (c *Cell) applyResponseMeta(now time.Time, o Order, s bamboofall.ResponseMeta) bool {
 	w := o.worker
 	if !s.Born.IsZero() && s.Born.After(w.incarnation) {
-		c.workerRestarted(now, w, s.Born)
+		c.workerRestarted(now, w, s.Born, "the answer to a "+o.Kind.String())
 	}
 	if !s.Born.IsZero() && s.Born.Before(w.incarnation) || !o.incarnation.Equal(w.incarnation) && s.Born.IsZero() {
 		return false
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -47,6 +47,9 @@
 			a.ackedPace = paceUnknown
 		}
 		c.counters.Adopted++
+		if others := len(t.attempts) - 1; others > 0 {
+			c.noteRun(a, "run adopted", rare, fmt.Sprintf("%d other runs of the task", others))
+		}
 		c.unqueue(t)
 		if t.done || t.step.occ.job.state.Ended() {
 			c.stop(now, a, "the task is completed or its job has ended")
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -227,7 +228,7 @@
 	w.listed = true
 	c.addGain(w)
 	if info.Born.After(w.incarnation) {
-		c.workerRestarted(now, w, info.Born)
+		c.workerRestarted(now, w, info.Born, "its announcement")
 	} else if info.Born.Before(w.incarnation) {
 		return // announced by an earlier incarnation
 	}
@@ -355,10 +356,11 @@
 }
 
 // workerRestarted handles a restart of a worker: its runs are lost, but start orders
-// still in flight may be carried out by the new incarnation.
-func (c *Cell) workerRestarted(now time.Time, w *worker, born time.Time) {
+// still in flight may be carried out by the new incarnation. Evidence is what showed it.
+func (c *Cell) workerRestarted(now time.Time, w *worker, born time.Time, evidence string) {
 	if !w.incarnation.IsZero() {
-		c.note(Note{Event: "worker reborn", Worker: w.info.ID, Detail: "started " + born.UTC().Format(time.RFC3339Nano)})
+		c.note(Note{Event: "worker reborn", Worker: w.info.ID, Detail: fmt.Sprintf("started %s, the former process %s, as shown by %s; %d runs",
+			born.UTC().Format(time.RFC3339Nano), w.incarnation.UTC().Format(time.RFC3339Nano), evidence, len(w.attempts))})
 		c.workerCrashed(now, w, "a new process answers or is announced")
 	}
 	w.crashed, w.noListener = false, false
