internal/jobs/cell: keep runs that a new process may have begun before its restart was known

Callers saw a task run twice: a worker restarts under its ID, carries out a start, and the restart is announced after the answer. The answer to a start names no process, so the run counted as one of the former process and was given up with it, while a start without an answer was kept.

Now a restart ends only runs that an answer of the former process has named. The others are unknown until the first report of the new process, which lists them, or their ends, or shows that they are gone. That report is asked for at once: before, a hold call that waited at the new process kept it back by up to 2 s. The closed record of a worker tells a successor which runs were named.

A run that the new process lists did not end in the crash, so the crash is not counted against its task any more.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -75,6 +75,9 @@
 	// and startClock is the worker's clock when it first did so to this owner.
 	confirmed  bool
 	startClock time.Duration
+	// named is set once an answer that names the worker's process has confirmed the run. The
+	// answer to a start may come from a process that started after it.
+	named bool
 	// trial is set if the task was a suspect when the run was ordered.
 	trial bool
 	// inherited is set if a former owner started the run, so that startedAt is not the time
@@ -268,6 +271,7 @@
 	}
 	if err == nil {
 		a.confirmRunning(now)
+		a.named = !s.Born.IsZero()
 		a.confirmedAt, a.progressedAt = now, now
 		c.markJobStarted(a.task.step.occ.job)
 		if len(w.attempts) == 1 || !w.holdOpen {
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -222,9 +222,11 @@
 	if c.workers[w.info.ID] != w {
 		return
 	}
-	if o.probe {
+	switch {
+	case !o.incarnation.Equal(w.incarnation): // workerRestarted has made another call due
+	case o.probe:
 		w.probeOpen = false
-	} else {
+	default:
 		w.holdOpen = false
 	}
 	c.queueHold(w)
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -41,7 +41,7 @@
 		t.lastRun = max(t.lastRun, p.Run)
 		a.confirmRunning(now)
 		a.confirmedAt, a.startedAt, a.progressedAt = now, now, now
-		a.inherited = true
+		a.inherited, a.named = true, !report.Born.IsZero()
 		a.resumeTrial()
 		if t.step.BestEffort {
 			a.ackedPace = paceUnknown
@@ -94,10 +94,14 @@
 		switch {
 		case p != nil:
 			c.confirmRun(now, a, p)
+			c.nameRun(a, report.ResponseMeta)
 			a.task.located = a.task.located || locates
 		case !endsKnown:
 		case a.state == attemptRunning && a.confirmedAt.Before(o.sentAt) && (!a.stopping || !a.stopConfirmedAt.IsZero() && a.stopConfirmedAt.Before(o.sentAt)):
 			c.loseRun(now, a, "the worker no longer reports the run")
+		case a.state == attemptUnknown && a.confirmed && a.unknownSince.Before(o.sentAt):
+			// The start was answered before the call, so it cannot happen any more.
+			c.loseRun(now, a, "the worker restarted")
 		case a.state == attemptUnknown && !a.stopConfirmedAt.IsZero() && a.stopConfirmedAt.Before(o.sentAt):
 			// The stop was confirmed before the call, so the start can no longer happen.
 			c.loseRun(now, a, "the start was not carried out")
@@ -130,6 +134,19 @@
 // listsAllEnds reports whether a report is the last page of run ends.
 func listsAllEnds(report bamboofall.HoldReport) bool { return len(report.Ends) < MaxEndsPerReport }
 
+// nameRun records that a report lists a run of the process that it names. The run did not end
+// with a former process.
+func (c *Cell) nameRun(a *attempt, s bamboofall.ResponseMeta) {
+	if a.named || s.Born.IsZero() {
+		return
+	}
+	a.named = true
+	if slices.Contains(a.task.crashes.Runs(), a.run) {
+		a.task.crashes.Retract(a.run)
+		c.pending.touch(a.task.step.occ.job)
+	}
+}
+
 // confirmRun applies the reported state of an expected run.
 func (c *Cell) confirmRun(now time.Time, a *attempt, p *bamboofall.RunningTask) {
 	if a.state != attemptRunning {
--- a/internal/jobs/cell/unnoticedrestart_test.go
+++ b/internal/jobs/cell/unnoticedrestart_test.go
@@ -1,7 +1,6 @@
 package cell_test
 
 import (
-	"flag"
 	"slices"
 	"testing"
 	"time"
@@ -12,8 +11,6 @@
 	"bamboofall.example/bamboofall/internal/jobs/cell"
 )
 
-var runKnownRed = flag.Bool("red", false, "run the tests that are known to fail")
-
 // unnamedWorkers answers orders at once, as workers whose answers to starts and stops do not
 // name their process.
 type unnamedWorkers struct {
@@ -71,9 +68,6 @@
 // name no process. When the restart becomes known, the runs must not be taken for runs of
 // the former process and started a second time.
 func TestTaskRunsOnceAtWorkerThatRestartedUnnoticed(t *testing.T) {
-	if !*runKnownRed {
-		t.Skip("known red, see KNOWN-RED.txt")
-	}
 	for name, step := range map[string]bamboofall.Step{"finite": finiteStep, "standing": standingStep} {
 		t.Run(name, func(t *testing.T) {
 			idle := testWorker(1)
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -285,7 +285,7 @@
 	for _, a := range w.attempts {
 		if a.mayRun() {
 			m.Runs = append(m.Runs, &jobpb.Run{
-				Task: a.task.name().String(), Number: a.run, Confirmed: a.confirmed, SurvivedMs: a.survived().Milliseconds(),
+				Task: a.task.name().String(), Number: a.run, Confirmed: a.confirmed, Named: a.named, SurvivedMs: a.survived().Milliseconds(),
 			})
 		}
 	}
@@ -344,7 +344,7 @@
 		}
 		a := c.reserve(w, t, r.GetNumber())
 		t.lastRun = max(t.lastRun, a.run)
-		a.state, a.confirmed, a.inherited = attemptUnknown, r.GetConfirmed(), true
+		a.state, a.confirmed, a.named, a.inherited = attemptUnknown, r.GetConfirmed(), r.GetNamed(), true
 		a.survivedFormer = time.Duration(r.GetSurvivedMs()) * time.Millisecond
 		a.startedAt, a.unknownSince = now, now
 		if t.step.BestEffort {
@@ -355,8 +355,9 @@
 	return nil
 }
 
-// workerRestarted handles a restart of a worker: its runs are lost, but start orders
-// still in flight may be carried out by the new incarnation. Evidence is what showed it.
+// workerRestarted handles a restart of a worker: the runs that a former process has named are
+// lost. The new process may have carried out the others, or may still do so, and tells with its
+// first report. Evidence is what showed the restart.
 func (c *Cell) workerRestarted(now time.Time, w *worker, born time.Time, evidence string) {
 	if !w.incarnation.IsZero() {
 		c.note(Note{Event: "worker reborn", Worker: w.info.ID, Detail: fmt.Sprintf("started %s, the former process %s, as shown by %s; %d runs",
@@ -367,19 +368,21 @@
 	w.clearExpired()
 	w.leasesEnd, w.unansweredSince = time.Time{}, time.Time{}
 	for _, a := range slices.Clone(w.attempts) {
-		if a.state == attemptStarting || a.state == attemptUnknown && !a.confirmed {
-			// The start order may still be in flight, and the new incarnation may carry
-			// it out.
-			a.unknownSince, a.stopConfirmedAt = now, time.Time{}
-			w.leasesEnd = now.Add(MaxLeaseDuration(c.cfg.Lease))
+		if a.named || !a.mayRun() {
+			c.loseRun(now, a, "the worker restarted")
 			continue
 		}
-		c.loseRun(now, a, "the worker restarted")
+		if a.state == attemptRunning {
+			a.state = attemptUnknown
+		}
+		a.unknownSince, a.stopConfirmedAt = now, time.Time{}
+		w.leasesEnd = now.Add(MaxLeaseDuration(c.cfg.Lease))
 	}
 	w.incarnation = born
 	w.answered, w.usedByFormer, w.endsReported = false, false, false
 	w.storedEnd, w.receivedEnd, w.receivedEndFlush, w.acknowledgedEnd = 0, 0, 0, 0
 	w.nextHoldAt = now
+	w.holdOpen, w.probeOpen = false, false // the open calls may wait at the new process
 	w.health = suspicion.Health{}
 	w.drainingSince = time.Time{}
 	c.recordWorker(w)
