--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -75,6 +75,9 @@
 	// and startClock is the worker's clock when it first did so to this owner.
 	confirmed  bool
 	startClock time.Duration
+	// named is set once an answer that names the worker's process has confirmed the run. The
+	// answer to a start may come from a process that started after it.
+	named bool
 	// trial is set if the task was a suspect when the run was ordered.
 	trial bool
 	// inherited is set if a former owner started the run, so that startedAt is not the time
@@ -254,6 +257,7 @@
 	a, w := o.attempt, o.worker
 	sighted := err != nil || c.applyResponseMeta(now, o, s)
 	if !a.attached || a.state != attemptStarting {
+		c.noteRun(a, "start answered late", routine, fmt.Sprintf("%v after the order: %s", now.Sub(o.sentAt).Round(time.Millisecond), outcome(err)))
 		return
 	}
 	if !sighted {
@@ -267,6 +271,7 @@
 	}
 	if err == nil {
 		a.confirmRunning(now)
+		a.named = !s.Born.IsZero()
 		a.confirmedAt, a.progressedAt = now, now
 		c.markJobStarted(a.task.step.occ.job)
 		if len(w.attempts) == 1 || !w.holdOpen {
@@ -311,6 +316,14 @@
 	}
 }
 
+// outcome describes the result of an order for the log.
+func outcome(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return "carried out"
+}
+
 // markStartUnknown marks the outcome of a start as unknown and probes the worker for it.
 func (c *Cell) markStartUnknown(now time.Time, a *attempt) {
 	a.state = attemptUnknown
