internal/operator/history: print what became of a job's workers

The cause of a second run stands in lines about its worker, such as 'worker reborn', which name no job and were left out.

--- a/internal/operator/history/history.go
+++ b/internal/operator/history/history.go
@@ -1,5 +1,5 @@
-// Package history extracts the log lines about one job from the logs of several entry
-// VMs and sorts them by time.
+// Package history extracts the log lines about one job, and about the workers that it ran
+// at, from the logs of several entry VMs and sorts them by time.
 package history
 
 import (
@@ -33,6 +33,8 @@
 // History holds the log lines about a job.
 type History struct {
 	Lines []Line
+	// workerLines holds the lines about workers that name no job.
+	workerLines []Line
 	// UnparsedLines is the number of lines without a JSON record, and of overlong ones.
 	UnparsedLines int
 }
@@ -97,8 +99,11 @@
 		h.UnparsedLines++
 		return
 	}
-	if record.Job == job {
+	switch {
+	case record.Job == job:
 		h.Lines = append(h.Lines, record.toLine())
+	case record.Job == "" && record.Worker != "":
+		h.workerLines = append(h.workerLines, record.toLine())
 	}
 }
 
@@ -116,10 +121,31 @@
 	return line
 }
 
-// Write sorts the lines by time and prints them.
+// linesByTime returns the lines sorted by time, with those about workers of the job in
+// between.
+func (h *History) linesByTime() []Line {
+	byTime := func(a, b Line) int { return a.At.Compare(b.At) }
+	lines := slices.SortedStableFunc(slices.Values(h.Lines), byTime)
+	if len(lines) == 0 {
+		return nil
+	}
+	first, last := lines[0].At, lines[len(lines)-1].At
+	workers := make(map[string]bool)
+	for _, l := range lines {
+		workers[l.Worker] = true
+	}
+	for _, l := range h.workerLines {
+		if workers[l.Worker] && !l.At.Before(first) && !l.At.After(last) {
+			lines = append(lines, l)
+		}
+	}
+	slices.SortStableFunc(lines, byTime)
+	return lines
+}
+
+// Write prints the lines by time.
 func (h *History) Write(w io.Writer) error {
-	slices.SortStableFunc(h.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
-	for _, l := range h.Lines {
+	for _, l := range h.linesByTime() {
 		var fields []string
 		if l.Task != "" {
 			fields = append(fields, l.Task)
