internal/jobs/cell: acknowledge run ends once each time they are listed

Callers would see a task run again after it was done: every hold call acknowledged all ends of the process that the owner knew. If the worker had restarted without notice, its new process numbered its ends from 1 and forgot them up to that number before it had listed them. The owner then found the run neither running nor ended and started the task again, or did not count a failure.

Now an acknowledgement is in one hold call after each report that lists ends, and no probe carries one. A report names its process, so a number of a former process can reach the new one only if the worker restarts between its report and the call that follows it, or if that call is carried out late.

--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -88,7 +88,7 @@
 			}
 			continue
 		}
-		o := bamboofall.HoldOrder{Token: c.cfg.Token, AcknowledgedEnd: w.storedEnd}
+		o := bamboofall.HoldOrder{Token: c.cfg.Token, AcknowledgedEnd: w.endToAcknowledge()}
 		// A silent worker gets no new lease: the call may be carried out late, and the
 		// end of its leases would never be certain.
 		if w.answered && !w.silent() && c.mayGrant(w) {
@@ -98,7 +98,9 @@
 			}
 		}
 		w.holdOpen = true
-		w.acknowledgedEnd = max(w.acknowledgedEnd, o.AcknowledgedEnd)
+		if o.AcknowledgedEnd > 0 {
+			w.acknowledgedEnd, w.listedEnd = max(w.acknowledgedEnd, o.AcknowledgedEnd), 0
+		}
 		c.emit(Order{
 			Kind: OrderHold, Worker: w.info.WorkerRef, Hold: o, worker: w, sentAt: now, incarnation: w.incarnation,
 		})
@@ -112,7 +114,7 @@
 	}
 	w.probeOpen, w.probedAt = true, now
 	c.emit(Order{
-		Kind: OrderHold, Worker: w.info.WorkerRef, Hold: bamboofall.HoldOrder{Token: c.cfg.Token, AcknowledgedEnd: w.acknowledgedEnd},
+		Kind: OrderHold, Worker: w.info.WorkerRef, Hold: bamboofall.HoldOrder{Token: c.cfg.Token},
 		worker: w, sentAt: now, incarnation: w.incarnation, probe: true,
 	})
 }
@@ -182,7 +184,19 @@
 
 // hasUnacknowledgedEnds reports whether the worker still lists run ends that this owner
 // has received.
-func (w *worker) hasUnacknowledgedEnds() bool { return w.receivedEnd > w.acknowledgedEnd }
+func (w *worker) hasUnacknowledgedEnds() bool {
+	return w.receivedEnd > w.acknowledgedEnd || w.listedEnd > 0
+}
+
+// endToAcknowledge returns the end up to which a hold order acknowledges run ends, or zero.
+// Ends are acknowledged once each time they are listed: a process that has started since then
+// numbers its ends anew and would forget them unseen.
+func (w *worker) endToAcknowledge() uint64 {
+	if w.listedEnd > w.storedEnd {
+		return 0
+	}
+	return w.listedEnd
+}
 
 // hasUnknownAttempts reports whether the outcome of a start is unknown, so that an answer
 // is needed soon.
@@ -275,6 +289,9 @@
 	}
 	w.endsReported = w.endsReported || listsAllEnds(report)
 	c.applyEnds(now, w, report.Ends)
+	if n := len(report.Ends); n > 0 && !o.late {
+		w.listedEnd = max(w.listedEnd, report.Ends[n-1].Number)
+	}
 	c.reconcile(now, o, w, report)
 	return true
 }
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -111,8 +111,9 @@
 	// again once its run ends are stored.
 	inUnstoredEnds bool
 	// acknowledgedEnd is the last run end that a hold order has acknowledged as stored.
-	acknowledgedEnd uint64
-	health          suspicion.Health
+	// listedEnd is the last one listed since, or zero.
+	acknowledgedEnd, listedEnd uint64
+	health                     suspicion.Health
 	// lastGain is the number of the last event after which more tasks may fit here.
 	// avoided is set while the worker is in fitCache.avoided. wasUsable is the value of
 	// usable at the last scan.
@@ -380,7 +381,7 @@
 	}
 	w.incarnation = born
 	w.answered, w.usedByFormer, w.endsReported = false, false, false
-	w.storedEnd, w.receivedEnd, w.receivedEndFlush, w.acknowledgedEnd = 0, 0, 0, 0
+	w.storedEnd, w.receivedEnd, w.receivedEndFlush, w.acknowledgedEnd, w.listedEnd = 0, 0, 0, 0, 0
 	w.nextHoldAt = now
 	w.holdOpen, w.probeOpen = false, false // the open calls may wait at the new process
 	w.health = suspicion.Health{}
