internal/jobs/cell: reckon with leases by the clock of a former process

Callers would see a task run twice: a worker restarts without notice and takes an order by the clock of its former process. The end of that lease is far in the future for the new process, which shortens it to the longest one of the platform (10 s, say), while the owner reckoned with its own (5 s). If the worker was then cut off, its tasks were started elsewhere before the lease ended.

Now, when a restart becomes known, the leases of the new process are taken to end only after the longest one of the platform, if it may have taken such an order: a lease was granted since the last answer, a run is not named yet, or a former owner used the worker. The same holds when the outcome of such a start becomes known later. It matters only if the worker falls silent within the next seconds; other lost workers are given up as soon as before.

Not covered: a successor that learns of this from the record of the worker, and a cut before the owner learns of the restart.

--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -117,7 +117,7 @@
 		group: group, ctx: ctx, renewalSequence: sequence, cellSequence: sequence, delays: newDelayMonitor(f.metrics),
 		yielding: make(chan struct{}),
 		cell: cell.New(cell.Config{
-			Token: bamboofall.Token(record.Epoch), Lease: f.workerLease(), FormerLeasesEnd: formerLeasesEnd, MarkSeenBy: f.markSeenBy,
+			Token: bamboofall.Token(record.Epoch), Lease: f.workerLease(), MaxLease: f.settings.Bounds.MaxLease, FormerLeasesEnd: formerLeasesEnd, MarkSeenBy: f.markSeenBy,
 			EndedJobRetention: f.settings.Bounds.EndedJobRetention + 10*time.Second,
 			RemoteFactor:      f.settings.Bounds.RemoteFactor, MaxTailViolation: f.settings.Bounds.MaxTailViolation,
 			MaxRecordBytes: f.settings.MaxRecordBytes,
--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -256,6 +256,9 @@
 func (c *Cell) StartAnswered(now time.Time, o Order, s bamboofall.ResponseMeta, err error) {
 	a, w := o.attempt, o.worker
 	sighted := err != nil || c.applyResponseMeta(now, o, s)
+	if !o.incarnation.Equal(w.incarnation) {
+		c.leasedByFormerClock(now, w) // it may have been carried out after the restart was known
+	}
 	if !a.attached || a.state != attemptStarting {
 		c.noteRun(a, "start answered late", routine, fmt.Sprintf("%v after the order: %s", now.Sub(o.sentAt).Round(time.Millisecond), outcome(err)))
 		return
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -32,6 +32,9 @@
 	Token bamboofall.Token
 	// Lease is how long a worker runs a task without a renewal.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker accepts, or zero if that is Lease. A worker
+	// that restarts has one if it takes an order by the clock of its former process.
+	MaxLease time.Duration
 	// FormerLeasesEnd is when all leases granted by former owners have expired.
 	FormerLeasesEnd time.Time
 	// MarkSeenBy returns a time by which a mark of a former owner had certainly been
--- a/internal/jobs/cell/leaseend.go
+++ b/internal/jobs/cell/leaseend.go
@@ -26,7 +26,7 @@
 		}
 		leases, reports := c.cfg.FormerLeasesEnd, c.cfg.FormerLeasesEnd.Add(LateEndGrace)
 		if !w.answered {
-			leases, reports = w.leasesEnd, c.reportDeadline(w)
+			leases, reports = w.allLeasesEnd(), c.reportDeadline(w)
 		}
 		c.unreportedEnd, reportsEnd = later(c.unreportedEnd, leases), later(reportsEnd, reports)
 	}
@@ -54,18 +54,27 @@
 func (c *Cell) reportDeadline(w *worker) time.Time {
 	switch {
 	case !w.owesReport():
-		return w.leasesEnd
+		return w.allLeasesEnd()
 	case w.answered:
-		return w.leasesEnd.Add(LateEndGrace)
+		return w.allLeasesEnd().Add(LateEndGrace)
 	}
 	// The leases may have ended before this owner could reach the worker.
 	deadline := c.cfg.FormerLeasesEnd.Add(LateEndGrace)
 	if w.silent() {
-		deadline = earlier(deadline, later(w.leasesEnd, w.silentSince).Add(LateEndGrace))
+		deadline = earlier(deadline, later(w.allLeasesEnd(), w.silentSince).Add(LateEndGrace))
 	}
 	return deadline
 }
 
+// leasedByFormerClock records that a worker may have taken an order by the clock of its former
+// process just now. The lease ends far too late then, but is not longer than MaxLease.
+func (c *Cell) leasedByFormerClock(now time.Time, w *worker) {
+	w.formerClockLeasesEnd = later(w.formerClockLeasesEnd, now.Add(MaxLeaseDuration(max(c.cfg.Lease, c.cfg.MaxLease))))
+}
+
+// allLeasesEnd returns when all leases of a worker have certainly expired.
+func (w *worker) allLeasesEnd() time.Time { return later(w.leasesEnd, w.formerClockLeasesEnd) }
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -82,10 +91,11 @@
 
 // encodeLeasesEnd adds the end of the leases of a silent worker to its record.
 func (c *Cell) encodeLeasesEnd(w *worker, m *jobpb.Worker) {
-	if w.leasesEnd.IsZero() || c.mark.At.IsZero() {
+	end := w.allLeasesEnd()
+	if end.IsZero() || c.mark.At.IsZero() {
 		return
 	}
-	leasesEnd := w.leasesEnd.Sub(c.mark.At).Milliseconds() + 1
+	leasesEnd := end.Sub(c.mark.At).Milliseconds() + 1
 	switch {
 	case w.recordClosed && (w.silent() || !w.answered):
 		w.endRecorded = true
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -244,7 +244,7 @@
 		for _, s := range o.steps {
 			for i := 0; s.runs > 0 && i < len(s.tasks); i++ {
 				if slices.ContainsFunc(s.tasks[i].attempts, func(a *attempt) bool {
-					return !a.worker.silent() || !c.surelyExpired(now, a.worker.leasesEnd)
+					return !a.worker.silent() || !c.surelyExpired(now, a.worker.allLeasesEnd())
 				}) {
 					return true
 				}
--- a/internal/jobs/cell/status.go
+++ b/internal/jobs/cell/status.go
@@ -160,7 +160,7 @@
 		state = "its queue is not configured"
 	case len(t.attempts) > 0:
 		a, w := t.attempts[0], t.attempts[0].worker
-		state = fmt.Sprintf("run %d at %s (listed %t, silent %t) is %s, leases end in %v", a.run, w.info.ID, w.listed, w.silent(), a.state, w.leasesEnd.Sub(now).Round(time.Millisecond))
+		state = fmt.Sprintf("run %d at %s (listed %t, silent %t) is %s, leases end in %v", a.run, w.info.ID, w.listed, w.silent(), a.state, w.allLeasesEnd().Sub(now).Round(time.Millisecond))
 	case t.queued && c.mayRunElsewhere(now, t):
 		owing := slices.DeleteFunc(slices.Clone(c.workerList), func(w *worker) bool { return !w.owesReport() })
 		state = fmt.Sprintf("may be running at one of %d workers that have not reported", len(owing))
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -78,12 +78,16 @@
 	// clock is the worker's clock as read at clockAt.
 	clock   time.Duration
 	clockAt time.Time
-	// leasesEnd is when all leases that this owner granted have certainly expired.
+	// leasesEnd is when all leases that this owner granted by the worker's clock have
+	// certainly expired.
 	leasesEnd time.Time
+	// formerClockLeasesEnd is when leases have certainly expired that the process may have
+	// taken from orders by the clock of a former one.
+	formerClockLeasesEnd time.Time
 	// unansweredSince is when the first lease was granted after the worker is last known
 	// to have been up, or zero if all calls that granted one were answered.
 	unansweredSince time.Time
-	// leasesEndLogged is the value of leasesEnd that was last logged as expired.
+	// leasesEndLogged is the value of allLeasesEnd that was last logged as expired.
 	leasesEndLogged time.Time
 
 	// holdQueued reports whether the worker is in the queue of workers that may need a
@@ -367,7 +371,11 @@
 	}
 	w.crashed, w.noListener = false, false
 	w.clearExpired()
-	w.leasesEnd, w.unansweredSince = time.Time{}, time.Time{}
+	w.leasesEnd, w.formerClockLeasesEnd = time.Time{}, time.Time{}
+	if !w.unansweredSince.IsZero() || w.usedByFormer {
+		c.leasedByFormerClock(now, w)
+	}
+	w.unansweredSince = time.Time{}
 	for _, a := range slices.Clone(w.attempts) {
 		if a.named || !a.mayRun() {
 			c.loseRun(now, a, "the worker restarted")
@@ -377,7 +385,7 @@
 			a.state = attemptUnknown
 		}
 		a.unknownSince, a.stopConfirmedAt = now, time.Time{}
-		w.leasesEnd = now.Add(MaxLeaseDuration(c.cfg.Lease))
+		c.leasedByFormerClock(now, w)
 	}
 	w.incarnation = born
 	w.answered, w.usedByFormer, w.endsReported = false, false, false
@@ -416,7 +424,8 @@
 // expired. A run that may have completed waits for the worker's report for LateEndGrace
 // longer.
 func (c *Cell) expireLeases(now time.Time, w *worker) {
-	if len(w.attempts) == 0 || !c.surelyExpired(now, w.leasesEnd) {
+	leasesEnd := w.allLeasesEnd()
+	if len(w.attempts) == 0 || !c.surelyExpired(now, leasesEnd) {
 		return
 	}
 	if !w.silent() {
@@ -426,9 +435,9 @@
 		w.failures, w.silentSince = silentFailures, now
 		c.workerSilent(now, w, "its leases expired while it left calls unanswered")
 	}
-	reportOverdue := c.surelyExpired(now, w.leasesEnd.Add(LateEndGrace)) && now.Sub(w.silentSince) > LateEndGrace
-	if reportOverdue || !w.leasesEndLogged.Equal(w.leasesEnd) {
-		w.leasesEndLogged = w.leasesEnd
+	reportOverdue := c.surelyExpired(now, leasesEnd.Add(LateEndGrace)) && now.Sub(w.silentSince) > LateEndGrace
+	if reportOverdue || !w.leasesEndLogged.Equal(leasesEnd) {
+		w.leasesEndLogged = leasesEnd
 		c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the leases of a silent worker expired"})
 	}
 	for _, a := range slices.Clone(w.attempts) {
