internal/jobs/cell: stop the second run of a task that a report shows

Callers would see two runs of a task go on beside each other, a standing one for ever: the first report of a process to an owner lists runs that are then taken over, even if the task has another run at work. That can happen if an order is carried out late by a process that started after the run was given up.

Now a report that lists a run of a task stops all of its runs but one, the one with the most progress. A run that awaits the store or an answer is stopped for one that is at work, and so never begins if it was not sent. Copies and gangs are left alone, as are runs that no answer of a named process has confirmed and those of silent workers, which may be gone.

--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -96,6 +96,7 @@
 			c.confirmRun(now, a, p)
 			c.nameRun(a, report.ResponseMeta)
 			a.task.located = a.task.located || locates
+			c.stopSecondRun(now, a)
 		case !endsKnown:
 		case a.state == attemptRunning && a.confirmedAt.Before(o.sentAt) && (!a.stopping || !a.stopConfirmedAt.IsZero() && a.stopConfirmedAt.Before(o.sentAt)):
 			c.loseRun(now, a, "the worker no longer reports the run")
