internal/jobs/cell: learn of a restart from a clock that is behind

Callers would see a task run twice: a worker restarts without notice, takes a start by the clock of its former process and is cut off before a report names the new one. The owner took the answer for one of the former process and gave the run up when its own lease had ended, before the worker's.

Evidence: TestTasksStartElsewhereAfterLeaseByFormerClock, shown by its clock only, which failed before: started elsewhere 4.54 s too early.

An answer without a name, to an order sent after the clock was last read, cannot be of the same process if its clock is behind that reading. It is now taken for one of an unknown process: the outcome of the start is unknown, the worker gets no more starts and leases until a report names its process, which is asked for at once, and a lease of the longest duration is reckoned with.

If such a clock was wrong after all, the next report settles it.

decisions.golden is unchanged.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -232,7 +232,7 @@
 
 func (c *Cell) orderStart(now time.Time, a *attempt) {
 	w, t := a.worker, a.task
-	if !w.answered {
+	if !w.answered || w.restartUnnamed {
 		// The worker restarted since the task was placed, so the attempt is lost.
 		c.loseRun(now, a, "the worker restarted and has not answered yet")
 		return
--- a/internal/jobs/cell/formerclock_test.go
+++ b/internal/jobs/cell/formerclock_test.go
@@ -15,7 +15,14 @@
 // be started elsewhere before that lease has ended.
 func TestTasksStartElsewhereAfterLeaseByFormerClock(t *testing.T) {
 	const lease, longest = 5 * time.Second, 10 * time.Second
-	for name, reports := range map[string]time.Duration{"no report": 0, "reports for a second": time.Second} {
+	for name, r := range map[string]struct {
+		announced bool
+		reports   time.Duration
+	}{
+		"announced, no report":            {announced: true},
+		"announced, reports for a second": {announced: true, reports: time.Second},
+		"shown by its clock only":         {},
+	} {
 		t.Run(name, func(t *testing.T) {
 			w, other := testWorker(1), testWorker(2)
 			c := cell.New(cell.Config{Token: 1, Lease: lease, MaxLease: longest, EndedJobRetention: time.Minute, RemoteFactor: 2})
@@ -46,14 +53,16 @@
 						}
 						assert.Assert(t, !cut)
 						if restartedAt.IsZero() {
-							restartedAt, cutAt = now, now.Add(reports)
+							restartedAt, cutAt = now, now.Add(r.reports)
 							w.Born, up, leaseEnd = now, 0, time.Time{}
 							meta.Clock = time.Millisecond
 						}
 						extend(o.Start.LeaseUntil)
 						running = append(running, bamboofall.RunningTask{Task: o.Start.Task, Run: o.Start.Run, ProgressPercent: 100})
 						c.StartAnswered(now, o, meta, nil)
-						c.SetWorker(now, w)
+						if r.announced {
+							c.SetWorker(now, w)
+						}
 					case cell.OrderHold:
 						if cut {
 							c.HoldAnswered(now, o, bamboofall.HoldReport{}, &bamboofall.UnknownOutcomeError{Call: "hold"})
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -91,7 +91,7 @@
 		o := bamboofall.HoldOrder{Token: c.cfg.Token, AcknowledgedEnd: w.endToAcknowledge()}
 		// A silent worker gets no new lease: the call may be carried out late, and the
 		// end of its leases would never be certain.
-		if w.answered && !w.silent() && c.mayGrant(w) {
+		if w.answered && !w.silent() && !w.restartUnnamed && c.mayGrant(w) {
 			o.LeaseUntil = c.grantLease(now, w)
 			if !unstored && len(w.attempts) > 0 && !w.hasUnknownAttempts() {
 				o.Wait = c.holdWaitAt(now, w)
@@ -427,6 +427,11 @@
 	if !s.Born.IsZero() && s.Born.Before(w.incarnation) || !o.incarnation.Equal(w.incarnation) && s.Born.IsZero() {
 		return false
 	}
+	if s.Born.IsZero() && w.clockSetBack(o, s) {
+		c.unnamedRestart(now, w)
+		return false
+	}
+	w.restartUnnamed = false
 	wasSilent := w.silent()
 	w.failures = 0
 	c.clearCrash(w)
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -72,6 +72,9 @@
 	// answered reports whether this incarnation has answered this owner. usedByFormer
 	// reports whether it may run tasks that a former owner started.
 	answered, usedByFormer bool
+	// restartUnnamed is set if the worker's clock shows that another process has started,
+	// which no answer has named yet.
+	restartUnnamed bool
 	// endsReported is set once this incarnation has listed all its run ends in one
 	// answer.
 	endsReported bool
@@ -178,7 +181,7 @@
 
 // usable reports whether tasks may be placed at the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.answered && !w.silent() && !w.info.Draining
+	return w.listed && w.answered && !w.silent() && !w.restartUnnamed && !w.info.Draining
 }
 
 // MaxLeaseDuration returns the longest time, measured from the grant, that a lease can
@@ -388,7 +391,7 @@
 		c.leasedByFormerClock(now, w)
 	}
 	w.incarnation = born
-	w.answered, w.usedByFormer, w.endsReported = false, false, false
+	w.answered, w.usedByFormer, w.endsReported, w.restartUnnamed = false, false, false, false
 	w.storedEnd, w.receivedEnd, w.receivedEndFlush, w.acknowledgedEnd, w.listedEnd = 0, 0, 0, 0, 0
 	w.nextHoldAt = now
 	w.holdOpen, w.probeOpen = false, false // the open calls may wait at the new process
