internal/jobs/cell: do not hold failed calls to a former process against the new one

Callers saw nothing wrong, but a worker that had restarted got no tasks and no leases until its next answer, up to 0.2 s later: a hold call that waited at the former process, or a start sent to it, fails when that process has ended, and the failure marked the new process silent, though it had answered.

Such a failure now says nothing about the worker. Another call was made due when the restart became known, and shows whether the new process answers.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -305,7 +305,7 @@
 		if !failedInTransit(err) {
 			w.health.Avoid(now)
 		}
-		c.callFailed(now, w, err)
+		c.callFailed(now, o, err)
 		w.holdNow(now)
 		c.enqueue(a.task)
 	default:
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -298,18 +298,20 @@
 
 func (c *Cell) holdFailed(now time.Time, o Order, err error) {
 	w := o.worker
-	w.nextHoldAt = now.Add(c.scaleByOwnerDelay(now, holdRetryInterval))
+	if o.incarnation.Equal(w.incarnation) {
+		w.nextHoldAt = now.Add(c.scaleByOwnerDelay(now, holdRetryInterval))
+	}
 	if !failedInTransit(err) {
 		c.counters.HoldFailures++
 	}
 	var rejected *bamboofall.RejectedError
 	if errors.As(err, &rejected) {
 		c.handleRejection(now, o, rejected)
-		if rejected.Cause == bamboofall.RejectFenced || !o.incarnation.Equal(w.incarnation) {
+		if rejected.Cause == bamboofall.RejectFenced {
 			return
 		}
 	}
-	c.callFailed(now, w, err)
+	c.callFailed(now, o, err)
 }
 
 // failedInTransit reports whether an order failed at a relay or was withheld by the
@@ -343,8 +345,14 @@
 	}
 }
 
-// callFailed handles a call that the worker did not answer.
-func (c *Cell) callFailed(now time.Time, w *worker, err error) {
+// callFailed handles a call that the worker did not answer. A call to a former process says
+// nothing about the current one.
+func (c *Cell) callFailed(now time.Time, o Order, err error) {
+	w := o.worker
+	if !o.incarnation.Equal(w.incarnation) {
+		c.recordWithheld(now, err)
+		return
+	}
 	w.noteRefused(err)
 	if failedInTransit(err) {
 		c.recordWithheld(now, err)
