--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -203,6 +203,14 @@
 // or was given up. It may be called concurrently with other methods of the cell.
 func (o *Order) Withdrawn() bool { return o.Kind == OrderStart && o.attempt.withdrawn.Load() }
 
+// Repetition returns the order to send again although the worker may have carried it out. It
+// acknowledges no run ends: by then they may be those of a process that started since. Ends
+// that are still listed are acknowledged again.
+func (o Order) Repetition() Order {
+	o.Hold.AcknowledgedEnd = 0
+	return o
+}
+
 // Output holds the orders and log entries of a call of Cell.Step.
 type Output struct {
 	Orders []Order
--- a/internal/jobs/cell/staleacknowledgement_test.go
+++ b/internal/jobs/cell/staleacknowledgement_test.go
@@ -11,6 +11,23 @@
 	"bamboofall.example/bamboofall/internal/jobs/cell"
 )
 
+// A hold call is sent again by another relay, after the worker has restarted and completed a
+// task. It must not make the worker forget that end.
+func TestRepeatedHoldKeepsEndsOfNewProcess(t *testing.T) {
+	d := newManualCell(t)
+	start := d.next(cell.OrderStart)
+	d.StartAnswered(d.now, start, d.meta(), nil)
+	ended := bamboofall.HoldReport{ResponseMeta: d.meta(), Ends: []bamboofall.End{{Number: 1, Task: start.Start.Task, Run: start.Start.Run, Cause: bamboofall.EndDone}}}
+	d.HoldAnswered(d.now, d.next(cell.OrderHold), ended, nil)
+	acknowledging := d.next(cell.OrderHold)
+	assert.Equal(t, acknowledging.Hold.AcknowledgedEnd, uint64(1))
+	repeated := acknowledging.Repetition()
+	assert.Equal(t, repeated.Hold.AcknowledgedEnd, uint64(0))
+	// The first call was lost, and the worker has not restarted.
+	d.HoldAnswered(d.now, repeated, ended, nil)
+	assert.Equal(t, d.next(cell.OrderHold).Hold.AcknowledgedEnd, uint64(1), "the end is not acknowledged again")
+}
+
 // A worker restarts without the owner's notice and completes a task. The next hold call must
 // not make it forget that end, for which the task was started again.
 func TestHoldKeepsEndsOfUnnoticedRestart(t *testing.T) {
