internal/jobs/cell: wait for a worker whose restart the former owner did not notice

Callers would see a task run twice after a handover: the former owner sends a start to a worker that has restarted without its notice. The successor learns of the restart by the announcement and took it that nothing of the former owner runs there.

A restart now ends the wait for a worker only once it has reported to this owner. A worker that is up reports at once. One that cannot be reached is waited for as long as one that has not restarted, and up to the difference between the longest lease of the platform and that of the owner, since it may have taken an order by the clock of its former process. A worker whose address another process has is still given up at once: TestTasksOfLostWorkerRestartAfterHandover has one more case.

--- a/internal/jobs/cell/lostworker_test.go
+++ b/internal/jobs/cell/lostworker_test.go
@@ -151,19 +151,20 @@
 		// earliest is the earliest time of the restart.
 		earliest time.Duration
 	}{
-		"unreachable":                          {lostWorker{result: always(unanswered)}, former},
-		"unreachable, open record":             {lostWorker{openRecord: true, result: always(unanswered)}, former},
-		"address reused":                       {lostWorker{result: always(reused)}, 0},
-		"address reused by an older worker":    {lostWorker{result: always(reusedByOlder)}, 0},
-		"address reused by a later worker":     {lostWorker{result: always(reusedByLater)}, 0},
-		"address reused, open record":          {lostWorker{openRecord: true, result: always(reused)}, 0},
-		"address reused, slow owner":           {lostWorker{ownerDelay: 2 * cell.SlowOwnerDelay, result: always(reused)}, 0},
-		"address reused later":                 {lostWorker{result: until(former/2, unanswered, reused)}, former / 2},
-		"address reused, relay fails at first": {lostWorker{result: until(former/2, relayFailed, reused)}, former / 2},
-		"relay fails":                          {lostWorker{result: always(relayFailed)}, former},
-		"rejected":                             {lostWorker{result: always(rejected)}, former},
-		"rejected, slow owner":                 {lostWorker{ownerDelay: 2 * cell.SlowOwnerDelay, result: always(rejected)}, former},
-		"rejected as overloaded":               {lostWorker{result: always(overloaded)}, former},
+		"unreachable":                                   {lostWorker{result: always(unanswered)}, former},
+		"unreachable, open record":                      {lostWorker{openRecord: true, result: always(unanswered)}, former},
+		"address reused":                                {lostWorker{result: always(reused)}, 0},
+		"address reused by an older worker":             {lostWorker{result: always(reusedByOlder)}, 0},
+		"address reused by a later worker":              {lostWorker{result: always(reusedByLater)}, 0},
+		"address reused, open record":                   {lostWorker{openRecord: true, result: always(reused)}, 0},
+		"address reused by a later worker, open record": {lostWorker{openRecord: true, result: always(reusedByLater)}, 0},
+		"address reused, slow owner":                    {lostWorker{ownerDelay: 2 * cell.SlowOwnerDelay, result: always(reused)}, 0},
+		"address reused later":                          {lostWorker{result: until(former/2, unanswered, reused)}, former / 2},
+		"address reused, relay fails at first":          {lostWorker{result: until(former/2, relayFailed, reused)}, former / 2},
+		"relay fails":                                   {lostWorker{result: always(relayFailed)}, former},
+		"rejected":                                      {lostWorker{result: always(rejected)}, former},
+		"rejected, slow owner":                          {lostWorker{ownerDelay: 2 * cell.SlowOwnerDelay, result: always(rejected)}, former},
+		"rejected as overloaded":                        {lostWorker{result: always(overloaded)}, former},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l.formerLeases = former
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -375,7 +375,12 @@
 	w.crashed, w.noListener = false, false
 	w.clearExpired()
 	w.leasesEnd, w.formerClockLeasesEnd = time.Time{}, time.Time{}
-	if !w.unansweredSince.IsZero() || w.usedByFormer {
+	// A former owner that did not learn of the restart may have used the new process.
+	w.usedByFormer = w.usedByFormer && !w.answered
+	if w.usedByFormer {
+		c.leasedByFormerClock(earlier(now, c.formerGrantsEnd()), w)
+	}
+	if !w.unansweredSince.IsZero() {
 		c.leasedByFormerClock(now, w)
 	}
 	w.unansweredSince = time.Time{}
@@ -391,7 +396,7 @@
 		c.leasedByFormerClock(now, w)
 	}
 	w.incarnation = born
-	w.answered, w.usedByFormer, w.endsReported, w.restartUnnamed = false, false, false, false
+	w.answered, w.endsReported, w.restartUnnamed = false, false, false
 	w.storedEnd, w.receivedEnd, w.receivedEndFlush, w.acknowledgedEnd, w.listedEnd = 0, 0, 0, 0, 0
 	w.nextHoldAt = now
 	w.holdOpen, w.probeOpen = false, false // the open calls may wait at the new process
@@ -509,8 +514,11 @@
 }
 
 // formerMayAct reports whether a former owner may still order starts at a time.
-func (c *Cell) formerMayAct(at time.Time) bool {
-	return at.Before(c.cfg.FormerLeasesEnd.Add(-MaxLeaseDuration(c.cfg.Lease)))
+func (c *Cell) formerMayAct(at time.Time) bool { return at.Before(c.formerGrantsEnd()) }
+
+// formerGrantsEnd returns when former owners have certainly granted their last lease.
+func (c *Cell) formerGrantsEnd() time.Time {
+	return c.cfg.FormerLeasesEnd.Add(-MaxLeaseDuration(c.cfg.Lease))
 }
 
 // addWorker adds a worker to the map and to the list sorted by ID.
