internal/jobs/cell: forget the clock of a former process with its restart

Callers saw nothing: after a restart was announced, the first answer to a stop was compared with the clock of the former process, so the worker counted as restarted once more and long leases were reckoned with.

--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -395,7 +395,7 @@
 		a.unknownSince, a.stopConfirmedAt = now, time.Time{}
 		c.leasedByFormerClock(now, w)
 	}
-	w.incarnation = born
+	w.incarnation, w.clock = born, 0 // the new process has another clock
 	w.answered, w.endsReported, w.restartUnnamed = false, false, false
 	w.storedEnd, w.receivedEnd, w.receivedEndFlush, w.acknowledgedEnd, w.listedEnd = 0, 0, 0, 0, 0
 	w.nextHoldAt = now
