internal/jobs/cell: reckon with no lease for a start that was not done

Callers would see a standing task down for longer: if a start to a former process was not done, long leases were reckoned with from its answer on, though it gave none.

Evidence: TestStartNotDoneAtFormerProcessExtendsNoLeases, which failed before.

decisions.golden is unchanged.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -256,7 +256,8 @@
 func (c *Cell) StartAnswered(now time.Time, o Order, s bamboofall.ResponseMeta, err error) {
 	a, w := o.attempt, o.worker
 	sighted := err != nil || c.applyResponseMeta(now, o, s)
-	if !o.incarnation.Equal(w.incarnation) {
+	var notDone *bamboofall.NotDoneError
+	if !o.incarnation.Equal(w.incarnation) && !errors.As(err, &notDone) {
 		c.leasedByFormerClock(now, w) // it may have been carried out after the restart was known
 	}
 	if !a.attached || a.state != attemptStarting {
@@ -283,7 +284,6 @@
 		return
 	}
 	var rejected *bamboofall.RejectedError
-	var notDone *bamboofall.NotDoneError
 	switch {
 	case errors.As(err, &rejected) && rejected.Cause == bamboofall.RejectEndedRun:
 		// The worker had a run with this number, and it may have completed.
