--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -232,7 +232,7 @@
 
 func (c *Cell) orderStart(now time.Time, a *attempt) {
 	w, t := a.worker, a.task
-	if !w.answered {
+	if !w.answered || w.restartUnnamed {
 		// The worker restarted since the task was placed, so the attempt is lost.
 		c.loseRun(now, a, "the worker restarted and has not answered yet")
 		return
@@ -256,6 +256,10 @@
 func (c *Cell) StartAnswered(now time.Time, o Order, s bamboofall.ResponseMeta, err error) {
 	a, w := o.attempt, o.worker
 	sighted := err != nil || c.applyResponseMeta(now, o, s)
+	var notDone *bamboofall.NotDoneError
+	if !o.incarnation.Equal(w.incarnation) && !errors.As(err, &notDone) {
+		c.leasedByFormerClock(now, w) // it may have been carried out after the restart was known
+	}
 	if !a.attached || a.state != attemptStarting {
 		c.noteRun(a, "start answered late", routine, fmt.Sprintf("%v after the order: %s", now.Sub(o.sentAt).Round(time.Millisecond), outcome(err)))
 		return
@@ -280,7 +284,6 @@
 		return
 	}
 	var rejected *bamboofall.RejectedError
-	var notDone *bamboofall.NotDoneError
 	switch {
 	case errors.As(err, &rejected) && rejected.Cause == bamboofall.RejectEndedRun:
 		// The worker had a run with this number, and it may have completed.
@@ -302,7 +305,7 @@
 		if !failedInTransit(err) {
 			w.health.Avoid(now)
 		}
-		c.callFailed(now, w, err)
+		c.callFailed(now, o, err)
 		w.holdNow(now)
 		c.enqueue(a.task)
 	default:
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -88,17 +88,19 @@
 			}
 			continue
 		}
-		o := bamboofall.HoldOrder{Token: c.cfg.Token, AcknowledgedEnd: w.storedEnd}
+		o := bamboofall.HoldOrder{Token: c.cfg.Token, AcknowledgedEnd: w.endToAcknowledge()}
 		// A silent worker gets no new lease: the call may be carried out late, and the
 		// end of its leases would never be certain.
-		if w.answered && !w.silent() && c.mayGrant(w) {
+		if w.answered && !w.silent() && !w.restartUnnamed && c.mayGrant(w) {
 			o.LeaseUntil = c.grantLease(now, w)
 			if !unstored && len(w.attempts) > 0 && !w.hasUnknownAttempts() {
 				o.Wait = c.holdWaitAt(now, w)
 			}
 		}
 		w.holdOpen = true
-		w.acknowledgedEnd = max(w.acknowledgedEnd, o.AcknowledgedEnd)
+		if o.AcknowledgedEnd > 0 {
+			w.acknowledgedEnd, w.listedEnd = max(w.acknowledgedEnd, o.AcknowledgedEnd), 0
+		}
 		c.emit(Order{
 			Kind: OrderHold, Worker: w.info.WorkerRef, Hold: o, worker: w, sentAt: now, incarnation: w.incarnation,
 		})
@@ -112,7 +114,7 @@
 	}
 	w.probeOpen, w.probedAt = true, now
 	c.emit(Order{
-		Kind: OrderHold, Worker: w.info.WorkerRef, Hold: bamboofall.HoldOrder{Token: c.cfg.Token, AcknowledgedEnd: w.acknowledgedEnd},
+		Kind: OrderHold, Worker: w.info.WorkerRef, Hold: bamboofall.HoldOrder{Token: c.cfg.Token},
 		worker: w, sentAt: now, incarnation: w.incarnation, probe: true,
 	})
 }
@@ -182,7 +184,19 @@
 
 // hasUnacknowledgedEnds reports whether the worker still lists run ends that this owner
 // has received.
-func (w *worker) hasUnacknowledgedEnds() bool { return w.receivedEnd > w.acknowledgedEnd }
+func (w *worker) hasUnacknowledgedEnds() bool {
+	return w.receivedEnd > w.acknowledgedEnd || w.listedEnd > 0
+}
+
+// endToAcknowledge returns the end up to which a hold order acknowledges run ends, or zero.
+// Ends are acknowledged once each time they are listed: a process that has started since then
+// numbers its ends anew and would forget them unseen.
+func (w *worker) endToAcknowledge() uint64 {
+	if w.listedEnd > w.storedEnd {
+		return 0
+	}
+	return w.listedEnd
+}
 
 // hasUnknownAttempts reports whether the outcome of a start is unknown, so that an answer
 // is needed soon.
@@ -275,24 +289,29 @@
 	}
 	w.endsReported = w.endsReported || listsAllEnds(report)
 	c.applyEnds(now, w, report.Ends)
+	if n := len(report.Ends); n > 0 && !o.late {
+		w.listedEnd = max(w.listedEnd, report.Ends[n-1].Number)
+	}
 	c.reconcile(now, o, w, report)
 	return true
 }
 
 func (c *Cell) holdFailed(now time.Time, o Order, err error) {
 	w := o.worker
-	w.nextHoldAt = now.Add(c.scaleByOwnerDelay(now, holdRetryInterval))
+	if o.incarnation.Equal(w.incarnation) {
+		w.nextHoldAt = now.Add(c.scaleByOwnerDelay(now, holdRetryInterval))
+	}
 	if !failedInTransit(err) {
 		c.counters.HoldFailures++
 	}
 	var rejected *bamboofall.RejectedError
 	if errors.As(err, &rejected) {
 		c.handleRejection(now, o, rejected)
-		if rejected.Cause == bamboofall.RejectFenced || !o.incarnation.Equal(w.incarnation) {
+		if rejected.Cause == bamboofall.RejectFenced {
 			return
 		}
 	}
-	c.callFailed(now, w, err)
+	c.callFailed(now, o, err)
 }
 
 // failedInTransit reports whether an order failed at a relay or was withheld by the
@@ -326,8 +345,14 @@
 	}
 }
 
-// callFailed handles a call that the worker did not answer.
-func (c *Cell) callFailed(now time.Time, w *worker, err error) {
+// callFailed handles a call that the worker did not answer. A call to a former process says
+// nothing about the current one.
+func (c *Cell) callFailed(now time.Time, o Order, err error) {
+	w := o.worker
+	if !o.incarnation.Equal(w.incarnation) {
+		c.recordWithheld(now, err)
+		return
+	}
 	w.noteRefused(err)
 	if failedInTransit(err) {
 		c.recordWithheld(now, err)
@@ -410,6 +435,11 @@
 	if !s.Born.IsZero() && s.Born.Before(w.incarnation) || !o.incarnation.Equal(w.incarnation) && s.Born.IsZero() {
 		return false
 	}
+	if s.Born.IsZero() && w.clockSetBack(o, s) {
+		c.unnamedRestart(now, w)
+		return false
+	}
+	w.restartUnnamed = false
 	wasSilent := w.silent()
 	w.failures = 0
 	c.clearCrash(w)
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -72,18 +72,25 @@
 	// answered reports whether this incarnation has answered this owner. usedByFormer
 	// reports whether it may run tasks that a former owner started.
 	answered, usedByFormer bool
+	// restartUnnamed is set if the worker's clock shows that another process has started,
+	// which no answer has named yet.
+	restartUnnamed bool
 	// endsReported is set once this incarnation has listed all its run ends in one
 	// answer.
 	endsReported bool
 	// clock is the worker's clock as read at clockAt.
 	clock   time.Duration
 	clockAt time.Time
-	// leasesEnd is when all leases that this owner granted have certainly expired.
+	// leasesEnd is when all leases that this owner granted by the worker's clock have
+	// certainly expired.
 	leasesEnd time.Time
+	// formerClockLeasesEnd is when leases have certainly expired that the process may have
+	// taken from orders by the clock of a former one.
+	formerClockLeasesEnd time.Time
 	// unansweredSince is when the first lease was granted after the worker is last known
 	// to have been up, or zero if all calls that granted one were answered.
 	unansweredSince time.Time
-	// leasesEndLogged is the value of leasesEnd that was last logged as expired.
+	// leasesEndLogged is the value of allLeasesEnd that was last logged as expired.
 	leasesEndLogged time.Time
 
 	// holdQueued reports whether the worker is in the queue of workers that may need a
@@ -111,8 +118,9 @@
 	// again once its run ends are stored.
 	inUnstoredEnds bool
 	// acknowledgedEnd is the last run end that a hold order has acknowledged as stored.
-	acknowledgedEnd uint64
-	health          suspicion.Health
+	// listedEnd is the last one listed since, or zero.
+	acknowledgedEnd, listedEnd uint64
+	health                     suspicion.Health
 	// lastGain is the number of the last event after which more tasks may fit here.
 	// avoided is set while the worker is in fitCache.avoided. wasUsable is the value of
 	// usable at the last scan.
@@ -173,7 +181,7 @@
 
 // usable reports whether tasks may be placed at the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.answered && !w.silent() && !w.info.Draining
+	return w.listed && w.answered && !w.silent() && !w.restartUnnamed && !w.info.Draining
 }
 
 // MaxLeaseDuration returns the longest time, measured from the grant, that a lease can
@@ -366,7 +374,16 @@
 	}
 	w.crashed, w.noListener = false, false
 	w.clearExpired()
-	w.leasesEnd, w.unansweredSince = time.Time{}, time.Time{}
+	w.leasesEnd, w.formerClockLeasesEnd = time.Time{}, time.Time{}
+	// A former owner that did not learn of the restart may have used the new process.
+	w.usedByFormer = w.usedByFormer && !w.answered
+	if w.usedByFormer {
+		c.leasedByFormerClock(earlier(now, c.formerGrantsEnd()), w)
+	}
+	if !w.unansweredSince.IsZero() {
+		c.leasedByFormerClock(now, w)
+	}
+	w.unansweredSince = time.Time{}
 	for _, a := range slices.Clone(w.attempts) {
 		if a.named || !a.mayRun() {
 			c.loseRun(now, a, "the worker restarted")
@@ -376,11 +393,11 @@
 			a.state = attemptUnknown
 		}
 		a.unknownSince, a.stopConfirmedAt = now, time.Time{}
-		w.leasesEnd = now.Add(MaxLeaseDuration(c.cfg.Lease))
+		c.leasedByFormerClock(now, w)
 	}
-	w.incarnation = born
-	w.answered, w.usedByFormer, w.endsReported = false, false, false
-	w.storedEnd, w.receivedEnd, w.receivedEndFlush, w.acknowledgedEnd = 0, 0, 0, 0
+	w.incarnation, w.clock = born, 0 // the new process has another clock
+	w.answered, w.endsReported, w.restartUnnamed = false, false, false
+	w.storedEnd, w.receivedEnd, w.receivedEndFlush, w.acknowledgedEnd, w.listedEnd = 0, 0, 0, 0, 0
 	w.nextHoldAt = now
 	w.holdOpen, w.probeOpen = false, false // the open calls may wait at the new process
 	w.health = suspicion.Health{}
@@ -415,7 +432,8 @@
 // expired. A run that may have completed waits for the worker's report for LateEndGrace
 // longer.
 func (c *Cell) expireLeases(now time.Time, w *worker) {
-	if len(w.attempts) == 0 || !c.surelyExpired(now, w.leasesEnd) {
+	leasesEnd := w.allLeasesEnd()
+	if len(w.attempts) == 0 || !c.surelyExpired(now, leasesEnd) {
 		return
 	}
 	if !w.silent() {
@@ -425,9 +443,9 @@
 		w.failures, w.silentSince = silentFailures, now
 		c.workerSilent(now, w, "its leases expired while it left calls unanswered")
 	}
-	reportOverdue := c.surelyExpired(now, w.leasesEnd.Add(LateEndGrace)) && now.Sub(w.silentSince) > LateEndGrace
-	if reportOverdue || !w.leasesEndLogged.Equal(w.leasesEnd) {
-		w.leasesEndLogged = w.leasesEnd
+	reportOverdue := c.surelyExpired(now, leasesEnd.Add(LateEndGrace)) && now.Sub(w.silentSince) > LateEndGrace
+	if reportOverdue || !w.leasesEndLogged.Equal(leasesEnd) {
+		w.leasesEndLogged = leasesEnd
 		c.note(Note{Event: "leases ended", Worker: w.info.ID, Detail: "the leases of a silent worker expired"})
 	}
 	for _, a := range slices.Clone(w.attempts) {
@@ -496,8 +514,11 @@
 }
 
 // formerMayAct reports whether a former owner may still order starts at a time.
-func (c *Cell) formerMayAct(at time.Time) bool {
-	return at.Before(c.cfg.FormerLeasesEnd.Add(-MaxLeaseDuration(c.cfg.Lease)))
+func (c *Cell) formerMayAct(at time.Time) bool { return at.Before(c.formerGrantsEnd()) }
+
+// formerGrantsEnd returns when former owners have certainly granted their last lease.
+func (c *Cell) formerGrantsEnd() time.Time {
+	return c.cfg.FormerLeasesEnd.Add(-MaxLeaseDuration(c.cfg.Lease))
 }
 
 // addWorker adds a worker to the map and to the list sorted by ID.
