internal/jobs/cell: bound the wait for a confirmed run across repeated restarts

Callers would see a standing task stay away without bound: a worker whose start answer had confirmed the run restarts before a report names it, refuses all calls and is announced anew again and again. Each restart that became known moved the end of its leases on, also for a run that was at work before the first of them.

A run that was confirmed before a restart became known gets no lease after it until a report shows it. So its lease ends with those that were reckoned with at that restart, whichever process has it, and further restarts do not extend it. The run is not given up at the second restart: announcements lag, and the process announced second may have answered the start.

A start without an answer still waits anew at each restart, as it may still be carried out.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -78,6 +78,9 @@
 	// named is set once an answer that names the worker's process has confirmed the run. The
 	// answer to a start may come from a process that started after it.
 	named bool
+	// restarted is set if a restart became known after the worker had confirmed the run, and no
+	// report has shown it since.
+	restarted bool
 	// trial is set if the task was a suspect when the run was ordered.
 	trial bool
 	// inherited is set if a former owner started the run, so that startedAt is not the time
--- a/internal/jobs/cell/crash.go
+++ b/internal/jobs/cell/crash.go
@@ -38,7 +38,7 @@
 
 // confirmRunning records that the worker has confirmed the run for the first time.
 func (a *attempt) confirmRunning(now time.Time) {
-	a.state, a.confirmed = attemptRunning, true
+	a.state, a.confirmed, a.restarted = attemptRunning, true, false
 	a.startClock = a.worker.clock + now.Sub(a.worker.clockAt)
 }
 
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -374,6 +374,7 @@
 	}
 	w.crashed, w.noListener = false, false
 	w.clearExpired()
+	formerEnd := w.allLeasesEnd()
 	w.leasesEnd, w.formerClockLeasesEnd = time.Time{}, time.Time{}
 	if !w.unansweredSince.IsZero() || w.usedByFormer {
 		c.leasedByFormerClock(now, w)
@@ -388,6 +389,12 @@
 			a.state = attemptUnknown
 		}
 		a.unknownSince, a.stopConfirmedAt = now, time.Time{}
+		if a.restarted {
+			// Its start was carried out before an earlier restart became known.
+			w.formerClockLeasesEnd = later(w.formerClockLeasesEnd, formerEnd)
+			continue
+		}
+		a.restarted = a.confirmed
 		c.leasedByFormerClock(now, w)
 	}
 	w.incarnation = born
