internal/jobs/cell: fail the job of a suspect only once its run is known to be gone

Callers would see a job fail for good without cause: the trial of a suspect starts at a worker that has restarted without notice, a call on an old connection breaks off, and the restart becomes known before a report names the run. The end of the former process was then taken for a prompt crash under the trial, and the job was given up, while the new process had the run. That the first report took the crash back came too late.

A restart is assessed at once as before, with all its runs: crashes are counted, and the tasks become suspects. Only the failure of the job waits if the decisive run may be in the new process. The task has that run until a report lists it, which takes the crash back, or shows that it is gone, which fails the job; so it is not started meanwhile. If instead its leases end without a report, the crash goes on counting and the next start is a trial, as nothing shows with which process the run ended.

Runs that a former process has named, workers at whose address another process answers, and unlisted ones that refuse connections decide at once as before.

Not covered: a handover between the restart and the first report. The crash is stored then, but not that it decides, so the task may start once more, as a trial.

decisions.golden is unchanged.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -81,6 +81,8 @@
 	// restarted is set if a restart became known after the worker had confirmed the run, and no
 	// report has shown it since.
 	restarted bool
+	// giveUp is set if the job fails once it is known that the run ended with a former process.
+	giveUp bool
 	// trial is set if the task was a suspect when the run was ordered.
 	trial bool
 	// inherited is set if a former owner started the run, so that startedAt is not the time
@@ -428,5 +430,8 @@
 	c.accountRun(now, a, bamboofall.EndLapsed)
 	c.release(a)
 	c.keepCheckpoint(a.task, a.checkpoint)
+	if a.giveUp {
+		c.giveUpTask(now, a)
+	}
 	c.enqueue(a.task)
 }
--- a/internal/jobs/cell/crash.go
+++ b/internal/jobs/cell/crash.go
@@ -46,13 +46,14 @@
 // connections too, but leaves the worker listed for as long as it reaches the platform.
 func (c *Cell) watchCrash(now time.Time, w *worker) {
 	if w.noListener && w.silent() && !w.listed {
-		c.workerCrashed(now, w, "nothing listens at its address and it is unlisted")
+		c.workerCrashed(now, w, "nothing listens at its address and it is unlisted", false)
 	}
 }
 
 // workerCrashed records the crash of a worker with the tasks that may have caused it, and
-// fails the jobs of those that must be given up.
-func (c *Cell) workerCrashed(now time.Time, w *worker, evidence string) {
+// fails the jobs of those that must be given up. After a restart the new process may have a run
+// that is not named yet. Its job then fails only once the run is known to be gone.
+func (c *Cell) workerCrashed(now time.Time, w *worker, evidence string, restarted bool) {
 	if w.crashed || w.info.Draining {
 		return
 	}
@@ -84,13 +85,21 @@
 		c.counters.TasksSuspected++
 		c.noteRun(a, "task suspect", rare, fmt.Sprintf("worker crashed, the run had survived %v; crashes of the task: %d, trial %t, given up %t",
 			runs[s.Index].Survived.Round(time.Millisecond), len(a.task.crashes.Runs()), a.trial, s.GiveUp))
-		if s.GiveUp {
-			c.counters.TasksGivenUp++
-			c.finish(now, j, bamboofall.JobFailed, fmt.Sprintf("task %v crashed %d workers, last %s", a.task.name(), len(a.task.crashes.Runs()), w.info.ID))
+		a.giveUp = a.giveUp || s.GiveUp
+		if s.GiveUp && !(restarted && a.attached && !a.named) {
+			c.giveUpTask(now, a)
 		}
 	}
 }
 
+// giveUpTask fails the job of a task that has crashed too many workers, last that of a run.
+func (c *Cell) giveUpTask(now time.Time, a *attempt) {
+	if j := a.task.step.occ.job; !j.state.Ended() {
+		c.counters.TasksGivenUp++
+		c.finish(now, j, bamboofall.JobFailed, fmt.Sprintf("task %v crashed %d workers, last %s", a.task.name(), len(a.task.crashes.Runs()), a.worker.info.ID))
+	}
+}
+
 // failedTogether reports whether several other workers, beside those with a trial, failed at
 // about the same time as the given one.
 func (c *Cell) failedTogether(w *worker) bool {
@@ -123,7 +132,7 @@
 // own process has ended: nothing runs there any more, and no end will be reported.
 func (c *Cell) workerReplaced(now time.Time, w *worker) {
 	const reason = "another process answers at the worker's address"
-	c.workerCrashed(now, w, reason)
+	c.workerCrashed(now, w, reason, false)
 	for _, a := range slices.Clone(w.attempts) {
 		c.loseRun(now, a, reason)
 	}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -370,7 +370,7 @@
 	if !w.incarnation.IsZero() {
 		c.note(Note{Event: "worker reborn", Worker: w.info.ID, Detail: fmt.Sprintf("started %s, the former process %s, as shown by %s; %d runs",
 			born.UTC().Format(time.RFC3339Nano), w.incarnation.UTC().Format(time.RFC3339Nano), evidence, len(w.attempts))})
-		c.workerCrashed(now, w, "a new process answers or is announced")
+		c.workerCrashed(now, w, "a new process answers or is announced", true)
 	}
 	w.crashed, w.noListener = false, false
 	w.clearExpired()
@@ -453,6 +453,7 @@
 	for _, a := range slices.Clone(w.attempts) {
 		if reportOverdue || !a.mayHaveCompleted() {
 			w.addExpired(a)
+			a.giveUp = false // the run may have ended later than the former process
 			c.loseRun(now, a, "the lease expired without a report from the worker")
 		}
 	}
