--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -370,10 +370,11 @@
 	if !w.incarnation.IsZero() {
 		c.note(Note{Event: "worker reborn", Worker: w.info.ID, Detail: fmt.Sprintf("started %s, the former process %s, as shown by %s; %d runs",
 			born.UTC().Format(time.RFC3339Nano), w.incarnation.UTC().Format(time.RFC3339Nano), evidence, len(w.attempts))})
-		c.workerCrashed(now, w, "a new process answers or is announced")
+		c.workerCrashed(now, w, "a new process answers or is announced", true)
 	}
 	w.crashed, w.noListener = false, false
 	w.clearExpired()
+	formerEnd := w.allLeasesEnd()
 	w.leasesEnd, w.formerClockLeasesEnd = time.Time{}, time.Time{}
 	// A former owner that did not learn of the restart may have used the new process.
 	w.usedByFormer = w.usedByFormer && !w.answered
@@ -393,6 +394,12 @@
 			a.state = attemptUnknown
 		}
 		a.unknownSince, a.stopConfirmedAt = now, time.Time{}
+		if a.restarted {
+			// Its start was carried out before an earlier restart became known.
+			w.formerClockLeasesEnd = later(w.formerClockLeasesEnd, formerEnd)
+			continue
+		}
+		a.restarted = a.confirmed
 		c.leasedByFormerClock(now, w)
 	}
 	w.incarnation, w.clock = born, 0 // the new process has another clock
@@ -451,6 +458,7 @@
 	for _, a := range slices.Clone(w.attempts) {
 		if reportOverdue || !a.mayHaveCompleted() {
 			w.addExpired(a)
+			a.giveUp = false // the run may have ended later than the former process
 			c.loseRun(now, a, "the lease expired without a report from the worker")
 		}
 	}
