internal/state/lease, internal/jobs/cell: tell ends of leases by the age of the cell

Cause: the end of a silent worker's leases was stored relative to an offset of the owners topic. A successor counts from the time at which it read that offset. In rolling restarts the next owner has mostly started after it was written, and counted from its own start. With a handover every 3.5 s the wait never ended.

Ruled out: the wait for reports after a handover (the record was closed).

Each owner now passes the age of the cell on in its records.

Records of older builds have no age: their ends are waited for as without a record.

--- a/internal/entry/front/delay_test.go
+++ b/internal/entry/front/delay_test.go
@@ -72,7 +72,7 @@
 func TestSlowOwnerIsLoggedAtInterval(t *testing.T) {
 	f := newTestCluster(t, 1, 0, time.Millisecond)
 	fr := f.entries[0].Front
-	o := newOwner(context.Background(), fr, lease.Record{Epoch: 7}, time.Time{}, 1)
+	o := newOwner(context.Background(), fr, lease.Record{Epoch: 7}, time.Time{}, lease.CellClock{}, 1)
 	began := now()
 	const duration = 10 * time.Second
 	for elapsed := time.Duration(0); elapsed < duration; elapsed += delayWindow {
@@ -96,7 +96,7 @@
 // the duration of a step.
 func TestBacklogIsHandledBeforeNextStep(t *testing.T) {
 	f := newTestCluster(t, 1, 0, time.Millisecond)
-	o := newOwner(context.Background(), f.entries[0].Front, lease.Record{Epoch: 7}, time.Time{}, 1)
+	o := newOwner(context.Background(), f.entries[0].Front, lease.Record{Epoch: 7}, time.Time{}, lease.CellClock{}, 1)
 	handled := 0
 	for range eventQueueSize {
 		o.push(o.ctx, func(time.Time) { handled++ })
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -423,7 +423,7 @@
 // A configuration may arrive after the owner was created and before run is called.
 func TestOwnerAcceptsConfigurationBeforeRun(t *testing.T) {
 	f := newTestCluster(t, 1, 0, time.Millisecond)
-	o := newOwner(context.Background(), f.entries[0].Front, lease.Record{Epoch: 1}, time.Time{}, 1)
+	o := newOwner(context.Background(), f.entries[0].Front, lease.Record{Epoch: 1}, time.Time{}, lease.CellClock{}, 1)
 	o.setConfiguration(&bamboofall.Configuration{Version: 1})
 }
 
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -59,6 +59,7 @@
 	front *Front
 	// record is the ownership record that this owner renews.
 	record lease.Record
+	clock  lease.CellClock
 	cell   *cell.Cell
 	// events is the queue of functions that the loop runs.
 	events *ring.Ring[func(now time.Time)]
@@ -110,14 +111,14 @@
 }
 
 // newOwner returns an owner that has not started. It stops when ctx is cancelled.
-func newOwner(ctx context.Context, f *Front, record lease.Record, formerLeasesEnd time.Time, sequence uint64) *owner {
+func newOwner(ctx context.Context, f *Front, record lease.Record, formerLeasesEnd time.Time, clock lease.CellClock, sequence uint64) *owner {
 	group, ctx := errgroup.WithContext(ctx)
 	o := &owner{
-		front: f, record: record, events: ring.New[func(time.Time)](eventQueueSize),
+		front: f, record: record, clock: clock, events: ring.New[func(time.Time)](eventQueueSize),
 		group: group, ctx: ctx, renewalSequence: sequence, cellSequence: sequence, delays: newDelayMonitor(f.metrics),
 		yielding: make(chan struct{}),
 		cell: cell.New(cell.Config{
-			Token: bamboofall.Token(record.Epoch), Lease: f.workerLease(), FormerLeasesEnd: formerLeasesEnd, MarkSeenBy: f.markSeenBy,
+			Token: bamboofall.Token(record.Epoch), Lease: f.workerLease(), FormerLeasesEnd: formerLeasesEnd, Clock: clock,
 			EndedJobRetention: f.settings.Bounds.EndedJobRetention + 10*time.Second,
 			RemoteFactor:      f.settings.Bounds.RemoteFactor, MaxTailViolation: f.settings.Bounds.MaxTailViolation,
 			MaxRecordBytes: f.settings.MaxRecordBytes,
@@ -346,7 +347,6 @@
 // decide lets the cell decide and routes its orders.
 func (o *owner) decide(at time.Time) error {
 	o.cell.SetClaimConfirmed(o.front.confirmedAt())
-	o.cell.SetMark(o.front.ownMark())
 	began := time.Now()
 	out := o.cell.Step(at)
 	o.delays.recordStep(time.Since(began))
--- a/internal/entry/front/ownerappend_test.go
+++ b/internal/entry/front/ownerappend_test.go
@@ -60,7 +60,7 @@
 	f := New(path, set, engine, NewLog(&logBuffer{}, set.VM))
 	record := lease.Record{Epoch: 1, Address: set.Peers, Process: "entry-0"}
 	f.lease.Claimed(now(), record, 0)
-	c.owner = newOwner(context.Background(), f, record, time.Time{}, 7)
+	c.owner = newOwner(context.Background(), f, record, time.Time{}, lease.CellClock{}, 7)
 	return c
 }
 
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -86,6 +86,7 @@
 		Epoch: m.GetEpoch(), Address: address, Process: m.GetProcess(), Released: m.GetReleased(),
 		Capacity: m.GetCapacity(), StrongestOther: m.GetStrongest(), Yielded: m.GetYielded(),
 		Quiet: m.GetQuiet(), FormerActsFor: time.Duration(m.GetFormerActsMs()) * time.Millisecond,
+		Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 	}, nil
 }
 
@@ -94,6 +95,7 @@
 		Epoch: record.Epoch, Address: record.Address.String(), Process: record.Process, Released: record.Released,
 		Capacity: record.Capacity, Strongest: record.StrongestOther, Yielded: record.Yielded,
 		Quiet: record.Quiet, FormerActsMs: uint32((record.FormerActsFor + time.Millisecond - 1) / time.Millisecond),
+		AgeMs: record.Age.Milliseconds(),
 	})
 	return bamboofall.StoreRecord{Key: ownerKey, Value: value}, err
 }
@@ -135,11 +137,12 @@
 	f.leaseMu.Lock()
 	f.lease.Claimed(sent, record, end)
 	formerLeasesEnd := f.lease.FormerGrantsEnd(cell.MaxLeaseDuration(f.workerLease()))
+	clock := f.lease.Clock()
 	f.leaseMu.Unlock()
 	fields := f.machineFields()
 	fields["epoch"] = record.Epoch
 	f.log.Event("claimed", fields)
-	o := newOwner(ctx, f, record, formerLeasesEnd, sequence+1)
+	o := newOwner(ctx, f, record, formerLeasesEnd, clock, sequence+1)
 	f.owner.Store(o)
 	f.owners.Go(func() { f.runOwner(o) })
 }
@@ -219,20 +222,6 @@
 	return f.lease.ConfirmedAt()
 }
 
-// ownMark returns the mark of this owner's last stored record.
-func (f *Front) ownMark() lease.Mark {
-	f.leaseMu.Lock()
-	defer f.leaseMu.Unlock()
-	return f.lease.OwnMark()
-}
-
-// markSeenBy returns a time by which the owners topic had reached an offset, or zero.
-func (f *Front) markSeenBy(end int64) time.Time {
-	f.leaseMu.Lock()
-	defer f.leaseMu.Unlock()
-	return f.lease.SeenBy(end)
-}
-
 // currentOwner returns the newest owner record, if there is one.
 func (f *Front) currentOwner() (lease.Record, bool) {
 	f.leaseMu.Lock()
@@ -391,6 +380,7 @@
 // first: the store would answer another record with the same sequence number as if it
 // were a repeat, without storing it.
 func (o *owner) appendOwnerRecord(ctx context.Context, record lease.Record) error {
+	record.Age = o.clock.Age(now())
 	stored, err := encodeOwnerRecord(record)
 	if err != nil {
 		return err
@@ -407,7 +397,7 @@
 func (o *owner) sendOwnerAppend(ctx context.Context, a *ownerAppend) error {
 	f := o.front
 	sentAt := now()
-	end, err := f.appendToOwners(ctx, bamboofall.StoreAppend{
+	_, err := f.appendToOwners(ctx, bamboofall.StoreAppend{
 		Topic: topicOwners, Partition: cellPartition, Records: []bamboofall.StoreRecord{a.stored}, ExpectedEnd: -1,
 		Producer: producerName, Epoch: o.record.Epoch, Sequence: o.renewalSequence,
 	}, o.unansweredAppends)
@@ -431,7 +421,7 @@
 	o.renewalSequence++
 	f.leaseMu.Lock()
 	// The first attempt may have stored the record, and other VMs may have read it then.
-	f.lease.Confirmed(o.record.Epoch, a.firstSentAt, end)
+	f.lease.Confirmed(o.record.Epoch, a.firstSentAt)
 	f.leaseMu.Unlock()
 	return nil
 }
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -34,9 +34,9 @@
 	Lease time.Duration
 	// FormerLeasesEnd is when all leases granted by former owners have expired.
 	FormerLeasesEnd time.Time
-	// MarkSeenBy returns a time by which a mark of a former owner had certainly been
-	// stored, or zero if that is not known. It may be nil.
-	MarkSeenBy func(mark int64) time.Time
+	// Clock is the clock by which records tell when leases end. If it is not known, a
+	// successor waits for all leases of former owners.
+	Clock lease.CellClock
 	// EndedJobRetention is how long ended jobs are remembered.
 	EndedJobRetention time.Duration
 	// RemoteFactor is the factor by which a task takes longer away from the rack with its
@@ -95,8 +95,6 @@
 	owner callbudget.Delay
 	// confirmedAt is when this owner's claim on the cell was last confirmed.
 	confirmedAt time.Time
-	// mark is the last mark that this owner has stored.
-	mark lease.Mark
 	// withheldAt is when the owner last withheld an order for a reason of its own.
 	withheldAt time.Time
 	budget     callbudget.Budget
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -13,6 +13,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
 
@@ -218,7 +219,12 @@
 
 // newTestCell returns a cell with the queue q and announced workers.
 func newTestCell(workers ...bamboofall.Worker) *cell.Cell {
-	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2})
+	return newCellWithClock(lease.CellClock{}, workers...)
+}
+
+// newCellWithClock is newTestCell with a clock by which records tell when leases end.
+func newCellWithClock(clock lease.CellClock, workers ...bamboofall.Worker) *cell.Cell {
+	c := cell.New(cell.Config{Token: 1, Lease: 5 * time.Second, Clock: clock, EndedJobRetention: time.Minute, RemoteFactor: 2})
 	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
 	for _, w := range workers {
 		c.SetWorker(testStart, w)
--- a/internal/jobs/cell/closedrecord_test.go
+++ b/internal/jobs/cell/closedrecord_test.go
@@ -72,14 +72,13 @@
 // A silent worker, whose record tells when its leases end, answers again. As long as a
 // successor may restore that record, the worker must not get a later lease.
 func TestNoLeaseWhileRecordTellsTheirEnd(t *testing.T) {
-	c := newTestCell(testWorker(1))
+	c := newCellWithClock(lease.NewCellClock(0, testStart), testWorker(1))
 	submit(c, "0000000000000001", "q", standingStep)
 	now, silent, storing := testStart, false, true
 	var running []bamboofall.RunningTask
 	leases, unstored := 0, uint64(0)
 	run := func(d time.Duration) {
 		for until := now.Add(d); now.Before(until); now = now.Add(20 * time.Millisecond) {
-			c.SetMark(lease.Mark{End: 1, At: testStart})
 			for _, o := range c.Step(now).Orders {
 				meta := bamboofall.ResponseMeta{Clock: now.Sub(testStart) + time.Second, Born: testStart}
 				switch {
--- a/internal/jobs/cell/handovers_test.go
+++ b/internal/jobs/cell/handovers_test.go
@@ -32,7 +32,6 @@
 	// formerGrants is the time from the last record of an owner to the end of the leases that
 	// it may have granted: it acts for 3.5 s longer.
 	formerGrants = 3500*time.Millisecond + 5402*time.Millisecond
-	markInterval = 500 * time.Millisecond
 )
 
 // run returns the time from the first handover to the next start of the lost worker's task,
@@ -45,13 +44,11 @@
 	values := make(map[string][]byte)
 	running := make(map[string][]bamboofall.RunningTask)
 	var lostTask bamboofall.TaskName
-	storedMark := int64(0)
-	markAt := func(end int64) time.Time { return testStart.Add(time.Duration(end) * markInterval) }
 	begin, formerEnd := time.Duration(0), time.Duration(0)
 	for token, end := range append(slices.Clone(h.at), h.at[len(h.at)-1]+40*time.Second) {
 		c := cell.New(cell.Config{
 			Token: bamboofall.Token(token + 1), Lease: 5 * time.Second, FormerLeasesEnd: testStart.Add(formerEnd + formerGrants), EndedJobRetention: time.Minute, RemoteFactor: 2,
-			MarkSeenBy: markAt,
+			Clock: lease.NewCellClock(begin, testStart.Add(begin)),
 		})
 		c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
 		records := storedRecords(values)
@@ -66,12 +63,6 @@
 		for d := begin; d < end; d += 20 * time.Millisecond {
 			now := testStart.Add(d)
 			c.SetClaimConfirmed(now)
-			if mark := int64(d / markInterval); mark > storedMark {
-				storedMark = mark
-			}
-			if storedMark > 0 {
-				c.SetMark(lease.Mark{End: storedMark, At: markAt(storedMark)})
-			}
 			for _, o := range c.Step(now).Orders {
 				id := o.Worker.ID
 				meta := bamboofall.ResponseMeta{Clock: d + time.Second, Born: testStart}
--- a/internal/jobs/cell/leaseend.go
+++ b/internal/jobs/cell/leaseend.go
@@ -3,14 +3,9 @@
 import (
 	"time"
 
-	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
 
-// SetMark sets the last mark that this owner has stored, to which the ends of leases are
-// related in records. Without a mark a successor waits for all leases of former owners.
-func (c *Cell) SetMark(m lease.Mark) { c.mark = m }
-
 // recordEndAfter is how long a worker must be silent until the store is told when the leases
 // that former owners granted end. Once it is, a worker that answers waits for the store before
 // it gets a lease.
@@ -40,7 +35,7 @@
 		return
 	}
 	switch {
-	case w.recordClosed && !w.endRecorded && !c.mark.At.IsZero():
+	case w.recordClosed && !w.endRecorded && c.cfg.Clock.IsKnown():
 	case c.recovering && w.owesReport() && !w.recordTellsEnd:
 		w.recordTellsEnd = true
 	default:
@@ -80,38 +75,34 @@
 	return a
 }
 
-// encodeLeasesEnd adds the end of the leases of a silent worker to its record.
+// encodeLeasesEnd adds the end of the leases of a silent worker to its record, by the age of
+// the cell.
 func (c *Cell) encodeLeasesEnd(w *worker, m *jobpb.Worker) {
-	if w.leasesEnd.IsZero() || c.mark.At.IsZero() {
+	if w.leasesEnd.IsZero() || !c.cfg.Clock.IsKnown() {
 		return
 	}
-	leasesEnd := w.leasesEnd.Sub(c.mark.At).Milliseconds() + 1
+	leasesEnd := c.cfg.Clock.Age(w.leasesEnd).Milliseconds() + 1
 	switch {
 	case w.recordClosed && (w.silent() || !w.answered):
 		w.endRecorded = true
-		m.Mark, m.LeasesEndMs = c.mark.End, leasesEnd
+		m.LeasesEndAgeMs = leasesEnd
 	case w.recordTellsEnd:
 		w.endRecorded = true
-		m.Former = &jobpb.FormerLeases{Epoch: uint64(c.cfg.Token), Mark: c.mark.End, LeasesEndMs: leasesEnd}
+		m.Former = &jobpb.FormerLeases{Epoch: uint64(c.cfg.Token), LeasesEndAgeMs: leasesEnd}
 	}
 }
 
 // restoredLeasesEnd returns the end of the leases of a restored worker. An open record tells it
 // to the next owner only.
 func (c *Cell) restoredLeasesEnd(m *jobpb.Worker) time.Time {
-	mark, leasesEnd := m.GetMark(), m.GetLeasesEndMs()
+	leasesEnd := m.GetLeasesEndAgeMs()
 	if f := m.GetFormer(); f.GetEpoch()+1 == uint64(c.cfg.Token) {
-		mark, leasesEnd = f.GetMark(), f.GetLeasesEndMs()
-	}
-	end := c.cfg.FormerLeasesEnd
-	if mark == 0 || c.cfg.MarkSeenBy == nil {
-		return end
+		leasesEnd = f.GetLeasesEndAgeMs()
 	}
-	seen := c.cfg.MarkSeenBy(mark)
-	if recorded := seen.Add(time.Duration(leasesEnd) * time.Millisecond); !seen.IsZero() && recorded.Before(end) {
-		return recorded
+	if leasesEnd == 0 || !c.cfg.Clock.IsKnown() {
+		return c.cfg.FormerLeasesEnd
 	}
-	return end
+	return earlier(c.cfg.FormerLeasesEnd, c.cfg.Clock.TimeOf(time.Duration(leasesEnd)*time.Millisecond))
 }
 
 // mayGrant reports whether a worker may be granted leases: not while a successor might
--- a/internal/jobs/cell/lostworker_test.go
+++ b/internal/jobs/cell/lostworker_test.go
@@ -32,10 +32,11 @@
 // unless its record is to stay open.
 func (l lostWorker) formerRecords(t *testing.T, lost bamboofall.Worker) []bamboofall.StoredRecord {
 	t.Helper()
-	former := newTestCell(lost)
+	var clock lease.CellClock
 	if l.marked > 0 {
-		former.SetMark(lease.Mark{End: 1, At: testStart})
+		clock = lease.NewCellClock(0, testStart)
 	}
+	former := newCellWithClock(clock, lost)
 	submit(former, "0000000000000001", "q", standingStep)
 	values := make(map[string][]byte)
 	var running []bamboofall.RunningTask
@@ -71,7 +72,7 @@
 	stored := l.formerRecords(t, lost)
 	c := cell.New(cell.Config{
 		Token: 2, Lease: 5 * time.Second, FormerLeasesEnd: testStart.Add(l.formerLeases), EndedJobRetention: time.Minute, RemoteFactor: 2,
-		MarkSeenBy: func(int64) time.Time { return testStart.Add(-l.marked) },
+		Clock: lease.NewCellClock(0, testStart.Add(-l.marked)),
 	})
 	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
 	assert.Equal(t, len(c.Restore(testStart, stored)), 0)
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -325,7 +325,7 @@
 		WorkerRef: bamboofall.WorkerRef{ID: id, Address: address}, Born: jobspec.FromUnixMS(m.GetBornUnixMs()),
 		Draining: m.GetDraining(),
 	})
-	w.leasesEnd, w.endRecorded = c.restoredLeasesEnd(m), m.GetMark() != 0
+	w.leasesEnd, w.endRecorded = c.restoredLeasesEnd(m), m.GetLeasesEndAgeMs() != 0
 	w.recorded, w.recordClosed, w.usedByFormer = true, m.GetSilent(), !m.GetSilent()
 	c.addWorker(w)
 	return nil
--- a/internal/jobs/sim/handover.go
+++ b/internal/jobs/sim/handover.go
@@ -1,12 +1,14 @@
 package sim
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/state/lease"
 )
 
 // newOwner starts an owner from the records in the store. The leases of former
@@ -16,7 +18,7 @@
 	w.appending = false
 	w.cell = cell.New(cell.Config{
 		Token: w.token, Lease: w.cfg.Lease, FormerLeasesEnd: formerLeasesEnd, EndedJobRetention: 2 * time.Minute, RemoteFactor: 2,
-		MaxTailViolation: 4 * time.Second, MarkSeenBy: w.markSeenBy,
+		MaxTailViolation: 4 * time.Second, Clock: w.nextClock(),
 	})
 	w.machine = nil
 	if w.cfg.Owner != nil {
@@ -74,11 +76,13 @@
 	w.startOwnerAfter(gap)
 }
 
-// markSeenBy returns when an owner has read a mark, up to maxReadDelay after it was stored.
-func (w *World) markSeenBy(mark int64) time.Time {
+// nextClock returns the clock of a new owner. It is behind that of the owner before by the time
+// that a record took to be read, up to maxReadDelay.
+func (w *World) nextClock() lease.CellClock {
 	const maxReadDelay = 500 * time.Millisecond
-	delay := time.Duration(w.random.Int64N(int64(maxReadDelay)))
-	return w.startedAt.Add(time.Duration(mark-1)*time.Millisecond + delay)
+	random := rand.New(rand.NewPCG(w.cfg.Seed, uint64(w.token)))
+	w.clockDelay += time.Duration(random.Int64N(int64(maxReadDelay)))
+	return lease.NewCellClock(max(0, w.Now()-w.clockDelay), w.now)
 }
 
 // startOwnerAfter starts a new owner after a gap, unless that is replaced as well. Leases
--- a/internal/jobs/sim/handoverseries_test.go
+++ b/internal/jobs/sim/handoverseries_test.go
@@ -98,3 +98,33 @@
 // standingExpected is the time after its last run from which on callers expect a standing
 // task to run.
 const standingExpected = 6 * time.Second
+
+// A worker leaves with standing tasks, and the owner is replaced again and again before a lease
+// has ended. The wait for its leases must not begin anew with owners whose processes started
+// after that.
+func TestStandingTasksOfWorkerThatLeftRunDuringHandoversInSeries(t *testing.T) {
+	const (
+		leftAt = 12 * time.Second
+		bound  = standingExpected + 3*time.Second
+	)
+	for seed := uint64(1); seed <= 8; seed++ {
+		interval := []time.Duration{2500 * time.Millisecond, 3 * time.Second, 3500 * time.Millisecond}[seed%3]
+		cfg := config(seed)
+		cfg.Workers, cfg.FailShare = 12, 0
+		w := sim.New(cfg)
+		random := rand.New(rand.NewPCG(seed, 45))
+		for n := range 6 {
+			w.At(200*time.Millisecond, func() { w.Submit(standingJob(n, 4, 3000)) })
+		}
+		w.At(leftAt, func() { w.Workers()[0].Leave() })
+		for n := range 6 {
+			at := leftAt + 3*time.Second + time.Duration(n)*interval + time.Duration(random.IntN(300))*time.Millisecond
+			w.At(at, func() { w.ReleaseOwner(600 * time.Millisecond) })
+		}
+		down := sampleDowntimes(w, leftAt, standingJob(0, 4, 3000).ID)
+		w.Run(leftAt + 40*time.Second)
+		assert.Check(t, len(w.Violations()) == 0, "seed %d, interval %v: %v", seed, interval, w.Violations())
+		assert.Check(t, down.longest < bound, "seed %d, interval %v: %s is down for %v", seed, interval, down.task, down.longest)
+		assert.Check(t, len(w.StandingDown()) == 0, "seed %d, interval %v: %v", seed, interval, w.StandingDown())
+	}
+}
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -10,7 +10,6 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
-	"bamboofall.example/bamboofall/internal/state/lease"
 )
 
 const (
@@ -80,6 +79,8 @@
 	token       bamboofall.Token
 	// handovers counts the handovers that have begun.
 	handovers int
+	// clockDelay is how far the present owner's clock is behind the age of the cell.
+	clockDelay time.Duration
 	// ownerActsUntil is until when replaced owners may grant leases.
 	ownerActsUntil time.Time
 	store          map[string][]byte
@@ -282,7 +283,6 @@
 	}
 	if w.cell != nil && !w.StoreDown {
 		w.cell.WorkersRead(w.now)
-		w.cell.SetMark(lease.Mark{End: 1 + w.Now().Milliseconds(), At: w.now})
 	}
 	if w.machine != nil && w.cell != nil {
 		w.scheduleStep(w.machine)
--- a/internal/state/lease/capacity_test.go
+++ b/internal/state/lease/capacity_test.go
@@ -83,7 +83,7 @@
 		if f.now >= v.renewAt {
 			v.renewAt = f.now + timing.RenewInterval
 			f.append(Record{Epoch: epoch, Address: address, Capacity: v.capacity, StrongestOther: f.strongest})
-			v.lease.Confirmed(epoch, at(f.now), int64(len(f.records)))
+			v.lease.Confirmed(epoch, at(f.now))
 		}
 		return
 	}
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -128,6 +128,8 @@
 	// An owner before it may grant some for FormerActsFor after that.
 	Quiet         bool
 	FormerActsFor time.Duration
+	// Age is the age of the cell when the record was sent, by the owner's CellClock.
+	Age time.Duration
 }
 
 // Lease is the view of one process on the ownership of a cell. Use New. It is
@@ -157,9 +159,9 @@
 	formerActsFor time.Duration
 	// partitionEnd is the offset of the end of the partition.
 	partitionEnd int64
-	// seen are the marks that were read, and ownMark is that of this owner's last record.
-	seen    marks
-	ownMark Mark
+	// clock is the clock of the owner of clockEpoch.
+	clock      CellClock
+	clockEpoch uint64
 	// confirmedAt is when the last confirmed append of this owner was sent.
 	confirmedAt time.Time
 	// ownEpoch is the epoch that this process owns, or zero.
@@ -193,12 +195,12 @@
 
 // Observe records that a record was read, which ends at the offset end.
 func (l *Lease) Observe(now time.Time, r Record, end int64) {
-	l.seen.add(end, now)
 	l.partitionEnd = max(l.partitionEnd, end)
 	if l.hasRecord && r.Epoch < l.newestRecord.Epoch {
 		return
 	}
 	l.newestRecord, l.hasRecord, l.newestSeenAt = r, true, now
+	l.readClock(now, r)
 	switch {
 	case r.Yielded:
 		l.yieldedAt, l.yieldedCapacity, l.yieldUseful = now, r.Capacity, false
@@ -212,7 +214,6 @@
 
 // ObserveEnd records that a read found no further record before an offset.
 func (l *Lease) ObserveEnd(now time.Time, end int64) {
-	l.seen.add(end, now)
 	l.partitionEnd = max(l.partitionEnd, end)
 	if l.newestSeenAt.IsZero() {
 		l.newestSeenAt = now
@@ -252,7 +253,7 @@
 	}
 	r := Record{
 		Epoch: l.newestRecord.Epoch + 1, Address: l.address, Process: l.process,
-		Capacity: l.capacity, StrongestOther: l.newestRecord.StrongestOther,
+		Capacity: l.capacity, StrongestOther: l.newestRecord.StrongestOther, Age: l.clock.Age(now),
 	}
 	if l.newestRecord.Process != l.process {
 		r.StrongestOther = max(r.StrongestOther, l.newestRecord.Capacity)
@@ -347,16 +348,17 @@
 	l.newestRecord, l.hasRecord, l.newestSeenAt = r, true, sent
 	l.overloadedFor, l.overloadCheckedAt = 0, time.Time{}
 	l.partitionEnd = max(l.partitionEnd, end)
-	l.ownEpoch, l.confirmedAt, l.ownMark = r.Epoch, sent, Mark{end, sent}
+	l.ownEpoch, l.confirmedAt = r.Epoch, sent
+	l.clock, l.clockEpoch = NewCellClock(r.Age, sent), r.Epoch
 }
 
 // Deposed records that a newer owner exists or that a claim failed.
 func (l *Lease) Deposed() { l.ownEpoch = 0 }
 
-// Confirmed records that a renewal, sent at a time, succeeded and ends at an offset.
-func (l *Lease) Confirmed(epoch uint64, sent time.Time, end int64) {
+// Confirmed records that a renewal, sent at a time, succeeded.
+func (l *Lease) Confirmed(epoch uint64, sent time.Time) {
 	if epoch == l.ownEpoch && sent.After(l.confirmedAt) {
-		l.confirmedAt, l.ownMark = sent, Mark{end, sent}
+		l.confirmedAt = sent
 	}
 }
 
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -59,7 +59,7 @@
 	a.ObserveEnd(start, 0)
 	r, _, _ := a.Claim(start)
 	a.Claimed(start, r, 1)
-	a.Confirmed(1, at(time.Second), 2)
+	a.Confirmed(1, at(time.Second))
 	b := New(start, timing, "b", address, 0)
 	b.Observe(at(time.Second), r, 2)
 	b.ObserveEnd(at(3*time.Second), 2)
@@ -137,7 +137,7 @@
 		assert.Assert(t, was || !sole, d)
 	}
 	assert.Assert(t, !sole)
-	a.Confirmed(r.Epoch, at(timing.ExpireAfter), 2)
+	a.Confirmed(r.Epoch, at(timing.ExpireAfter))
 	assert.Assert(t, a.SoleOwner(at(timing.ExpireAfter), r.Epoch))
 	assert.Assert(t, !a.SoleOwner(at(timing.ExpireAfter), r.Epoch+1))
 }
