--- a/internal/jobs/cell/leaseend.go
+++ b/internal/jobs/cell/leaseend.go
@@ -3,14 +3,9 @@
 import (
 	"time"
 
-	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
 
-// SetMark sets the last mark that this owner has stored, to which the ends of leases are
-// related in records. Without a mark a successor waits for all leases of former owners.
-func (c *Cell) SetMark(m lease.Mark) { c.mark = m }
-
 // recordEndAfter is how long a worker must be silent until the store is told when the leases
 // that former owners granted end. Once it is, a worker that answers waits for the store before
 // it gets a lease.
@@ -40,7 +35,7 @@
 		return
 	}
 	switch {
-	case w.recordClosed && !w.endRecorded && !c.mark.At.IsZero():
+	case w.recordClosed && !w.endRecorded && c.cfg.Clock.IsKnown():
 	case c.recovering && w.owesReport() && !w.recordTellsEnd:
 		w.recordTellsEnd = true
 	default:
@@ -69,7 +64,7 @@
 // leasedByFormerClock records that a worker may have taken an order by the clock of its former
 // process just now. The lease ends far too late then, but is not longer than MaxLease.
 func (c *Cell) leasedByFormerClock(now time.Time, w *worker) {
-	w.formerClockLeasesEnd = later(w.formerClockLeasesEnd, now.Add(MaxLeaseDuration(max(c.cfg.Lease, c.cfg.MaxLease))))
+	w.formerClockLeasesEnd = later(w.formerClockLeasesEnd, now.Add(c.maxLeaseDuration()))
 }
 
 // allLeasesEnd returns when all leases of a worker have certainly expired.
@@ -89,39 +84,43 @@
 	return a
 }
 
-// encodeLeasesEnd adds the end of the leases of a silent worker to its record.
+// encodeLeasesEnd adds the end of the leases of a silent worker to its record, by the age of
+// the cell.
 func (c *Cell) encodeLeasesEnd(w *worker, m *jobpb.Worker) {
 	end := w.allLeasesEnd()
-	if end.IsZero() || c.mark.At.IsZero() {
+	if end.IsZero() || !c.cfg.Clock.IsKnown() {
 		return
 	}
-	leasesEnd := end.Sub(c.mark.At).Milliseconds() + 1
+	leasesEnd := c.cfg.Clock.Age(end).Milliseconds() + 1
 	switch {
 	case w.recordClosed && (w.silent() || !w.answered):
 		w.endRecorded = true
-		m.Mark, m.LeasesEndMs = c.mark.End, leasesEnd
+		m.LeasesEndAgeMs = leasesEnd
 	case w.recordTellsEnd:
 		w.endRecorded = true
-		m.Former = &jobpb.FormerLeases{Epoch: uint64(c.cfg.Token), Mark: c.mark.End, LeasesEndMs: leasesEnd}
+		m.Former = &jobpb.FormerLeases{Epoch: uint64(c.cfg.Token), LeasesEndAgeMs: leasesEnd}
 	}
 }
 
 // restoredLeasesEnd returns the end of the leases of a restored worker. An open record tells it
 // to the next owner only.
 func (c *Cell) restoredLeasesEnd(m *jobpb.Worker) time.Time {
-	mark, leasesEnd := m.GetMark(), m.GetLeasesEndMs()
+	leasesEnd := m.GetLeasesEndAgeMs()
 	if f := m.GetFormer(); f.GetEpoch()+1 == uint64(c.cfg.Token) {
-		mark, leasesEnd = f.GetMark(), f.GetLeasesEndMs()
-	}
-	end := c.cfg.FormerLeasesEnd
-	if mark == 0 || c.cfg.MarkSeenBy == nil {
-		return end
+		leasesEnd = f.GetLeasesEndAgeMs()
 	}
-	seen := c.cfg.MarkSeenBy(mark)
-	if recorded := seen.Add(time.Duration(leasesEnd) * time.Millisecond); !seen.IsZero() && recorded.Before(end) {
-		return recorded
+	if leasesEnd == 0 || !c.cfg.Clock.IsKnown() {
+		return c.cfg.FormerLeasesEnd
 	}
-	return end
+	// An owner of an older build in between may have set the age of the cell back.
+	latest := c.formerGrantsEnd().Add(c.maxLeaseDuration())
+	return earlier(latest, c.cfg.Clock.TimeOf(time.Duration(leasesEnd)*time.Millisecond))
+}
+
+// maxLeaseDuration returns the longest time that a lease can last at a worker that took an
+// order by the clock of its former process.
+func (c *Cell) maxLeaseDuration() time.Duration {
+	return MaxLeaseDuration(max(c.cfg.Lease, c.cfg.MaxLease))
 }
 
 // mayGrant reports whether a worker may be granted leases: not while a successor might
