internal/jobs/cell: forget leases by a former clock that the new process cannot have

Callers would wait for standing tasks: after each restart that ended a call, a worker was taken to hold a lease as long as the platform allows (10 s on one site), though its process had started seconds after the last such order.

The first report of a process tells its age. An order that was granted more than 2 s before the process started has ended with the former one.

--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -284,6 +284,7 @@
 	}
 	if !w.answered {
 		w.answered = true
+		w.dropFormerClockLeases(o, report.Clock)
 		c.addGain(w)
 		c.adopt(now, w, report)
 	}
--- a/internal/jobs/cell/leaseend.go
+++ b/internal/jobs/cell/leaseend.go
@@ -67,6 +67,19 @@
 	w.formerClockLeasesEnd = later(w.formerClockLeasesEnd, now.Add(c.maxLeaseDuration()))
 }
 
+// deliveryTime bounds the time from the grant of a lease until a worker takes the order, which
+// may wait in the owner, at a relay and for a connection.
+const deliveryTime = 2 * time.Second
+
+// dropFormerClockLeases forgets the leases by the clock of a former process if the process that
+// answers an order has started too late to have taken one. The clock is that of its answer.
+func (w *worker) dropFormerClockLeases(o Order, clock time.Duration) {
+	startedAfter := o.sentAt.Add(-time.Duration(float64(clock) / (1 - clockDrift)))
+	if clock > 0 && !w.usedByFormer && startedAfter.After(w.grantedAt.Add(deliveryTime)) {
+		w.formerClockLeasesEnd = time.Time{}
+	}
+}
+
 // allLeasesEnd returns when all leases of a worker have certainly expired.
 func (w *worker) allLeasesEnd() time.Time { return later(w.leasesEnd, w.formerClockLeasesEnd) }
 
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -87,6 +87,8 @@
 	// formerClockLeasesEnd is when leases have certainly expired that the process may have
 	// taken from orders by the clock of a former one.
 	formerClockLeasesEnd time.Time
+	// grantedAt is when this owner last granted a lease.
+	grantedAt time.Time
 	// unansweredSince is when the first lease was granted after the worker is last known
 	// to have been up, or zero if all calls that granted one were answered.
 	unansweredSince time.Time
@@ -213,6 +215,7 @@
 	if w.unansweredSince.IsZero() {
 		w.unansweredSince = now
 	}
+	w.grantedAt = now
 	lease := c.remainingLease(now, w)
 	if end := now.Add(MaxLeaseDuration(lease)); lease > 0 && end.After(w.leasesEnd) {
 		w.leasesEnd = end
