internal/jobs/cell: tell successors of leases by the clock of a former process

Callers would see a task run twice: a worker that restarted unnoticed has a run with the longest lease of the platform, the owner is replaced, and the worker is cut off. The successor waited for the usual leases of the former owner only, and cut the end that a closed record tells off there as well.

Evidence: TestSuccessorWaitsForLeaseByFormerClock, which failed before: started again 7.68 s after a start whose lease may last 10 s.

The record of a worker now tells when such leases end, also while it is open.

--- a/internal/jobs/cell/formerclocklost_test.go
+++ b/internal/jobs/cell/formerclocklost_test.go
@@ -8,15 +8,16 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/state/lease"
 )
 
 // A worker crashes, returns after some seconds and is lost again soon. Its process has taken no
 // order by the clock of the former one, so its tasks must not wait for the longest lease.
 func TestTasksOfWorkerLostAfterItsReturnWaitForUsualLease(t *testing.T) {
-	const lease, longest = 5 * time.Second, 10 * time.Second
+	const usual, longest = 5 * time.Second, 10 * time.Second
 	const crashedAt, returnedAt, lostAt = 2 * time.Second, 10 * time.Second, 11 * time.Second
 	w := testWorker(1)
-	c := cell.New(cell.Config{Token: 1, Lease: lease, MaxLease: longest, EndedJobRetention: time.Minute, RemoteFactor: 2})
+	c := cell.New(cell.Config{Token: 1, Lease: usual, MaxLease: longest, EndedJobRetention: time.Minute, RemoteFactor: 2})
 	c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
 	c.SetWorker(testStart, w)
 	submit(c, "0000000000000001", "q", standingStep)
@@ -58,6 +59,67 @@
 		c.Stored(now, number)
 	}
 	assert.Assert(t, startedAt >= returnedAt, "not started after the return")
-	bound := lostAt + cell.MaxLeaseDuration(lease) + 500*time.Millisecond
+	bound := lostAt + cell.MaxLeaseDuration(usual) + 500*time.Millisecond
 	assert.Assert(t, restarted > lostAt && restarted <= bound, "lost after %v, restarted after %v, bound %v", lostAt, restarted, bound)
 }
+
+// A worker that restarted unnoticed may have a run with the longest lease, and is cut off. A
+// successor must wait for that lease, though all usual ones of the former owner end earlier.
+func TestSuccessorWaitsForLeaseByFormerClock(t *testing.T) {
+	const usual, longest = 5 * time.Second, 10 * time.Second
+	w, other := testWorker(1), testWorker(2)
+	values := make(map[string][]byte)
+	newOwner := func(token bamboofall.Token, now, formerLeasesEnd time.Time) *cell.Cell {
+		c := cell.New(cell.Config{
+			Token: token, Lease: usual, MaxLease: longest, FormerLeasesEnd: formerLeasesEnd, EndedJobRetention: time.Minute, RemoteFactor: 2,
+			Clock: lease.NewCellClock(now.Sub(testStart), now),
+		})
+		c.SetConfiguration(&bamboofall.Configuration{Version: 1, Queues: []bamboofall.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+		assert.Equal(t, len(c.Restore(now, storedRecords(values))), 0)
+		return c
+	}
+	u := newUnnamedWorkers()
+	u.born[w.ID], u.born[other.ID] = w.Born, other.Born
+	failure := &bamboofall.UnknownOutcomeError{Call: "order"}
+	var startedAt, again time.Time
+	run := func(c *cell.Cell, now, until time.Time) {
+		for ; now.Before(until) && again.IsZero(); now = now.Add(20 * time.Millisecond) {
+			c.SetClaimConfirmed(now)
+			for _, o := range c.Step(now).Orders {
+				switch {
+				case o.Kind == cell.OrderStart && startedAt.IsZero():
+					startedAt = now
+					w.Born, u.born[w.ID] = now, now
+					u.answer(c, now, o)
+					c.SetWorker(now, w)
+				case o.Kind == cell.OrderStart:
+					again = now
+				case o.Worker.ID == w.ID && !startedAt.IsZero():
+					c.HoldAnswered(now, o, bamboofall.HoldReport{}, failure)
+				default:
+					u.answer(c, now, o)
+				}
+			}
+			flushed, number, err := c.Flush()
+			assert.NilError(t, err)
+			c.Stored(now, number)
+			for _, r := range flushed {
+				values[r.Key] = r.Value
+				if r.Value == nil {
+					delete(values, r.Key)
+				}
+			}
+		}
+	}
+	handover := testStart.Add(2 * time.Second)
+	first := newOwner(1, testStart, time.Time{})
+	first.SetWorker(testStart, w)
+	submit(first, "0000000000000001", "q", standingStep)
+	run(first, testStart, handover)
+	assert.Assert(t, !startedAt.IsZero())
+	second := newOwner(2, handover, handover.Add(cell.MaxLeaseDuration(usual)))
+	second.SetWorker(handover, other)
+	run(second, handover, handover.Add(20*time.Second))
+	assert.Assert(t, !again.IsZero(), "not started again")
+	assert.Assert(t, again.Sub(startedAt) >= longest, "started again after %v", again.Sub(startedAt))
+}
--- a/internal/jobs/cell/leaseend.go
+++ b/internal/jobs/cell/leaseend.go
@@ -65,6 +65,9 @@
 // process just now. The lease ends far too late then, but is not longer than MaxLease.
 func (c *Cell) leasedByFormerClock(now time.Time, w *worker) {
 	w.formerClockLeasesEnd = later(w.formerClockLeasesEnd, now.Add(c.maxLeaseDuration()))
+	if w.recorded {
+		c.pending.workers[w.info.ID] = w
+	}
 }
 
 // deliveryTime bounds the time from the grant of a lease until a worker takes the order, which
@@ -105,6 +108,9 @@
 		return
 	}
 	leasesEnd := c.cfg.Clock.Age(end).Milliseconds() + 1
+	if !w.formerClockLeasesEnd.IsZero() {
+		m.FormerClockLeasesEndAgeMs = c.cfg.Clock.Age(w.formerClockLeasesEnd).Milliseconds() + 1
+	}
 	switch {
 	case w.recordClosed && (w.silent() || !w.answered):
 		w.endRecorded = true
@@ -122,12 +128,18 @@
 	if f := m.GetFormer(); f.GetEpoch()+1 == uint64(c.cfg.Token) {
 		leasesEnd = f.GetLeasesEndAgeMs()
 	}
-	if leasesEnd == 0 || !c.cfg.Clock.IsKnown() {
+	if !c.cfg.Clock.IsKnown() {
 		return c.cfg.FormerLeasesEnd
 	}
 	// An owner of an older build in between may have set the age of the cell back.
 	latest := c.formerGrantsEnd().Add(c.maxLeaseDuration())
-	return earlier(latest, c.cfg.Clock.TimeOf(time.Duration(leasesEnd)*time.Millisecond))
+	timeOf := func(ageMs int64) time.Time {
+		return earlier(latest, c.cfg.Clock.TimeOf(time.Duration(ageMs)*time.Millisecond))
+	}
+	if leasesEnd == 0 {
+		return later(c.cfg.FormerLeasesEnd, timeOf(m.GetFormerClockLeasesEndAgeMs()))
+	}
+	return timeOf(leasesEnd)
 }
 
 // maxLeaseDuration returns the longest time that a lease can last at a worker that took an
