--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -47,6 +47,7 @@
 type testWorker struct {
 	*standin.Worker
 	id, address string
+	server      *httptest.Server
 
 	announceMu sync.Mutex
 	// silent is set if the worker does not announce itself regularly. Guarded by
@@ -61,6 +62,14 @@
 	w.silent = true
 }
 
+// restart restarts the worker in place, which breaks its connections, and ends its regular
+// announcements.
+func (w *testWorker) restart() {
+	w.silence()
+	w.Restart()
+	w.server.CloseClientConnections()
+}
+
 // list stores the entry of a worker.
 func (f *testCluster) list(w *testWorker) {
 	f.store.Put(platform.TopicWorkers, w.id, w.Entry(testService, w.address))
@@ -134,7 +143,7 @@
 		worker := standin.NewWorker(id, &f.audit, work)
 		server := httptest.NewServer(worker)
 		t.Cleanup(server.Close)
-		f.workers = append(f.workers, &testWorker{Worker: worker, id: id, address: strings.TrimPrefix(server.URL, "http://")})
+		f.workers = append(f.workers, &testWorker{Worker: worker, id: id, address: strings.TrimPrefix(server.URL, "http://"), server: server})
 		f.list(f.workers[i])
 	}
 	f.announceWorkers()
--- /dev/null
+++ b/internal/entry/front/unnoticedrestart_test.go
@@ -0,0 +1,88 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"bamboofall.example/bamboofall/platform/standin"
+)
+
+// waitUntil waits until a condition holds.
+func (f *testCluster) waitUntil(what string, holds func() bool) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+// waitForAnswers waits until the owner has the first report of each worker.
+func (f *testCluster) waitForAnswers() {
+	f.t.Helper()
+	for _, w := range f.workers {
+		f.waitUntil("no report of "+w.id, func() bool {
+			for line := range strings.Lines(f.log.String()) {
+				if strings.Contains(line, "worker answers") && strings.Contains(line, w.id) {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
+// Runs that an idle worker began after an unnoticed restart were given up when its announcement
+// told of the restart, and their tasks started a second time.
+func TestTaskRunsOnceAtWorkerThatRestartedUnnoticed(t *testing.T) {
+	const job = `{"task_spec":"x","steps":[{"count":2,"cpu":500,"memory_request_mb":64,"estimated_ms":60000}]}`
+	f := newTestCluster(t, 1, 2, time.Minute)
+	restarted, other := f.workers[0], f.workers[1]
+	other.Resize(100, 100)
+	f.list(other)
+	f.waitForOwner(-1)
+	f.waitForAnswers()
+	f.list(restarted)
+
+	announced := make(chan struct{})
+	untilAnnounced := func() {
+		select {
+		case <-announced:
+		case <-t.Context().Done():
+		}
+	}
+	var starts atomic.Int64
+	restarted.SetFault(func(c standin.WorkerCall) (fault standin.WorkerFault) {
+		switch {
+		case c.Kind == standin.CallHold:
+			fault.BeforeExecution = untilAnnounced
+		case c.Kind == standin.CallStart && starts.Add(1) == 2:
+			fault.BeforeAnswer = untilAnnounced
+		}
+		return fault
+	})
+	restarted.restart()
+	status, body := f.request(0, http.MethodPost, "/q/"+id(1), job)
+	assert.Equal(t, status, http.StatusOK, body)
+	f.waitUntil("not started", func() bool { return restarted.Running() == 2 })
+	f.waitForState(0, id(1), "running")
+	other.Resize(16000, 32000)
+	f.list(other)
+	f.list(restarted)
+	f.waitForLines("worker reborn", 1)
+	close(announced)
+
+	// The first report of the new process lists the runs. Until then the tasks must wait, and
+	// after it they must not start again.
+	f.waitForLines("worker answers", 3)
+	time.Sleep(500 * time.Millisecond)
+	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
+	assert.Equal(t, f.audit.Starts(), 2)
+}
