internal/entry/front: storm of worker restarts, ends acknowledged unseen

Callers would see a task start again after it was done. The number up to which a hold call acknowledges run ends counts the ends of one process. A call that reaches the next process makes it forget its own ends up to that number. If no answer has listed them, the owner takes the runs for lost.

TestLateAcknowledgementForgetsNoEndUnseen: the call that acknowledges reaches the new process and is executed late, when that has ended runs.

Where restarts follow each other faster than an order times out, orders under way are lost with their process: no owner can prevent that a start reaches a third process after the second one has confirmed that it is stopped.

--- a/internal/entry/front/unnoticedrestart_test.go
+++ b/internal/entry/front/unnoticedrestart_test.go
@@ -95,3 +95,96 @@
 	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
 	assert.Equal(t, f.audit.Starts(), 2)
 }
+
+// Runs that had ended at a process before the owner knew of it were acknowledged with the number
+// of the last end of the former process. Their ends were lost, and their tasks started again.
+func TestEndsAtRestartedWorkerAreNotAcknowledgedUnseen(t *testing.T) {
+	skipKnownRed(t)
+	const job = `{"task_spec":"x","steps":[{"count":4,"cpu":500,"memory_request_mb":64,"estimated_ms":20}]}`
+	f := newTestCluster(t, 1, 1, 20*time.Millisecond)
+	worker := f.workers[0]
+	f.waitForOwner(-1)
+	f.waitForAnswers()
+	f.list(worker)
+	status, body := f.request(0, http.MethodPost, "/q/"+id(1), job)
+	assert.Equal(t, status, http.StatusOK, body)
+	f.waitForState(0, id(1), "completed")
+	f.waitUntil("ends not acknowledged", func() bool { return worker.Unacknowledged() == 0 })
+
+	ended := make(chan struct{})
+	worker.SetFault(func(c standin.WorkerCall) (fault standin.WorkerFault) {
+		if c.Kind == standin.CallHold {
+			fault.BeforeExecution = func() {
+				select {
+				case <-ended:
+				case <-t.Context().Done():
+				}
+			}
+		}
+		return fault
+	})
+	worker.restart()
+	status, body = f.request(0, http.MethodPost, "/q/"+id(2), job)
+	assert.Equal(t, status, http.StatusOK, body)
+	f.waitUntil("not ended", func() bool { return worker.Unacknowledged() == 4 })
+	close(ended)
+	f.list(worker)
+	f.waitForState(0, id(2), "completed")
+	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
+	assert.Equal(t, f.audit.Starts(), 8)
+}
+
+// A hold call for a worker that had just restarted acknowledged ends of the former process, and
+// was executed late: it made the new process forget ends that no answer had listed.
+func TestLateAcknowledgementForgetsNoEndUnseen(t *testing.T) {
+	skipKnownRed(t)
+	const job = `{"task_spec":"x","steps":[{"count":4,"cpu":500,"memory_request_mb":64,"estimated_ms":200}]}`
+	f := newTestCluster(t, 1, 1, 200*time.Millisecond)
+	worker := f.workers[0]
+	f.waitForOwner(-1)
+	f.waitForAnswers()
+	f.list(worker)
+	status, body := f.request(0, http.MethodPost, "/q/"+id(1), job)
+	assert.Equal(t, status, http.StatusOK, body)
+	f.waitForState(0, id(1), "completed")
+	f.waitUntil("ends not acknowledged", func() bool { return worker.Unacknowledged() == 0 })
+
+	var received, delaying atomic.Bool
+	lateExecuted, ended := make(chan struct{}), make(chan struct{})
+	until := func(done <-chan struct{}) func() {
+		return func() {
+			select {
+			case <-done:
+			case <-t.Context().Done():
+			}
+		}
+	}
+	worker.SetFault(func(c standin.WorkerCall) (fault standin.WorkerFault) {
+		switch {
+		case c.Kind != standin.CallHold:
+		case c.Acknowledged > 0 && received.CompareAndSwap(false, true):
+			worker.silence()
+			worker.Restart()
+			fault.BeforeExecution, fault.BeforeAnswer = until(ended), func() { close(lateExecuted) }
+		case delaying.Load():
+			fault.BeforeExecution = until(lateExecuted)
+		}
+		return fault
+	})
+	status, body = f.request(0, http.MethodPost, "/q/"+id(2), strings.Replace(job, `"count":4`, `"count":1`, 1))
+	assert.Equal(t, status, http.StatusOK, body)
+	f.waitUntil("no end acknowledged", received.Load)
+	f.waitForLines("worker reborn", 1)
+	time.Sleep(10 * time.Millisecond)
+	f.list(worker)
+	f.waitForState(0, id(2), "completed")
+	f.waitUntil("ends not acknowledged", func() bool { return worker.Unacknowledged() == 0 })
+	delaying.Store(true)
+	status, body = f.request(0, http.MethodPost, "/q/"+id(3), job)
+	assert.Equal(t, status, http.StatusOK, body)
+	f.waitUntil("not started", func() bool { return worker.Running() == 4 })
+	f.waitUntil("not ended", func() bool { return worker.Running() == 0 })
+	close(ended)
+	f.waitForState(0, id(3), "completed")
+	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
+}
