--- a/internal/entry/front/restartstorm_test.go
+++ b/internal/entry/front/restartstorm_test.go
@@ -37,7 +37,6 @@
 // Two runs of a task, or a start after its end, must not result from workers that restart in
 // place, from orders that fail, are executed late or answered late, or from relays that fail.
 func TestTasksRunOnceInStormOfRestarts(t *testing.T) {
-	skipKnownRed(t)
 	seeds := slices.Clone(restartStormSeeds)
 	for seed := *restartStormFirst; seed < *restartStormFirst+*restartStorms; seed++ {
 		seeds = append(seeds, seed)
--- a/internal/entry/front/unnoticedrestart_test.go
+++ b/internal/entry/front/unnoticedrestart_test.go
@@ -99,7 +99,6 @@
 // Runs that had ended at a process before the owner knew of it were acknowledged with the number
 // of the last end of the former process. Their ends were lost, and their tasks started again.
 func TestEndsAtRestartedWorkerAreNotAcknowledgedUnseen(t *testing.T) {
-	skipKnownRed(t)
 	const job = `{"task_spec":"x","steps":[{"count":4,"cpu":500,"memory_request_mb":64,"estimated_ms":20}]}`
 	f := newTestCluster(t, 1, 1, 20*time.Millisecond)
 	worker := f.workers[0]
