internal/jobs/sim: tell owners of restarts as late as the platform does

Callers saw a task run twice after a worker had restarted under its ID without the owner's notice (docs/incidents/unnoticed-restart.md). The simulation could not show it: simulated workers named their process in all answers, and announced a restart in the same instant. On the platform only reports name the process, and announcements go through the store.

Now answers to starts, stops and paces carry the clock alone. Worker.Restart replaces the process after a time without failing a call: calls that arrive meanwhile reach the new one, and hold calls that wait move there, hang or break.

--- a/internal/jobs/sim/audit.go
+++ b/internal/jobs/sim/audit.go
@@ -114,27 +114,45 @@
 	}
 }
 
-// auditFailedRun records a failed run.
-func (w *World) auditFailedRun(r *run) {
+// auditedTask returns the task of a run, or the first one of its gang.
+func auditedTask(r *run) bamboofall.TaskName {
 	task := r.task
 	if r.step.Gang {
 		task.Index = 0
 	}
-	a := w.auditOf(task)
+	return task
+}
+
+// auditFailedRun records a failed run.
+func (w *World) auditFailedRun(r *run) {
+	a := w.auditOf(auditedTask(r))
 	if a.failedRuns == nil {
 		a.failedRuns = make(map[uint32]bool)
 	}
 	a.failedRuns[r.number] = true
 }
 
+// auditRestartedRun records a run that ended with a process that Worker.Restart replaced. An
+// owner cannot tell such an end from a crash.
+func (w *World) auditRestartedRun(r *run) {
+	a := w.auditOf(auditedTask(r))
+	if a.restartedRuns == nil {
+		a.restartedRuns = make(map[uint32]bool)
+	}
+	a.restartedRuns[r.number] = true
+}
+
 // auditFailedJob audits that a job that is shown as failed has a task with too many
-// failed runs, or a deadly task under which two workers have crashed.
+// failed runs, or a task under which two workers have crashed, or were restarted.
 func (w *World) auditFailedJob(job *submission) {
 	const minCrashes = 2
 	if slices.ContainsFunc(w.DeadlyTasks(job.spec.ID), func(n bamboofall.TaskName) bool { return w.DeadlyCrashes(n) >= minCrashes }) {
 		return
 	}
 	for name, a := range w.tasks {
+		if name.Job == job.spec.ID && len(a.restartedRuns) >= minCrashes {
+			return
+		}
 		if name.Job == job.spec.ID && !job.spec.Steps[name.Step].Standing && len(a.failedRuns) >= job.queue.MaxAttempts {
 			return
 		}
--- a/internal/jobs/sim/doc.go
+++ b/internal/jobs/sim/doc.go
@@ -4,7 +4,9 @@
 // Workers hold leases on their own clocks, reject orders with an old fencing token,
 // run tasks that fail, stall or interfere with each other, and report ends of runs
 // until these are acknowledged. Calls take time, overtake each other, are lost in
-// either direction, and may be executed late. The store keeps the latest record of
+// either direction, and may be executed late. Only reports name the process of a worker, and
+// its announcements arrive late, so that a worker can restart under its ID without the
+// owner's notice. The store keeps the latest record of
 // each key. The owner of the cell, which makes the scheduling decisions, can be
 // replaced at any time by one that knows only what was stored.
 //
