internal/jobs/cell: give a task up for a crash only once its run is known to be gone

Callers saw a job fail without a cause: a worker restarts under its ID before it carries out the start of a task on trial. When the restart became known, it counted as a crash under that run, and the task was given up at once, while the run went on at the new process. The crash is taken back when a report lists the run, but a job that has failed stays so.

Now a task whose run may be at the new process is given up when that run is lost: with the first report of the process, mostly some milliseconds later, or when its leases end. Nothing else is started for it meanwhile.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -78,6 +78,9 @@
 	// named is set once an answer that names the worker's process has confirmed the run. The
 	// answer to a start may come from a process that started after it.
 	named bool
+	// giveUpIfLost is set if the task must be given up, unless the new process of the worker
+	// turns out to have begun the run.
+	giveUpIfLost bool
 	// trial is set if the task was a suspect when the run was ordered.
 	trial bool
 	// inherited is set if a former owner started the run, so that startedAt is not the time
@@ -422,5 +425,8 @@
 	c.accountRun(now, a, bamboofall.EndLapsed)
 	c.release(a)
 	c.keepCheckpoint(a.task, a.checkpoint)
+	if a.giveUpIfLost && !a.task.step.occ.job.state.Ended() {
+		c.giveUp(now, a)
+	}
 	c.enqueue(a.task)
 }
--- a/internal/jobs/cell/crash.go
+++ b/internal/jobs/cell/crash.go
@@ -42,10 +42,13 @@
 	a.startClock = a.worker.clock + now.Sub(a.worker.clockAt)
 }
 
+// gone reports whether nothing listens at the address of a worker that has not restarted.
+func (w *worker) gone() bool { return w.noListener && w.silent() && !w.listed }
+
 // watchCrash detects a crash of a worker that has not restarted. A cut can end in refused
 // connections too, but leaves the worker listed for as long as it reaches the platform.
 func (c *Cell) watchCrash(now time.Time, w *worker) {
-	if w.noListener && w.silent() && !w.listed {
+	if w.gone() {
 		c.workerCrashed(now, w, "nothing listens at its address and it is unlisted")
 	}
 }
@@ -84,13 +87,23 @@
 		c.counters.TasksSuspected++
 		c.noteRun(a, "task suspect", rare, fmt.Sprintf("worker crashed, the run had survived %v; crashes of the task: %d, trial %t, given up %t",
 			runs[s.Index].Survived.Round(time.Millisecond), len(a.task.crashes.Runs()), a.trial, s.GiveUp))
-		if s.GiveUp {
-			c.counters.TasksGivenUp++
-			c.finish(now, j, bamboofall.JobFailed, fmt.Sprintf("task %v crashed %d workers, last %s", a.task.name(), len(a.task.crashes.Runs()), w.info.ID))
+		switch {
+		case !s.GiveUp:
+		case a.attached && !a.named && !w.gone():
+			a.giveUpIfLost = true
+		default:
+			c.giveUp(now, a)
 		}
 	}
 }
 
+// giveUp fails the job of a task that has crashed too many workers.
+func (c *Cell) giveUp(now time.Time, a *attempt) {
+	c.counters.TasksGivenUp++
+	c.finish(now, a.task.step.occ.job, bamboofall.JobFailed,
+		fmt.Sprintf("task %v crashed %d workers, last %s", a.task.name(), len(a.task.crashes.Runs()), a.worker.info.ID))
+}
+
 // failedTogether reports whether several other workers, beside those with a trial, failed at
 // about the same time as the given one.
 func (c *Cell) failedTogether(w *worker) bool {
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -140,7 +140,7 @@
 	if a.named || s.Born.IsZero() {
 		return
 	}
-	a.named = true
+	a.named, a.giveUpIfLost = true, false
 	if slices.Contains(a.task.crashes.Runs(), a.run) {
 		a.task.crashes.Retract(a.run)
 		c.pending.touch(a.task.step.occ.job)
