--- a/internal/jobs/sim/handover.go
+++ b/internal/jobs/sim/handover.go
@@ -17,7 +17,7 @@
 	w.token++
 	w.appending = false
 	w.cell = cell.New(cell.Config{
-		Token: w.token, Lease: w.cfg.Lease, FormerLeasesEnd: formerLeasesEnd, EndedJobRetention: 2 * time.Minute, RemoteFactor: 2,
+		Token: w.token, Lease: w.cfg.Lease, MaxLease: w.cfg.maxHold(), FormerLeasesEnd: formerLeasesEnd, EndedJobRetention: 2 * time.Minute, RemoteFactor: 2,
 		MaxTailViolation: 4 * time.Second, Clock: w.nextClock(),
 	})
 	w.machine = nil
@@ -38,9 +38,7 @@
 	}
 	w.takeInbox()
 	for _, x := range w.workers {
-		if x.listed() {
-			w.cell.SetWorker(w.now, x.announcement())
-		}
+		x.list()
 	}
 	w.cell.WorkersRead(w.now)
 }
--- a/internal/jobs/sim/leave.go
+++ b/internal/jobs/sim/leave.go
@@ -4,12 +4,10 @@
 // and the platform does not list it any more.
 func (x *Worker) Leave() {
 	x.up, x.returning, x.refusing, x.unlisted = false, true, true, true
-	for _, wake := range x.holdWaiters {
-		x.world.schedule(0, wake)
+	for _, h := range x.waitingHolds {
+		x.world.schedule(0, func() { x.answerHold(h) })
 	}
 	x.dropRuns()
 	x.incarnation++
-	if x.world.cell != nil {
-		x.world.cell.RemoveWorker(x.world.now, x.ID())
-	}
+	x.unlist()
 }
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -33,6 +33,8 @@
 	// PerRack is the number of workers per rack. Zero puts all workers on one rack.
 	PerRack int
 	Lease   time.Duration
+	// MaxHold is the longest lease that workers accept, 6 s if it is zero.
+	MaxHold time.Duration
 	Queues  []bamboofall.Queue
 	// FailShare is the share of runs that fail independently of their worker.
 	FailShare float64
@@ -43,7 +45,8 @@
 	// first on the second: the utilization that it adds per whole worker.
 	Pressure map[string]map[string]float64
 	// StrictRuns makes the tasks of a gang work and end only together, and makes standing
-	// tasks take time to come up, and fail or stall at workers where all runs do.
+	// tasks take time to come up, and fail or stall at workers where all runs do. Runs take
+	// time to resume from a checkpoint.
 	StrictRuns bool
 	// Owner is the capacity of each owner's VM. If it is nil, the owner's work
 	// takes no time.
@@ -62,7 +65,9 @@
 	now       time.Time
 	startedAt time.Time
 	random    *rand.Rand
-	events    eventHeap
+	// announceRandom determines when announcements of workers arrive.
+	announceRandom *rand.Rand
+	events         eventHeap
 	// lastSeq is the sequence number of the last scheduled event.
 	lastSeq int
 	workers []*Worker
@@ -88,6 +93,8 @@
 	appending bool
 	// StoreDown is set while the store does not answer.
 	StoreDown bool
+	// RelayFaultShare is the share of the calls that relays delay or lose.
+	RelayFaultShare float64
 	// inbox holds the jobs in the store's inbox that no owner is known to have stored.
 	inbox   []*bamboofall.Job
 	version uint64
@@ -179,9 +186,11 @@
 	done         bool
 	// doneRuns are the completed runs.
 	doneRuns []*doneRun
-	// failedRuns are the numbers of the failed runs. Those of a gang are at its first
-	// task.
-	failedRuns map[uint32]bool
+	// failedRuns are the numbers of the failed runs, lostRuns those of the runs that a process
+	// left unreported when it crashed. Those of a gang are at its first task.
+	failedRuns, lostRuns map[uint32]bool
+	// restarted is set if one of the lost runs ended in a Worker.Restart.
+	restarted bool
 }
 
 // doneRun is a completed run.
@@ -197,44 +206,19 @@
 	restart string
 }
 
-// event is a call of fn at a time. Events at the same time are ordered by seq.
-type event struct {
-	at  time.Time
-	seq int
-	fn  func()
-}
-
-// eventHeap is a heap of events, the earliest first.
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, k int) bool {
-	if !h[i].at.Equal(h[k].at) {
-		return h[i].at.Before(h[k].at)
-	}
-	return h[i].seq < h[k].seq
-}
-func (h eventHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 // New returns a simulation with an owner and with workers that have announced
 // themselves.
 func New(cfg Config) *World {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	w := &World{
-		cfg: cfg, now: start, startedAt: start, random: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		cfg: cfg, now: start, startedAt: start, random: rand.New(rand.NewPCG(cfg.Seed, 1)), announceRandom: rand.New(rand.NewPCG(cfg.Seed, 7)),
 		store: make(map[string][]byte), jobs: make(map[bamboofall.JobID]*submission),
 		tasks: make(map[bamboofall.TaskName]*taskAudit), byID: make(map[string]*Worker),
 		deadly: make(map[bamboofall.TaskName]*deadlyTask), brokenGangs: make(map[gangRun]bool), doneGangs: make(map[gangRun]bool), nextIndex: cfg.Workers,
 	}
 	for i := range cfg.Workers {
 		x := newWorker(w, i)
+		x.listing.write(x.announcement())
 		w.workers = append(w.workers, x)
 		w.byID[x.ID()] = x
 	}
@@ -255,15 +239,6 @@
 	w.violations = append(w.violations, fmt.Sprintf("%v: %s", w.Now(), fmt.Sprintf(format, args...)))
 }
 
-// schedule calls fn after the duration d.
-func (w *World) schedule(d time.Duration, fn func()) {
-	w.lastSeq++
-	heap.Push(&w.events, event{w.now.Add(d), w.lastSeq, fn})
-}
-
-// At calls fn at a time since the start of the simulation.
-func (w *World) At(sinceStart time.Duration, fn func()) { w.schedule(sinceStart-w.Now(), fn) }
-
 // Run processes the events of the next duration d.
 func (w *World) Run(d time.Duration) {
 	end := w.now.Add(d)
