--- a/internal/jobs/cell/giveup_test.go
+++ b/internal/jobs/cell/giveup_test.go
@@ -20,12 +20,7 @@
 	now := testStart
 	step := func() []cell.Order {
 		now = now.Add(20 * time.Millisecond)
-		c.SetClaimConfirmed(now)
-		orders := c.Step(now).Orders
-		_, number, err := c.Flush()
-		assert.NilError(t, err)
-		c.Stored(now, number)
-		return orders
+		return stepAndStore(t, c, now)
 	}
 	restart := func() {
 		w.Born = now
--- a/internal/jobs/cell/restartedtrial_test.go
+++ b/internal/jobs/cell/restartedtrial_test.go
@@ -31,12 +31,7 @@
 			now := testStart
 			next := func() []cell.Order {
 				now = now.Add(20 * time.Millisecond)
-				c.SetClaimConfirmed(now)
-				orders := c.Step(now).Orders
-				_, number, err := c.Flush()
-				assert.NilError(t, err)
-				c.Stored(now, number)
-				return orders
+				return stepAndStore(t, c, now)
 			}
 			run := func(d time.Duration) {
 				for until := now.Add(d); now.Before(until); {
--- a/internal/jobs/cell/unnamedrestart.go
+++ b/internal/jobs/cell/unnamedrestart.go
@@ -24,3 +24,35 @@
 	c.queueHold(w)
 	c.probe(now, w)
 }
+
+// resetLeases replaces the leases of a worker that has restarted by those that its new process
+// may have taken from orders for the former one.
+func (c *Cell) resetLeases(now time.Time, w *worker) {
+	w.leasesEnd, w.formerClockLeasesEnd = time.Time{}, time.Time{}
+	// A former owner that did not learn of the restart may have used the new process.
+	w.usedByFormer = w.usedByFormer && !w.answered
+	if w.usedByFormer {
+		c.leasedByFormerClock(earlier(now, c.formerGrantsEnd()), w)
+	}
+	if !w.unansweredSince.IsZero() {
+		c.leasedByFormerClock(now, w)
+	}
+	w.unansweredSince = time.Time{}
+}
+
+// keepUnnamedRun keeps a run that the new process of a worker may have, until its first report.
+// The leases of the worker ended at formerEnd before the restart was known.
+func (c *Cell) keepUnnamedRun(now time.Time, a *attempt, formerEnd time.Time) {
+	w := a.worker
+	if a.state == attemptRunning {
+		a.state = attemptUnknown
+	}
+	a.unknownSince, a.stopConfirmedAt = now, time.Time{}
+	if a.restarted {
+		// Its start was carried out before an earlier restart became known.
+		w.formerClockLeasesEnd = later(w.formerClockLeasesEnd, formerEnd)
+		return
+	}
+	a.restarted = a.confirmed
+	c.leasedByFormerClock(now, w)
+}
--- a/internal/jobs/cell/unnoticedrestart_test.go
+++ b/internal/jobs/cell/unnoticedrestart_test.go
@@ -64,6 +64,17 @@
 	return n
 }
 
+// stepAndStore steps a cell, stores its flush and returns its orders.
+func stepAndStore(t *testing.T, c *cell.Cell, now time.Time) []cell.Order {
+	t.Helper()
+	c.SetClaimConfirmed(now)
+	orders := c.Step(now).Orders
+	_, number, err := c.Flush()
+	assert.NilError(t, err)
+	c.Stored(now, number)
+	return orders
+}
+
 // An idle worker restarts without the owner's notice and carries out two starts. Its answers
 // name no process. When the restart becomes known, the runs must not be taken for runs of
 // the former process and started a second time.
@@ -78,12 +89,7 @@
 			var tasks []bamboofall.TaskName
 			next := func() []cell.Order {
 				now = now.Add(20 * time.Millisecond)
-				c.SetClaimConfirmed(now)
-				orders := c.Step(now).Orders
-				_, number, err := c.Flush()
-				assert.NilError(t, err)
-				c.Stored(now, number)
-				return orders
+				return stepAndStore(t, c, now)
 			}
 			run := func(d time.Duration) {
 				for until := now.Add(d); now.Before(until); {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -378,32 +378,13 @@
 	w.crashed, w.noListener = false, false
 	w.clearExpired()
 	formerEnd := w.allLeasesEnd()
-	w.leasesEnd, w.formerClockLeasesEnd = time.Time{}, time.Time{}
-	// A former owner that did not learn of the restart may have used the new process.
-	w.usedByFormer = w.usedByFormer && !w.answered
-	if w.usedByFormer {
-		c.leasedByFormerClock(earlier(now, c.formerGrantsEnd()), w)
-	}
-	if !w.unansweredSince.IsZero() {
-		c.leasedByFormerClock(now, w)
-	}
-	w.unansweredSince = time.Time{}
+	c.resetLeases(now, w)
 	for _, a := range slices.Clone(w.attempts) {
 		if a.named || !a.mayRun() {
 			c.loseRun(now, a, "the worker restarted")
 			continue
 		}
-		if a.state == attemptRunning {
-			a.state = attemptUnknown
-		}
-		a.unknownSince, a.stopConfirmedAt = now, time.Time{}
-		if a.restarted {
-			// Its start was carried out before an earlier restart became known.
-			w.formerClockLeasesEnd = later(w.formerClockLeasesEnd, formerEnd)
-			continue
-		}
-		a.restarted = a.confirmed
-		c.leasedByFormerClock(now, w)
+		c.keepUnnamedRun(now, a, formerEnd)
 	}
 	w.incarnation, w.clock = born, 0 // the new process has another clock
 	w.answered, w.endsReported, w.restartUnnamed = false, false, false
