internal/state/lease: date the cell by the newest record

A reader kept the highest age that any record of an owner had shown. Found in review.

Each record now dates the cell anew, so the difference is that of one interval between records.

--- a/internal/state/lease/cellclock.go
+++ b/internal/state/lease/cellclock.go
@@ -31,11 +31,3 @@
 
 // Clock returns the clock of the present owner as this process reads it.
 func (l *Lease) Clock() CellClock { return l.clock }
-
-// readClock sets the clock by a record that was read. Of the records of one owner, the one
-// that took the shortest time to arrive tells its clock best.
-func (l *Lease) readClock(now time.Time, r Record) {
-	if read := NewCellClock(r.Age, now); r.Epoch > l.clockEpoch || read.Age(now) > l.clock.Age(now) {
-		l.clock, l.clockEpoch = read, r.Epoch
-	}
-}
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -159,9 +159,8 @@
 	formerActsFor time.Duration
 	// partitionEnd is the offset of the end of the partition.
 	partitionEnd int64
-	// clock is the clock of the owner of clockEpoch.
-	clock      CellClock
-	clockEpoch uint64
+	// clock is the clock of the owner of newestRecord.
+	clock CellClock
 	// confirmedAt is when the last confirmed append of this owner was sent.
 	confirmedAt time.Time
 	// ownEpoch is the epoch that this process owns, or zero.
@@ -200,7 +199,7 @@
 		return
 	}
 	l.newestRecord, l.hasRecord, l.newestSeenAt = r, true, now
-	l.readClock(now, r)
+	l.clock = NewCellClock(r.Age, now)
 	switch {
 	case r.Yielded:
 		l.yieldedAt, l.yieldedCapacity, l.yieldUseful = now, r.Capacity, false
@@ -349,7 +348,7 @@
 	l.overloadedFor, l.overloadCheckedAt = 0, time.Time{}
 	l.partitionEnd = max(l.partitionEnd, end)
 	l.ownEpoch, l.confirmedAt = r.Epoch, sent
-	l.clock, l.clockEpoch = NewCellClock(r.Age, sent), r.Epoch
+	l.clock = NewCellClock(r.Age, sent)
 }
 
 // Deposed records that a newer owner exists or that a claim failed.
