internal/jobs/cell: wait for leases by a former clock after closed records, name processes by their clocks

Three findings of a review, not seen in a record:

- An order may reach a worker more than 2 s after its grant, as hold calls are sent again through other relays: deliveryTime is 4 s.
- A task whose start had been answered waited for the report of a restarted worker, or for its longest lease (TestRunNamedByClockIsLostWithItsProcess).
An answer whose clock shows more than the time since the process last reported is of that process, as the clock of a later one starts anew.

TestKnownRestartIsNotShownByClockAgain leaves the start unanswered now: an answered one is named by its clock, and the run is given up with its process before the stop that the test looks at. It checks as much as before.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -280,7 +280,7 @@
 	}
 	if err == nil {
 		a.confirmRunning(now)
-		a.named = !s.Born.IsZero()
+		a.named = !s.Born.IsZero() || w.clockNamesProcess(now, s.Clock)
 		a.confirmedAt, a.progressedAt = now, now
 		c.markJobStarted(a.task.step.occ.job)
 		if len(w.attempts) == 1 || !w.holdOpen {
--- a/internal/jobs/cell/clockback_test.go
+++ b/internal/jobs/cell/clockback_test.go
@@ -39,7 +39,7 @@
 	}
 	submit(c, "0000000000000001", "q", standingStep)
 	for range 5 {
-		step(func(o cell.Order) bool { return o.Kind == cell.OrderStart })
+		step(func(o cell.Order) bool { return false }) // the start stays unanswered
 	}
 	w.Born, u.born[w.ID] = now, now
 	c.SetWorker(now, w)
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -440,7 +440,9 @@
 		c.unnamedRestart(now, w)
 		return false
 	}
-	w.restartUnnamed = false
+	if !s.Born.IsZero() {
+		w.restartUnnamed, w.namedCallAt = false, later(w.namedCallAt, o.sentAt)
+	}
 	wasSilent := w.silent()
 	w.failures = 0
 	c.clearCrash(w)
--- a/internal/jobs/cell/leaseend.go
+++ b/internal/jobs/cell/leaseend.go
@@ -70,15 +70,16 @@
 	}
 }
 
-// deliveryTime bounds the time from the grant of a lease until a worker takes the order, which
-// may wait in the owner, at a relay and for a connection.
-const deliveryTime = 2 * time.Second
+// deliveryTime bounds the time from the grant of a lease until a worker takes the order. A hold
+// call that waits is sent again if its relay fails, and may wait in the owner, at a relay and for
+// a connection each time.
+const deliveryTime = 4 * time.Second
 
 // dropFormerClockLeases forgets the leases by the clock of a former process if the process that
 // answers an order has started too late to have taken one. The clock is that of its answer.
 func (w *worker) dropFormerClockLeases(o Order, clock time.Duration) {
 	startedAfter := o.sentAt.Add(-time.Duration(float64(clock) / (1 - clockDrift)))
-	if clock > 0 && !w.usedByFormer && startedAfter.After(w.grantedAt.Add(deliveryTime)) {
+	if clock > 0 && startedAfter.After(w.grantedAt.Add(deliveryTime)) {
 		w.formerClockLeasesEnd = time.Time{}
 	}
 }
@@ -132,7 +133,7 @@
 		return c.cfg.FormerLeasesEnd
 	}
 	// An owner of an older build in between may have set the age of the cell back.
-	latest := c.formerGrantsEnd().Add(c.maxLeaseDuration())
+	latest := c.formerGrantsEnd().Add(deliveryTime + c.maxLeaseDuration())
 	timeOf := func(ageMs int64) time.Time {
 		return earlier(latest, c.cfg.Clock.TimeOf(time.Duration(ageMs)*time.Millisecond))
 	}
--- a/internal/jobs/cell/unnamedrestart.go
+++ b/internal/jobs/cell/unnamedrestart.go
@@ -12,6 +12,15 @@
 	return s.Clock > 0 && s.Clock < w.clock && !o.sentAt.Before(w.clockAt)
 }
 
+// maxStartClock is the highest reading of the clock of a process that has just started.
+const maxStartClock = 2 * time.Second
+
+// clockNamesProcess reports whether an answer is of the process that reported last: a later one
+// has not been up for long enough to show its clock.
+func (w *worker) clockNamesProcess(now time.Time, clock time.Duration) bool {
+	return !w.namedCallAt.IsZero() && clock > now.Sub(w.namedCallAt)+maxStartClock
+}
+
 // unnamedRestart handles an answer whose clock shows a restart, though it does not name the
 // process. A hold call that is due at once does.
 func (c *Cell) unnamedRestart(now time.Time, w *worker) {
@@ -30,10 +39,10 @@
 func (c *Cell) resetLeases(now time.Time, w *worker) {
 	w.leasesEnd, w.formerClockLeasesEnd = time.Time{}, time.Time{}
 	// A former owner that did not learn of the restart may have used the new process.
-	w.usedByFormer = w.usedByFormer && !w.answered
-	if w.usedByFormer {
-		c.leasedByFormerClock(earlier(now, c.formerGrantsEnd()), w)
+	if w.restored && !w.answered {
+		c.leasedByFormerClock(earlier(now, c.formerGrantsEnd().Add(deliveryTime)), w)
 	}
+	w.usedByFormer = w.usedByFormer && !w.answered
 	if !w.unansweredSince.IsZero() {
 		c.leasedByFormerClock(now, w)
 	}
--- a/internal/jobs/cell/unnoticedrestart_test.go
+++ b/internal/jobs/cell/unnoticedrestart_test.go
@@ -137,3 +137,33 @@
 		})
 	}
 }
+
+// The clock in the answer to a start shows that the process has been up since before its last
+// report. A crash soon after it must not make the task wait for another report.
+func TestRunNamedByClockIsLostWithItsProcess(t *testing.T) {
+	w, other := testWorker(1), testWorker(2)
+	w.Born = testStart.Add(-time.Minute)
+	c, u := newTestCell(w), newUnnamedWorkers()
+	u.born[w.ID], u.born[other.ID] = w.Born, other.Born
+	now := testStart
+	run := func(steps int, answers func(o cell.Order) bool) {
+		for range steps {
+			now = now.Add(20 * time.Millisecond)
+			for _, o := range stepAndStore(t, c, now) {
+				if answers(o) {
+					u.answer(c, now, o)
+				}
+			}
+		}
+	}
+	run(5, func(cell.Order) bool { return true })
+	submit(c, "0000000000000001", "q", standingStep)
+	run(5, func(o cell.Order) bool { return o.Kind == cell.OrderStart })
+	c.SetWorker(now, other)
+	run(5, func(o cell.Order) bool { return o.Worker.ID == other.ID })
+	delete(u.running, w.ID)
+	w.Born = now
+	c.SetWorker(now, w)
+	run(5, func(o cell.Order) bool { return o.Worker.ID == other.ID })
+	assert.Equal(t, len(u.running[other.ID]), 1, "not started elsewhere at once")
+}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -75,12 +75,16 @@
 	// restartUnnamed is set if the worker's clock shows that another process has started,
 	// which no answer has named yet.
 	restartUnnamed bool
+	// restored is set if the worker was restored from a record of a former owner.
+	restored bool
 	// endsReported is set once this incarnation has listed all its run ends in one
 	// answer.
 	endsReported bool
 	// clock is the worker's clock as read at clockAt.
 	clock   time.Duration
 	clockAt time.Time
+	// namedCallAt is when the last call was sent whose answer named the process.
+	namedCallAt time.Time
 	// leasesEnd is when all leases that this owner granted by the worker's clock have
 	// certainly expired.
 	leasesEnd time.Time
@@ -337,6 +341,7 @@
 		Draining: m.GetDraining(),
 	})
 	w.leasesEnd, w.endRecorded = c.restoredLeasesEnd(m), m.GetLeasesEndAgeMs() != 0
+	w.restored, w.grantedAt = true, c.formerGrantsEnd()
 	w.recorded, w.recordClosed, w.usedByFormer = true, m.GetSilent(), !m.GetSilent()
 	c.addWorker(w)
 	return nil
@@ -386,7 +391,7 @@
 		}
 		c.keepUnnamedRun(now, a, formerEnd)
 	}
-	w.incarnation, w.clock = born, 0 // the new process has another clock
+	w.incarnation, w.clock, w.namedCallAt = born, 0, time.Time{} // the new process has another clock
 	w.answered, w.endsReported, w.restartUnnamed = false, false, false
 	w.storedEnd, w.receivedEnd, w.receivedEndFlush, w.acknowledgedEnd, w.listedEnd = 0, 0, 0, 0, 0
 	w.nextHoldAt = now
