--- a/internal/entry/front/announce.go
+++ b/internal/entry/front/announce.go
@@ -94,7 +94,7 @@
 	}
 	s.front.announcements.add(now(), vm)
 	vm.Capacity = capacityOrDefault(vm.Capacity)
-	if !o.events.TryPush(o.withWaitRecorded(func(at time.Time) { o.dispatcher.applyAnnouncement(at, vm) })) {
+	if !o.events.TryPush(o.measured(loopTopics, func(at time.Time) { o.dispatcher.applyAnnouncement(at, vm) })) {
 		return connect.NewResponse(&jobpb.AnnounceResponse{NotOwner: true}), nil
 	}
 	return connect.NewResponse(&jobpb.AnnounceResponse{}), nil
--- a/internal/entry/front/capacity_test.go
+++ b/internal/entry/front/capacity_test.go
@@ -32,7 +32,7 @@
 	f := newTestCluster(t, 2, 2, 50*time.Millisecond)
 	first := f.waitForOwner(-1)
 	o := f.entries[first].owner.Load()
-	o.push(o.ctx, func(time.Time) { close(o.yielding) })
+	o.push(o.ctx, loopTopics, func(time.Time) { close(o.yielding) })
 	// Either VM may own the cell next. Both serve requests.
 	for at := range f.entries {
 		status, body := f.request(at, http.MethodPost, "/q/"+id(at), twoStepJob)
--- a/internal/entry/front/delay_test.go
+++ b/internal/entry/front/delay_test.go
@@ -99,7 +99,7 @@
 	o := newOwner(context.Background(), f.entries[0].Front, lease.Record{Epoch: 7}, time.Time{}, lease.CellClock{}, 1)
 	handled := 0
 	for range eventQueueSize {
-		o.push(o.ctx, func(time.Time) { handled++ })
+		o.push(o.ctx, loopTopics, func(time.Time) { handled++ })
 	}
 	o.handleQueuedEvents()
 	assert.Equal(t, handled, eventQueueSize)
--- a/internal/entry/front/dispatcher.go
+++ b/internal/entry/front/dispatcher.go
@@ -184,7 +184,7 @@
 		began := now()
 		res, err := f.peers.relayClient(relay).Carry(ctx, connect.NewRequest(req))
 		f.metrics.recordLatency("relayBatch", now().Sub(began))
-		o.push(o.ctx, func(at time.Time) { r.finishBatch(at, relay, batch, err, err == nil && res.Msg.GetDeposed()) })
+		o.push(o.ctx, loopResults, func(at time.Time) { r.finishBatch(at, relay, batch, err, err == nil && res.Msg.GetDeposed()) })
 	}()
 }
 
@@ -232,7 +232,7 @@
 	if o == nil || o.record.Epoch != m.Msg.GetEpoch() {
 		return connect.NewResponse(&jobpb.ReportResponse{NotOwner: true}), nil
 	}
-	if !o.events.Push(ctx, o.withWaitRecorded(func(at time.Time) { o.dispatcher.applyResults(at, relay, m.Msg.GetResults()) })) {
+	if !o.events.Push(ctx, o.measured(loopResults, func(at time.Time) { o.dispatcher.applyResults(at, relay, m.Msg.GetResults()) })) {
 		return nil, connect.NewError(connect.CodeUnavailable, ctx.Err())
 	}
 	return connect.NewResponse(&jobpb.ReportResponse{}), nil
--- /dev/null
+++ b/internal/entry/front/looptime.go
@@ -0,0 +1,86 @@
+package front
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+)
+
+// loopDuty is a kind of work of the owner's loop.
+type loopDuty int
+
+const (
+	// loopResults is to apply the results of orders.
+	loopResults loopDuty = iota
+	// loopRequests is to handle requests of callers.
+	loopRequests
+	// loopStored is to handle the end of an append.
+	loopStored
+	// loopTopics is to apply records of topics, the configuration and announcements.
+	loopTopics
+	// loopDecide is to let the cell decide, loopRoute to queue its orders and to encode
+	// batches, and loopFlush to encode records.
+	loopDecide
+	loopRoute
+	loopFlush
+	numLoopDuties
+)
+
+func (d loopDuty) String() string {
+	return [numLoopDuties]string{"results", "requests", "stored", "topics", "decide", "route", "flush"}[d]
+}
+
+// workLogInterval is the time between lines about the owner's work.
+const workLogInterval = 2 * time.Second
+
+// loopTime accounts for the time of the owner's loop. It includes the time for which the
+// loop did not get a processor.
+type loopTime struct {
+	spent, loggedSpent [numLoopDuties]time.Duration
+	events             [numLoopDuties]int64
+	loggedEvents       [numLoopDuties]int64
+	loggedAt           time.Time
+	loggedProcess      time.Duration
+}
+
+// add adds the time since began to a duty.
+func (l *loopTime) add(d loopDuty, began time.Time) {
+	l.spent[d] += time.Since(began)
+	l.events[d]++
+}
+
+// logFields returns the milliseconds and the number of calls of each duty since the last call,
+// and the processor time of the whole process.
+func (l *loopTime) logFields(at time.Time, process time.Duration) logrus.Fields {
+	fields := logrus.Fields{"elapsedMs": at.Sub(l.loggedAt).Milliseconds(), "processMs": (process - l.loggedProcess).Milliseconds()}
+	for d := range numLoopDuties {
+		fields[d.String()+"Ms"] = (l.spent[d] - l.loggedSpent[d]).Milliseconds()
+		fields[d.String()] = l.events[d] - l.loggedEvents[d]
+	}
+	l.loggedAt, l.loggedProcess, l.loggedSpent, l.loggedEvents = at, process, l.spent, l.events
+	return fields
+}
+
+// processTime returns the processor time that this process has used.
+func processTime() (time.Duration, error) {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0, err
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), nil
+}
+
+// logWork logs where the time of the loop went, and the time of the whole process.
+func (o *owner) logWork(at time.Time) {
+	if at.Sub(o.loopTime.loggedAt) < workLogInterval {
+		return
+	}
+	process, err := processTime()
+	fields := o.loopTime.logFields(at, process)
+	fields["epoch"] = o.record.Epoch
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	o.front.log.Event("owner work", fields)
+}
--- a/internal/entry/front/metrics.go
+++ b/internal/entry/front/metrics.go
@@ -12,6 +12,7 @@
 
 	"bamboofall.example/bamboofall/internal/entry/metricset"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/jobs/stage"
 	"bamboofall.example/bamboofall/internal/jobs/usage"
 )
 
@@ -54,6 +55,23 @@
 	})
 }
 
+// updateStages exports how many jobs or tasks of each queue have passed each stage, and the
+// time that they spent there in milliseconds.
+func (m *metrics) updateStages(account *stage.Account) {
+	account.Each(func(queue string, s stage.Stage, f stage.Figure) {
+		tags := map[string]string{"queue": queue, "stage": s.String()}
+		m.SetTotal("stagesPassed", tags, f.Count)
+		m.SetTotal("stageMilliseconds", tags, f.Total.Milliseconds())
+	})
+}
+
+// updateWork exports the time that the owner's loop has spent on each duty in milliseconds.
+func (m *metrics) updateWork(spent [numLoopDuties]time.Duration) {
+	for d, total := range spent {
+		m.SetTotal("ownerLoopMilliseconds", map[string]string{"duty": loopDuty(d).String()}, total.Milliseconds())
+	}
+}
+
 // updateStatus exports a status as gauges. Gauges that the status does not have become
 // NaN, as zero would be the value of something that has just happened.
 func (m *metrics) updateStatus(status map[string]float64) {
--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -35,7 +35,7 @@
 		}
 	}
 	o.countWithheld(err)
-	o.push(o.ctx, func(at time.Time) { o.applyResult(at, q.Order, report, err) })
+	o.push(o.ctx, loopResults, func(at time.Time) { o.applyResult(at, q.Order, report, err) })
 }
 
 func (o *owner) countWithheld(err error) {
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -96,6 +96,7 @@
 	appending        bool
 	waiters          []waiter
 	metricsUpdatedAt time.Time
+	loopTime         loopTime
 	// appendErr is the error of a failed append, which stops the owner.
 	appendErr error
 	// delay is the owner's own delay, computed at delayUpdatedAt. slowLoggedAt is when
@@ -286,16 +287,19 @@
 }
 
 // push adds an event to the queue of the loop and measures how long it waits there.
-func (o *owner) push(ctx context.Context, f func(at time.Time)) {
-	o.events.Push(ctx, o.withWaitRecorded(f))
+func (o *owner) push(ctx context.Context, d loopDuty, f func(at time.Time)) {
+	o.events.Push(ctx, o.measured(d, f))
 }
 
-// withWaitRecorded returns f extended to record the time from now until it is called.
-func (o *owner) withWaitRecorded(f func(at time.Time)) func(at time.Time) {
+// measured returns f extended to record the time from now until it is called, and how long
+// it takes.
+func (o *owner) measured(d loopDuty, f func(at time.Time)) func(at time.Time) {
 	arrived := time.Now()
 	return func(at time.Time) {
-		o.delays.recordWait(delayEvent, time.Since(arrived))
+		began := time.Now()
+		o.delays.recordWait(delayEvent, began.Sub(arrived))
 		f(at)
+		o.loopTime.add(d, began)
 	}
 }
 
@@ -322,18 +326,25 @@
 			return err
 		}
 	}
+	began := time.Now()
 	o.dispatcher.step(at)
+	o.loopTime.add(loopRoute, began)
+	o.logWork(at)
 	if at.Sub(o.metricsUpdatedAt) >= metricsInterval {
 		o.metricsUpdatedAt = at
 		o.front.metrics.updateCellCounters(o.cell.Counters())
 		o.front.metrics.updateUsage(o.cell.Usage())
+		o.front.metrics.updateStages(o.cell.Stages())
+		o.front.metrics.updateWork(o.loopTime.spent)
 		o.dispatcher.updateMetrics(o.front.metrics)
 		o.updateProgress()
 	}
 	if o.appending {
 		return nil
 	}
+	began = time.Now()
 	records, flush, err := o.cell.Flush()
+	o.loopTime.add(loopFlush, began)
 	if err != nil {
 		return err
 	}
@@ -350,16 +361,19 @@
 	began := time.Now()
 	out := o.cell.Step(at)
 	o.delays.recordStep(time.Since(began))
+	o.loopTime.add(loopDecide, began)
 	for _, n := range out.Notes {
 		o.front.log.Note(o.record.Epoch, n)
 	}
 	if out.Deposed {
 		return errDeposed
 	}
+	began = time.Now()
 	for _, order := range out.Orders {
 		o.inFlight.Add(1)
 		o.dispatcher.route(at, order)
 	}
+	o.loopTime.add(loopRoute, began)
 	return nil
 }
 
@@ -367,7 +381,7 @@
 // stored flushes in the loop.
 func (o *owner) storeRecords(records []bamboofall.StoreRecord, flush uint64) {
 	err := o.appendFlush(o.ctx, records)
-	o.push(o.ctx, func(at time.Time) {
+	o.push(o.ctx, loopStored, func(at time.Time) {
 		o.appending = false
 		if err != nil {
 			o.appendErr = err
@@ -425,19 +439,19 @@
 }
 
 func (o *owner) setConfiguration(conf *bamboofall.Configuration) {
-	o.push(o.ctx, func(time.Time) { o.cell.SetConfiguration(conf) })
+	o.push(o.ctx, loopTopics, func(time.Time) { o.cell.SetConfiguration(conf) })
 }
 
 // followWorkers applies worker records from an offset on.
 func (o *owner) followWorkers(ctx context.Context, from int64) error {
 	return o.front.follow(ctx, platform.TopicWorkers, from, workersLongPoll, topicReader{
 		apply: func(r bamboofall.StoredRecord) {
-			o.push(ctx, func(at time.Time) { o.applyWorkerRecord(at, r) })
+			o.push(ctx, loopTopics, func(at time.Time) { o.applyWorkerRecord(at, r) })
 		},
 		applyNewest: func(records []bamboofall.StoredRecord) {
-			o.push(ctx, func(at time.Time) { o.applyNewestWorkers(at, records) })
+			o.push(ctx, loopTopics, func(at time.Time) { o.applyNewestWorkers(at, records) })
 		},
-		caughtUp: func(int64) { o.push(ctx, o.cell.WorkersRead) },
+		caughtUp: func(int64) { o.push(ctx, loopTopics, o.cell.WorkersRead) },
 	})
 }
 
@@ -484,9 +498,9 @@
 func (o *owner) followInbox(ctx context.Context, from int64) error {
 	return o.front.follow(ctx, topicInbox, from, inboxLongPoll, topicReader{
 		apply: func(r bamboofall.StoredRecord) {
-			o.push(ctx, func(at time.Time) { o.applyInboxRecord(at, r) })
+			o.push(ctx, loopTopics, func(at time.Time) { o.applyInboxRecord(at, r) })
 		},
-		caughtUp: func(int64) { o.push(ctx, o.progress.inboxReadAt.set) },
+		caughtUp: func(int64) { o.push(ctx, loopTopics, o.progress.inboxReadAt.set) },
 	})
 }
 
@@ -557,7 +571,7 @@
 		return none, errNotOwner
 	}
 	done := make(chan T, 1)
-	if !o.events.TryPush(o.withWaitRecorded(func(at time.Time) { f(at, func(v T) { done <- v }) })) {
+	if !o.events.TryPush(o.measured(loopRequests, func(at time.Time) { f(at, func(v T) { done <- v }) })) {
 		return none, errNotOwner
 	}
 	select {
--- a/internal/entry/front/resize_test.go
+++ b/internal/entry/front/resize_test.go
@@ -67,7 +67,7 @@
 		}, poll.WithTimeout(20*time.Second), poll.WithDelay(time.Millisecond))
 	}
 	started := make(chan int64, 1)
-	o.push(f.t.Context(), func(time.Time) { started <- o.cell.Counters().Started })
+	o.push(f.t.Context(), loopTopics, func(time.Time) { started <- o.cell.Counters().Started })
 	assert.Equal(f.t, <-started, int64(0))
 }
 
@@ -78,7 +78,7 @@
 	f.waitForLines("store lost", 1)
 	o := f.entries[f.waitForOwner(-1)].owner.Load()
 	handled := make(chan struct{})
-	o.push(f.t.Context(), func(time.Time) { close(handled) })
+	o.push(f.t.Context(), loopTopics, func(time.Time) { close(handled) })
 	<-handled // so are the last read and the answers of workers before it
 	// An answer is under way for a while, and the owner takes the clock in it for present.
 	const answerDelay = 500 * time.Millisecond
--- a/internal/entry/front/unserving_owner_test.go
+++ b/internal/entry/front/unserving_owner_test.go
@@ -162,7 +162,7 @@
 	blocked := make(chan struct{})
 	t.Cleanup(func() { close(blocked) })
 	o := f.entries[first].owner.Load()
-	o.push(t.Context(), func(time.Time) { <-blocked })
+	o.push(t.Context(), loopTopics, func(time.Time) { <-blocked })
 	f.assertServedWithin(other, id(2), maxServiceGap)
 	assert.DeepEqual(t, f.audit.Violations(), []string(nil))
 }
--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -9,6 +9,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
+	"bamboofall.example/bamboofall/internal/jobs/stage"
 )
 
 type attemptState uint8
@@ -37,6 +38,8 @@
 	// confirmedAt is when the worker last confirmed the run. Calls can overtake each
 	// other, so only the answer to a call sent later can show that the run is gone.
 	confirmedAt time.Time
+	// placedAt is when the task was placed at the worker.
+	placedAt time.Time
 	// unknownSince is when the outcome of the start became unknown.
 	unknownSince time.Time
 	startedAt    time.Time
@@ -175,6 +178,10 @@
 		c.recordWorker(w) // the worker does not drain any more
 	}
 	a := c.reserve(w, t, run)
+	a.placedAt = now
+	if t.lastRun == 0 {
+		c.passStage(t.step.occ.job, stage.Placement, now.Sub(t.step.readyAt))
+	}
 	t.lastRun = max(t.lastRun, run)
 	t.step.occ.job.starvedSince = time.Time{}
 	c.budget.Start()
@@ -244,6 +251,7 @@
 	}
 	a.state = attemptStarting
 	a.startedAt = now
+	c.passStage(t.step.occ.job, stage.Release, now.Sub(a.placedAt))
 	checkpoint := t.checkpoint
 	if t.step.gang != nil {
 		checkpoint = t.step.gang.checkpoint
@@ -279,6 +287,7 @@
 		return
 	}
 	if err == nil {
+		c.passStage(a.task.step.occ.job, stage.Confirmation, now.Sub(a.startedAt))
 		a.confirmRunning(now)
 		a.named = !s.Born.IsZero() || w.clockNamesProcess(now, s.Clock)
 		a.confirmedAt, a.progressedAt = now, now
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -10,6 +10,7 @@
 	"bamboofall.example/bamboofall/internal/jobs/duration"
 	"bamboofall.example/bamboofall/internal/jobs/freshness"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
+	"bamboofall.example/bamboofall/internal/jobs/stage"
 	"bamboofall.example/bamboofall/internal/jobs/tailtier"
 	"bamboofall.example/bamboofall/internal/jobs/usage"
 	"bamboofall.example/bamboofall/internal/state/lease"
@@ -122,10 +123,12 @@
 	bestEffortSampledAt time.Time
 	pressure            *pressure.Model
 	usage               usage.Account
-	fits                fitCache
-	workerListing       freshness.List
-	candidates          candidateSet
-	holdQueue           holdCandidates
+	// stages holds the times of all jobs, recentStages those since the last summary.
+	stages, recentStages stage.Account
+	fits                 fitCache
+	workerListing        freshness.List
+	candidates           candidateSet
+	holdQueue            holdCandidates
 }
 
 // Counters counts the actions of an owner.
@@ -299,6 +302,7 @@
 	if now.Sub(c.lastSummary) >= summaryInterval {
 		c.lastSummary = now
 		c.summarize(now)
+		c.summarizeStages()
 	}
 }
 
@@ -349,6 +353,23 @@
 		status.IdleJobs, status.LongestIdle.Round(time.Millisecond), status.LongestIdleWithRoom.Round(time.Millisecond), status.Recovering, &c.usage)})
 }
 
+// passStage records that a job of a queue has spent a time in a stage.
+func (c *Cell) passStage(j *job, s stage.Stage, d time.Duration) {
+	c.stages.Add(j.Job.Queue, s, d)
+	c.recentStages.Add(j.Job.Queue, s, d)
+}
+
+// Stages returns the times that jobs have spent in each stage.
+func (c *Cell) Stages() *stage.Account { return &c.stages }
+
+// summarizeStages logs the times of the stages since the last summary.
+func (c *Cell) summarizeStages() {
+	if text := c.recentStages.String(); text != "" {
+		c.note(Note{Event: "stages", Detail: text})
+	}
+	c.recentStages.Reset()
+}
+
 func (c *Cell) note(n Note) { c.out.Notes = append(c.out.Notes, n) }
 
 // Jobs returns the number of known jobs and of those that have not ended.
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -13,6 +13,7 @@
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
 	"bamboofall.example/bamboofall/internal/jobs/recordsize"
+	"bamboofall.example/bamboofall/internal/jobs/stage"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
 
@@ -44,6 +45,15 @@
 	// unstoredStates holds the job states that were flushed but are not known to be
 	// stored, in flush order.
 	unstoredStates []stateChange
+	// unstoredJobs holds the accepted jobs that were flushed but are not known to be stored,
+	// in flush order.
+	unstoredJobs []unstoredJob
+}
+
+// unstoredJob is a job whose specification is part of a flush.
+type unstoredJob struct {
+	flush uint64
+	job   *job
 }
 
 // stateChange is a job state that becomes visible once a flush is stored.
@@ -117,6 +127,7 @@
 		if err := add(keyJob+string(id), encodeJob(j)); err != nil {
 			return nil, 0, err
 		}
+		p.unstoredJobs = append(p.unstoredJobs, unstoredJob{p.nextFlush, j})
 	}
 	for id, j := range p.jobs {
 		m := encodeProgress(j)
@@ -158,6 +169,11 @@
 		n++
 	}
 	p.unstoredStates = p.unstoredStates[n:]
+	for len(p.unstoredJobs) > 0 && p.unstoredJobs[0].flush <= p.storedFlush {
+		j := p.unstoredJobs[0].job
+		c.passStage(j, stage.Acceptance, now.Sub(j.accepted))
+		p.unstoredJobs = p.unstoredJobs[1:]
+	}
 	c.orderStoredStarts(now)
 	c.holdStoredEnds(now)
 }
