--- a/internal/jobs/admission/admission.go
+++ b/internal/jobs/admission/admission.go
@@ -6,6 +6,11 @@
 // no capacity from them and its result may still have value to its caller. A job is
 // refused if it would have to wait so long that its result had no value. The caller
 // is told when the backlog is expected to be short enough.
+//
+// An owner with too little of a processor is a limit of its own: it may be unable to start
+// the tasks ahead in time though workers are idle. Then a job is refused if its objective
+// cannot be met, as each job that the owner accepts, starts and reports in vain takes its
+// processor from others.
 package admission
 
 import "time"
@@ -28,6 +33,19 @@
 	MilliProcessors int64
 	// FreeMilliProcessors is the idle part of that capacity.
 	FreeMilliProcessors int64
+	// StartsAhead is the number of tasks to start before those of the job, and
+	// StartsPerSecond how many the owner of the cell starts, or zero if it is not the owner
+	// that limits them.
+	StartsAhead     int
+	StartsPerSecond float64
+}
+
+// startTime returns how long the owner takes for a number of starts.
+func (l Load) startTime(starts int) time.Duration {
+	if l.StartsPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(starts) / l.StartsPerSecond * float64(time.Second))
 }
 
 // Job describes the job to decide on.
@@ -39,8 +57,12 @@
 	CriticalPath time.Duration
 	// TimeToExpiry is the time left until its result has no value any more.
 	TimeToExpiry time.Duration
+	// TimeToDue is the time left until its objective.
+	TimeToDue time.Duration
 	// FirstMilliProcessors is what the tasks need that can start at once.
 	FirstMilliProcessors int64
+	// Starts is the number of its tasks.
+	Starts int
 }
 
 // Decision says whether a job is accepted.
@@ -59,10 +81,16 @@
 	}
 	processors := float64(load.MilliProcessors) / 1000 * usableShare
 	wait := time.Duration(float64(load.WorkAhead) / processors)
-	duration := max(job.CriticalPath, time.Duration(float64(job.Work)/processors))
+	duration := max(job.CriticalPath, time.Duration(float64(job.Work)/processors), load.startTime(job.Starts))
 	slack := job.TimeToExpiry - duration
-	if job.FirstMilliProcessors <= load.FreeMilliProcessors || wait <= slack {
+	startWait := load.startTime(load.StartsAhead)
+	startsInTime := load.StartsPerSecond <= 0 || startWait <= job.TimeToDue-duration
+	if startsInTime && (job.FirstMilliProcessors <= load.FreeMilliProcessors || wait <= slack) {
 		return Decision{Accept: true, Wait: wait}
 	}
-	return Decision{Wait: wait, RetryAfter: min(max(wait-max(slack, 0), minRetryAfter), MaxRetryAfter)}
+	excess := wait - max(slack, 0)
+	if !startsInTime {
+		excess = max(excess, startWait-max(job.TimeToDue-duration, 0))
+	}
+	return Decision{Wait: max(wait, startWait), RetryAfter: min(max(excess, minRetryAfter), MaxRetryAfter)}
 }
--- a/internal/jobs/admission/admission_test.go
+++ b/internal/jobs/admission/admission_test.go
@@ -14,10 +14,10 @@
 		load   Load
 		accept bool
 	}{
-		{"no backlog", Load{0, 100_000, 0}, true},
-		{"backlog that ends in time", Load{600 * time.Second, 100_000, 0}, true},
-		{"burst that takes too long", Load{2000 * time.Second, 100_000, 0}, false},
-		{"same burst with idle processors", Load{2000 * time.Second, 100_000, 30_000}, true},
+		{"no backlog", Load{MilliProcessors: 100_000}, true},
+		{"backlog that ends in time", Load{WorkAhead: 600 * time.Second, MilliProcessors: 100_000}, true},
+		{"burst that takes too long", Load{WorkAhead: 2000 * time.Second, MilliProcessors: 100_000}, false},
+		{"same burst with idle processors", Load{WorkAhead: 2000 * time.Second, MilliProcessors: 100_000, FreeMilliProcessors: 30_000}, true},
 		{"no workers", Load{}, false},
 	} {
 		d := Decide(c.load, job)
@@ -41,3 +41,23 @@
 	d = Decide(Load{WorkAhead: time.Second, MilliProcessors: 1000_000}, Job{FirstMilliProcessors: 1})
 	assert.Equal(t, d.RetryAfter, minRetryAfter)
 }
+
+// An owner that starts 100 tasks per second cannot start the 500 tasks ahead before the
+// objective of a job that takes 2 s and is due in 6 s, though workers are idle. The caller is
+// told when it could.
+func TestDecideRefusesWhatOwnerCannotStartInTime(t *testing.T) {
+	job := Job{CriticalPath: 2 * time.Second, TimeToDue: 6 * time.Second, TimeToExpiry: 18 * time.Second, FirstMilliProcessors: 1000, Starts: 50}
+	load := Load{MilliProcessors: 100_000, FreeMilliProcessors: 100_000, StartsAhead: 500, StartsPerSecond: 100}
+	d := Decide(load, job)
+	assert.DeepEqual(t, d, Decision{Wait: 5 * time.Second, RetryAfter: time.Second})
+
+	load.StartsAhead -= int(load.StartsPerSecond * d.RetryAfter.Seconds())
+	assert.Assert(t, Decide(load, job).Accept, "refused after RetryAfter")
+
+	load.StartsAhead, load.StartsPerSecond = 500, 0
+	assert.Assert(t, Decide(load, job).Accept, "refused although the owner could start more")
+
+	load.StartsPerSecond, job.Starts = 10, 100
+	load.StartsAhead = 0
+	assert.Assert(t, !Decide(load, job).Accept, "accepted although its own starts take too long")
+}
--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -70,6 +70,8 @@
 	pacePending           bool
 	// pausedSince is the last time at which targetPace was above zero.
 	pausedSince time.Time
+	// moveCheckedAt is when it was last checked whether the run can move.
+	moveCheckedAt time.Time
 	// withdrawn is set once the start order must not be sent any more.
 	withdrawn atomic.Bool
 	// resumed reports whether the run began from a checkpoint.
@@ -184,7 +186,7 @@
 	}
 	t.lastRun = max(t.lastRun, run)
 	t.step.occ.job.starvedSince = time.Time{}
-	c.budget.Start()
+	c.budget.Start(t.step.occ.job.priority())
 	w.health.RecordAssignment(now)
 	s := t.step
 	if !s.released {
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -97,6 +97,8 @@
 	zoneLossyAt map[bamboofall.DataCentre]time.Time
 	// owner is the delay that the owner itself adds to orders and answers.
 	owner callbudget.Delay
+	// ownerQueueing is the part of this delay that is spent in queues.
+	ownerQueueing callbudget.Delay
 	// confirmedAt is when this owner's claim on the cell was last confirmed.
 	confirmedAt time.Time
 	// withheldAt is when the owner last withheld an order for a reason of its own.
@@ -113,6 +115,8 @@
 	meanWork map[string]time.Duration
 	// placedAt is when placement last ran.
 	placedAt time.Time
+	// allPlacedAt is when placement last looked at all waiting steps.
+	allPlacedAt time.Time
 	// learnedDue is set when the next flush is to include the learned state.
 	learnedDue bool
 	// learnedAt is when learnedDue was last set.
@@ -259,7 +263,7 @@
 
 // Step makes the decisions that are due and returns them.
 func (c *Cell) Step(now time.Time) Output {
-	c.budget.Refill(now, c.ownerSlow(now))
+	c.budget.Refill(now, c.ownerLevel(now))
 	c.endAvoidance(now)
 	c.scan(now)
 	c.orderStoredStarts(now)
@@ -279,7 +283,7 @@
 	if now.Before(c.nextScan) {
 		return
 	}
-	c.nextScan = now.Add(scanInterval)
+	c.nextScan = now.Add(max(scanInterval, 2*c.busyPause(now)))
 	c.finishRecovery(now)
 	c.openDueOccurrences(now)
 	c.expireEnded(now)
--- a/internal/jobs/cell/cell_test.go
+++ b/internal/jobs/cell/cell_test.go
@@ -573,3 +573,23 @@
 	checks := (o.FitChecks() - checksBefore) / ends
 	assert.Assert(t, checks <= 2*66, "%d checks per run end", checks)
 }
+
+// While an owner is late, events come faster than it decides. If it looked at the backlog after
+// each of them, the cost of a decision would grow with the backlog and make it later.
+func TestBusyOwnerDecidesOnBacklogTogether(t *testing.T) {
+	checksPerEnd := func(queueing time.Duration) int {
+		o := newBenchOwner(t, 66, true)
+		const ends = 400
+		checksBefore, done := o.FitChecks(), o.Counters().Done
+		for range ends {
+			o.now = o.now.Add(time.Millisecond)
+			o.SetOwnerQueueing(o.now, queueing)
+			o.end()
+			o.step(t)
+		}
+		assert.Equal(t, o.Counters().Done-done, int64(ends))
+		return (o.FitChecks() - checksBefore) / ends
+	}
+	idle, busy := checksPerEnd(0), checksPerEnd(50*time.Millisecond)
+	assert.Assert(t, 2*busy <= idle, "%d checks per run end while the owner is late, %d otherwise", busy, idle)
+}
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -223,6 +223,15 @@
 	return o
 }
 
+// priority returns the priority of the job's queue, or that of the most urgent ones if the
+// queue is not known.
+func (j *job) priority() int {
+	if j.queue == nil {
+		return 0
+	}
+	return j.queue.Priority
+}
+
 // openReadySteps makes the tasks of all steps without unfinished dependencies ready.
 func (c *Cell) openReadySteps(now time.Time, o *occurrence) {
 	for _, s := range o.steps {
--- a/internal/jobs/cell/overload.go
+++ b/internal/jobs/cell/overload.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"bamboofall.example/bamboofall/internal/jobs/callbudget"
+)
 
 // SlowOwnerDelay is the delay from which an owner counts as slow. It is a quarter of the
 // order timeout, so that most answers still arrive in time.
@@ -14,6 +18,31 @@
 	c.owner.Report(now, d)
 }
 
+// SetOwnerQueueing reports how long work waits in the owner's own queues. Unlike the delay,
+// it does not include the network.
+func (c *Cell) SetOwnerQueueing(now time.Time, d time.Duration) { c.ownerQueueing.Report(now, d) }
+
+// ownerLevel returns how busy the owner is.
+func (c *Cell) ownerLevel(now time.Time) callbudget.Level {
+	switch {
+	case c.ownerSlow(now):
+		return callbudget.Slow
+	case c.ownerQueueing.At(now) >= callbudget.QueueingTarget:
+		return callbudget.Full
+	}
+	return callbudget.Light
+}
+
+// maxBusyPause bounds busyPause, so that a slow owner still decides.
+const maxBusyPause = 100 * time.Millisecond
+
+// busyPause returns the shortest time between two runs of a decision that looks at all waiting
+// tasks or all workers. What changes while a busy owner waits is decided on together, so that
+// the cost of these decisions does not grow with its backlog.
+func (c *Cell) busyPause(now time.Time) time.Duration {
+	return min(c.ownerQueueing.At(now), maxBusyPause)
+}
+
 // ownerSlow reports whether the owner itself may be the reason for late answers.
 func (c *Cell) ownerSlow(now time.Time) bool { return c.owner.At(now) >= SlowOwnerDelay }
 
@@ -38,6 +67,15 @@
 // mayStart reports whether the budget allows another start.
 func (c *Cell) mayStart() bool { return !c.callsLimited() || c.budget.MayStart() }
 
+// startRate returns the starts per second that the owner has for a priority. It returns false
+// if it could make more.
+func (c *Cell) startRate(priority int) (perSecond float64, limited bool) {
+	if !c.callsLimited() {
+		return 0, false
+	}
+	return c.budget.StartRate(priority)
+}
+
 // mayCall reports whether a worker may be called. Calls that renew leases or monitor tail
 // latencies are always allowed.
 func (c *Cell) mayCall(now time.Time, w *worker) bool {
--- a/internal/jobs/cell/pace.go
+++ b/internal/jobs/cell/pace.go
@@ -15,6 +15,9 @@
 	tailSettleTime = 1500 * time.Millisecond
 	// pausedMoveDelay is how long a best-effort task is paused before it is moved.
 	pausedMoveDelay = 600 * time.Millisecond
+	// movePauses is the time between two checks whether a run can move, in pauses of a busy
+	// owner.
+	movePauses = 10
 	// drainMargin is the part of a draining worker's remaining time that is reserved for
 	// stopping its tasks.
 	drainMargin = 600 * time.Millisecond
@@ -75,7 +78,7 @@
 		if !a.task.step.BestEffort || a.state != attemptRunning || a.pacePending || a.stopping {
 			continue
 		}
-		if a.targetPace == 0 && a.task.step.Checkpointing && now.Sub(a.pausedSince) >= pausedMoveDelay && c.canMove(now, a.task) {
+		if a.targetPace == 0 && a.task.step.Checkpointing && now.Sub(a.pausedSince) >= pausedMoveDelay && c.moveCheckDue(now, a) && c.canMove(now, a.task) {
 			c.stop(now, a, "it disturbs serving tasks and fits at another worker")
 			continue
 		}
@@ -91,6 +94,16 @@
 	}
 }
 
+// moveCheckDue reports whether to check again if a run can move. The check looks at all
+// workers, so a busy owner makes it less often.
+func (c *Cell) moveCheckDue(now time.Time, a *attempt) bool {
+	if now.Sub(a.moveCheckedAt) < movePauses*c.busyPause(now) {
+		return false
+	}
+	a.moveCheckedAt = now
+	return true
+}
+
 // PaceAnswered handles the answer to a pace order.
 func (c *Cell) PaceAnswered(now time.Time, o Order, s bamboofall.ResponseMeta, err error) {
 	o.attempt.pacePending = false
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"bamboofall.example/bamboofall/internal/jobs/callbudget"
 	"bamboofall.example/bamboofall/internal/jobs/obstacle"
 	"bamboofall.example/bamboofall/internal/jobs/placement"
 	"bamboofall.example/bamboofall/internal/jobs/tailtier"
@@ -15,9 +16,11 @@
 // maxCopies bounds the concurrent runs of a speculative task.
 const maxCopies = 2
 
-// place assigns waiting tasks to workers, the most urgent steps first.
+// place assigns waiting tasks to workers, the most urgent steps first. A busy owner looks at
+// jobs that cannot be in time only once each placeInterval, as looking takes its processor
+// from those that can.
 func (c *Cell) place(now time.Time) {
-	if !c.placementDue || len(c.ready) == 0 || !c.mayStart() {
+	if !c.placementDue || len(c.ready) == 0 || !c.mayStart() || now.Sub(c.placedAt) < c.busyPause(now) {
 		return
 	}
 	c.placementDue = false
@@ -25,12 +28,19 @@
 	c.rank(now)
 	c.dropShapes()
 	c.fits.pass++
+	all := c.ownerLevel(now) == callbudget.Light || now.Sub(c.allPlacedAt) >= placeInterval
+	if all {
+		c.allPlacedAt = now
+	}
 	for i := range c.ranked {
 		if !c.mayStart() {
 			c.placementDue = true
 			break
 		}
 		s := c.ranked[i].step
+		if !all && c.ranked[i].Tier != urgency.InTime {
+			continue
+		}
 		if len(s.waiting) == 0 {
 			delete(c.ready, s)
 			continue
@@ -76,7 +86,7 @@
 
 // rank updates the ranking of the ready steps.
 func (c *Cell) rank(now time.Time) {
-	if now.Sub(c.rankedAt) < rankInterval {
+	if now.Sub(c.rankedAt) < max(rankInterval, 2*c.busyPause(now)) {
 		for _, s := range c.newlyReady {
 			r := rankedStep{c.urgencyOf(now, s), s}
 			at, _ := slices.BinarySearchFunc(c.ranked, r, rankedStep.compare)
@@ -170,7 +180,7 @@
 	set := &c.candidates
 	set.last = -1
 	waiting := s.waiting[:0]
-	for _, t := range s.waiting {
+	for i, t := range s.waiting {
 		if t.done || len(t.attempts) >= maxCopies {
 			t.queued = false
 			continue
@@ -179,17 +189,15 @@
 			waiting = append(waiting, t)
 			continue
 		}
-		var w *worker
-		if fits {
-			w = c.chooseForStep(now, t, set)
-		}
+		w := c.chooseForStep(now, t, set)
 		if w == nil {
 			fits = false
-			waiting = append(waiting, t)
-			continue
+			waiting = append(waiting, s.waiting[i:]...)
+			break
 		}
 		c.startWaiting(now, w, t)
 	}
+	clear(s.waiting[len(waiting):])
 	s.waiting = waiting
 	if len(waiting) == 0 {
 		delete(c.ready, s)
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -22,6 +22,7 @@
 // ranked behind those that can.
 func (c *Cell) shed(now time.Time) {
 	candidates := make(map[capacityPool][]*urgency.Candidate)
+	byPriority := make(map[int][]*urgency.Candidate)
 	jobs := make(map[*urgency.Candidate]*job)
 	seen := make(map[*job]bool)
 	for s := range c.ready {
@@ -31,20 +32,46 @@
 		}
 		seen[j] = true
 		work, startable, processors := c.workToPlace(j)
+		remaining, waiting := startsToMake(j)
 		candidate := &urgency.Candidate{
 			Due: j.due, RemainingWork: work, StartableWork: startable, Processors: processors, CriticalPath: c.criticalPathLeft(j), ValueDensity: urgency.ValueDensity(j.work, work, c.meanWork[j.Job.Queue]), Name: string(j.ID),
+			RemainingStarts: remaining, WaitingStarts: waiting,
 		}
 		p := capacityPool{j.queue.Service, j.bestEffort}
 		candidates[p] = append(candidates[p], candidate)
+		byPriority[j.queue.Priority] = append(byPriority[j.queue.Priority], candidate)
 		jobs[candidate] = j
 	}
 	for p, poolCandidates := range candidates {
 		processors, free := c.capacityOf(p)
 		urgency.ShedExcess(now, processors, free, poolCandidates)
-		for _, candidate := range poolCandidates {
-			jobs[candidate].shed = candidate.Shed
+	}
+	for priority, queued := range byPriority {
+		if perSecond, limited := c.startRate(priority); limited {
+			urgency.ShedExcessStarts(now, perSecond, queued)
+		}
+	}
+	for candidate, j := range jobs {
+		j.shed = candidate.Shed
+	}
+}
+
+// startsToMake returns how many tasks of a job are neither completed nor at a worker, and how
+// many of them are ready to start.
+func startsToMake(j *job) (total, waiting int) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			switch {
+			case s.Standing:
+			case s.unfinishedDeps > 0:
+				total += s.tasksLeft
+			default:
+				total += len(s.waiting)
+				waiting += len(s.waiting)
+			}
 		}
 	}
+	return total, waiting
 }
 
 // criticalPathLeft returns the remaining run time of a job with unlimited capacity.
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -132,25 +132,34 @@
 	for _, other := range c.open {
 		if other.work > 0 && other.queue != nil && other.queue.Service == j.queue.Service && c.placedBefore(now, other, j) {
 			l.WorkAhead += c.remainingWork(now, other)
+			if other.queue.Priority == j.queue.Priority {
+				remaining, _ := startsToMake(other)
+				l.StartsAhead += remaining
+			}
 		}
 	}
+	if perSecond, limited := c.startRate(j.queue.Priority); limited {
+		l.StartsPerSecond = perSecond
+	}
 	own := admission.Job{Work: j.work}
 	standing := false
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		standing = standing || s.Standing
+		own.Starts += s.Count
 		if len(s.After) == 0 {
 			own.FirstMilliProcessors += s.Size.MilliProcessors * int64(s.Count)
 		}
 	}
 	if standing {
-		own.Work = 0
+		own.Work, own.Starts = 0, 0
 		if float64(v.standing+own.FirstMilliProcessors) > maxStandingShare*float64(v.room) && own.FirstMilliProcessors > 0 {
 			v.reason, v.RetryAfter = ReasonStandingShare, admission.MaxRetryAfter
 			return v
 		}
 	}
 	own.CriticalPath = j.criticalPath
+	own.TimeToDue = j.due.Sub(now)
 	own.TimeToExpiry = urgency.LateFactor * j.due.Sub(now)
 	v.work, v.Decision = own.Work, admission.Decide(v.load, own)
 	return v
--- a/internal/jobs/sim/decisions_test.go
+++ b/internal/jobs/sim/decisions_test.go
@@ -65,7 +65,7 @@
 	count := 0
 	for _, n := range w.Notes {
 		switch n.Event {
-		case "summary", "waiting", "images without fills":
+		case "summary", "waiting", "images without fills", "stages":
 			continue
 		}
 		count++
--- a/internal/jobs/sim/owner.go
+++ b/internal/jobs/sim/owner.go
@@ -188,6 +188,7 @@
 				m.delaySampledAt = w.now
 				delay := m.sampleDelay()
 				w.cell.SetOwnerDelay(w.now, delay)
+				w.cell.SetOwnerQueueing(w.now, max(m.smoothedDelays[waitOrder], m.smoothedDelays[waitEvent]))
 				if w.cfg.OnOwnerDelay != nil {
 					w.cfg.OnOwnerDelay(w.now, w.cell, delay)
 				}
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -142,11 +142,35 @@
 	// LongestHarm is the longest time for which the reported tail latencies of a serving task
 	// were above its target beside best-effort tasks at work.
 	LongestHarm time.Duration
+	// Queues holds the totals of each queue.
+	Queues map[string]*QueueStats
 	// FirstStart holds the time from submission to the first start of a run, for
 	// each job that was started.
 	FirstStart []time.Duration
 }
 
+// QueueStats are the totals of the jobs of a queue.
+type QueueStats struct {
+	// Submitted counts the jobs that the owner has decided on, refused ones included.
+	Submitted, InTime, Late int
+}
+
+// queue returns the totals of a queue.
+func (s *Stats) queue(name string) *QueueStats {
+	q := s.Queues[name]
+	if q == nil {
+		q = &QueueStats{}
+		s.Queues[name] = q
+	}
+	return q
+}
+
+// Worth returns the share of the worth of the submitted jobs that was earned, if a late job
+// is worth a part of one that is in time.
+func (s QueueStats) Worth(late float64) float64 {
+	return (float64(s.InTime) + late*float64(s.Late)) / float64(max(1, s.Submitted))
+}
+
 // submission is a job as its caller knows it.
 type submission struct {
 	spec        *bamboofall.Job
@@ -214,7 +238,7 @@
 		cfg: cfg, now: start, startedAt: start, random: rand.New(rand.NewPCG(cfg.Seed, 1)), announceRandom: rand.New(rand.NewPCG(cfg.Seed, 7)),
 		store: make(map[string][]byte), jobs: make(map[bamboofall.JobID]*submission),
 		tasks: make(map[bamboofall.TaskName]*taskAudit), byID: make(map[string]*Worker),
-		deadly: make(map[bamboofall.TaskName]*deadlyTask), brokenGangs: make(map[gangRun]bool), doneGangs: make(map[gangRun]bool), nextIndex: cfg.Workers,
+		Stats: Stats{Queues: make(map[string]*QueueStats)}, deadly: make(map[bamboofall.TaskName]*deadlyTask), brokenGangs: make(map[gangRun]bool), doneGangs: make(map[gangRun]bool), nextIndex: cfg.Workers,
 	}
 	for i := range cfg.Workers {
 		x := newWorker(w, i)
@@ -356,6 +380,7 @@
 			job.queue = q
 		}
 	}
+	w.Stats.queue(spec.Queue).Submitted++
 	_, refusal := w.cell.Submit(w.now, spec)
 	if refusal != nil {
 		w.Stats.Refused++
@@ -394,8 +419,10 @@
 			w.Stats.Completed++
 			if objective := w.objective(job); took <= objective {
 				w.Stats.InTime++
+				w.Stats.queue(job.spec.Queue).InTime++
 			} else if took <= 3*objective {
 				w.Stats.Late++
+				w.Stats.queue(job.spec.Queue).Late++
 			}
 		case bamboofall.JobFailed:
 			w.Stats.Failed++
--- a/internal/jobs/urgency/shed.go
+++ b/internal/jobs/urgency/shed.go
@@ -23,6 +23,9 @@
 	// ValueDensity is the value of the job per unit of remaining work, as returned by the
 	// function ValueDensity.
 	ValueDensity float64
+	// RemainingStarts is the number of tasks that have to be started, WaitingStarts that of
+	// those which could start now.
+	RemainingStarts, WaitingStarts int
 	// Name breaks ties, so that the order is total.
 	Name string
 	// Shed is set by ShedExcess on jobs that are not to be kept in time.
@@ -42,19 +45,29 @@
 	if processors <= 0 {
 		return
 	}
+	for _, c := range candidates {
+		c.Shed = false
+	}
+	shedExcess(candidates, lowerDensity, func(c *Candidate) float64 { return float64(c.RemainingWork) }, func(c *Candidate, total float64) bool {
+		return missesDue(now, c, total, processors, free)
+	})
+}
+
+// shedExcess accepts candidates in the order of their objectives. While one of them misses its
+// objective, given the total size of those accepted, it sheds the lowest of them.
+func shedExcess(candidates []*Candidate, lower func(a, b *Candidate) bool, size func(*Candidate) float64, misses func(c *Candidate, total float64) bool) {
 	slices.SortFunc(candidates, func(a, b *Candidate) int {
 		return cmp.Or(a.Due.Compare(b.Due), cmp.Compare(a.Name, b.Name))
 	})
-	accepted := make(minDensityHeap, 0, len(candidates))
-	totalWork := 0.0
+	accepted := minDensityHeap{candidates: make([]*Candidate, 0, len(candidates)), lower: lower}
+	total := 0.0
 	for _, c := range candidates {
-		c.Shed = false
 		heap.Push(&accepted, c)
-		totalWork += float64(c.RemainingWork)
-		for !c.Shed && missesDue(now, c, totalWork, processors, free) {
+		total += size(c)
+		for !c.Shed && misses(c, total) {
 			lowest := heap.Pop(&accepted).(*Candidate)
 			lowest.Shed = true
-			totalWork -= float64(lowest.RemainingWork)
+			total -= size(lowest)
 		}
 	}
 }
@@ -72,21 +85,59 @@
 	return now.Add(lastStart + c.CriticalPath).After(c.Due)
 }
 
-// minDensityHeap is a heap of candidates with the lowest value density at the top.
-type minDensityHeap []*Candidate
+// ShedExcessStarts is ShedExcess for an owner that can start only so many tasks per second for
+// candidates of one priority: it marks those for which it cannot make all starts in time as
+// shed. Those that are shed already are left out.
+func ShedExcessStarts(now time.Time, perSecond float64, candidates []*Candidate) {
+	// Tasks that become ready meanwhile, and retries, take a part of the starts.
+	perSecond *= usableStarts
+	kept := slices.DeleteFunc(slices.Clone(candidates), func(c *Candidate) bool { return c.Shed })
+	shedExcess(kept, lowerStartDensity, func(c *Candidate) float64 { return float64(c.RemainingStarts) }, func(c *Candidate, starts float64) bool {
+		ahead := starts - float64(c.RemainingStarts-c.WaitingStarts)
+		lastStart := time.Duration(ahead / perSecond * float64(time.Second))
+		return now.Add(lastStart + c.CriticalPath).After(c.Due)
+	})
+}
+
+// usableStarts is the part of an owner's starts that waiting tasks get.
+const usableStarts = 0.85
+
+// lowerDensity reports whether a is worth less per unit of work than b.
+func lowerDensity(a, b *Candidate) bool { return a.ValueDensity < b.ValueDensity }
 
-func (h minDensityHeap) Len() int { return len(h) }
-func (h minDensityHeap) Less(i, k int) bool {
-	if h[i].ValueDensity != h[k].ValueDensity {
-		return h[i].ValueDensity < h[k].ValueDensity
+// lowerStartDensity reports whether a is worth less per start than b.
+func lowerStartDensity(a, b *Candidate) bool {
+	return a.value()*float64(b.RemainingStarts) < b.value()*float64(a.RemainingStarts)
+}
+
+// value returns the value of a candidate, in units that are the same within a queue.
+func (c *Candidate) value() float64 { return c.ValueDensity * float64(c.RemainingWork) }
+
+// minDensityHeap is a heap of candidates with the lowest density at the top.
+type minDensityHeap struct {
+	candidates []*Candidate
+	lower      func(a, b *Candidate) bool
+}
+
+func (h *minDensityHeap) Len() int { return len(h.candidates) }
+
+func (h *minDensityHeap) Less(i, k int) bool {
+	a, b := h.candidates[i], h.candidates[k]
+	if h.lower(a, b) || h.lower(b, a) {
+		return h.lower(a, b)
 	}
-	return h[i].Name > h[k].Name
+	return a.Name > b.Name
+}
+
+func (h *minDensityHeap) Swap(i, k int) {
+	h.candidates[i], h.candidates[k] = h.candidates[k], h.candidates[i]
 }
-func (h minDensityHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
-func (h *minDensityHeap) Push(x any)   { *h = append(*h, x.(*Candidate)) }
+
+func (h *minDensityHeap) Push(x any) { h.candidates = append(h.candidates, x.(*Candidate)) }
+
 func (h *minDensityHeap) Pop() any {
-	old := *h
-	c := old[len(old)-1]
-	*h = old[:len(old)-1]
+	last := len(h.candidates) - 1
+	c := h.candidates[last]
+	h.candidates = h.candidates[:last]
 	return c
 }
--- a/internal/jobs/urgency/shed_test.go
+++ b/internal/jobs/urgency/shed_test.go
@@ -50,3 +50,42 @@
 	assert.DeepEqual(t, kept(32, 64, partlyDone, unstarted), []string{"an unstarted one", "partly done"})
 	assert.DeepEqual(t, kept(32, 0, partlyDone, unstarted), []string{"partly done"})
 }
+
+// An owner that starts 20 tasks per second cannot start three jobs of 20 tasks each within a
+// second and a half. Starting them by objective alone would make two of them late.
+func TestShedExcessStartsShedsWhatOwnerCannotStart(t *testing.T) {
+	job := func(name string, dueMS, starts int, density float64) *Candidate {
+		c := candidate(name, dueMS, 1, density)
+		c.RemainingStarts, c.WaitingStarts = starts, starts
+		return c
+	}
+	keptStarts := func(perSecond float64, candidates ...*Candidate) []string {
+		ShedExcessStarts(start, perSecond/usableStarts, candidates)
+		var names []string
+		for _, c := range candidates {
+			if !c.Shed {
+				names = append(names, c.Name)
+			}
+		}
+		slices.Sort(names)
+		return names
+	}
+	jobs := func() []*Candidate {
+		return []*Candidate{job("a", 2500, 20, 2), job("b", 2500, 20, 1), job("c", 2500, 20, 3)}
+	}
+	assert.DeepEqual(t, keptStarts(60, jobs()...), []string{"a", "b", "c"})
+	assert.DeepEqual(t, keptStarts(20, jobs()...), []string{"c"})
+	assert.DeepEqual(t, keptStarts(30, jobs()...), []string{"a", "c"})
+
+	// A job with few tasks left is kept though it is worth less as a whole.
+	assert.DeepEqual(t, keptStarts(20, job("almost done", 2500, 2, 1), job("new", 2500, 30, 3)), []string{"almost done"})
+
+	// Tasks of later steps are not waited for by the critical path.
+	later := job("later steps", 2500, 40, 1)
+	later.WaitingStarts = 10
+	assert.DeepEqual(t, keptStarts(20, later), []string{"later steps"})
+
+	shed := job("shed", 2500, 100, 1)
+	shed.Shed = true
+	assert.DeepEqual(t, keptStarts(20, shed, job("a", 2500, 20, 1)), []string{"a"})
+}
