--- a/internal/entry/front/delay.go
+++ b/internal/entry/front/delay.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -40,10 +41,13 @@
 	// delayResponse is the response time of workers. Its lower quartile over many
 	// workers measures the owner's link and how late the owner reads responses.
 	delayResponse
+	// delayProcessor is how late a goroutine gets a processor that has nothing else to do than
+	// to wait for a timer. Each hop of an order or an answer through a goroutine waits so long.
+	delayProcessor
 	delayKindCount
 )
 
-var delayMetricNames = [delayKindCount]string{delayOrder: "ownerOrderWait", delayEvent: "ownerEventWait", delayTick: "ownerTickLate", delayResponse: "ownerAnswerTime"}
+var delayMetricNames = [delayKindCount]string{delayOrder: "ownerOrderWait", delayEvent: "ownerEventWait", delayTick: "ownerTickLate", delayResponse: "ownerAnswerTime", delayProcessor: "ownerProcessorWait"}
 
 // delayMonitor measures the owner's own delays. Its clock does not advance while the VM
 // is suspended, so a suspension does not count as a delay. Use newDelayMonitor.
@@ -115,12 +119,30 @@
 	d.longestStep = max(d.longestStep, took)
 }
 
+// processorProbeInterval is the time between measurements of delayProcessor.
+const processorProbeInterval = 10 * time.Millisecond
+
+// probeProcessor measures delayProcessor until the context is cancelled.
+func (d *delayMonitor) probeProcessor(ctx context.Context) error {
+	timer := time.NewTimer(processorProbeInterval)
+	defer timer.Stop()
+	for {
+		due := time.Now().Add(processorProbeInterval)
+		timer.Reset(processorProbeInterval)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			d.recordWait(delayProcessor, time.Since(due))
+		}
+	}
+}
+
 // closeWindow ends the window and returns the owner's delay: the longest of the smoothed
-// waits.
-func (d *delayMonitor) closeWindow() time.Duration {
+// waits. Queueing is the longest of those in the owner's own queues.
+func (d *delayMonitor) closeWindow() (delay, queueing time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delay := time.Duration(0)
 	for kind := range d.window {
 		w := &d.window[kind]
 		mean := time.Duration(0)
@@ -132,11 +154,14 @@
 		}
 		d.smoothed[kind] += time.Duration(delayWeight * float64(mean-d.smoothed[kind]))
 		delay = max(delay, d.smoothed[kind])
+		if delayKind(kind) != delayResponse {
+			queueing = max(queueing, d.smoothed[kind])
+		}
 		w.sum, w.n = 0, 0
 	}
 	d.responseTimes = d.responseTimes[:0]
 	clear(d.calledWorkers)
-	return delay
+	return delay, queueing
 }
 
 // logFields returns the smoothed waits, and the longest waits and steps since the owner
@@ -148,7 +173,7 @@
 		"longestOrderWaitMs": d.longestWait[delayOrder].Milliseconds(), "longestEventWaitMs": d.longestWait[delayEvent].Milliseconds(),
 		"longestTickLateMs": d.longestWait[delayTick].Milliseconds(), "longestStepMs": d.longestStep.Milliseconds(),
 		"orderWaitMs": d.smoothed[delayOrder].Milliseconds(), "eventWaitMs": d.smoothed[delayEvent].Milliseconds(),
-		"tickLateMs": d.smoothed[delayTick].Milliseconds(), "answerMs": d.smoothed[delayResponse].Milliseconds(),
+		"tickLateMs": d.smoothed[delayTick].Milliseconds(), "answerMs": d.smoothed[delayResponse].Milliseconds(), "processorWaitMs": d.smoothed[delayProcessor].Milliseconds(),
 	}
 }
 
@@ -159,12 +184,14 @@
 		return
 	}
 	o.delayUpdatedAt = at
-	o.delay = o.delays.closeWindow()
+	var queueing time.Duration
+	o.delay, queueing = o.delays.closeWindow()
 	o.cell.SetOwnerDelay(at, o.delay)
+	o.cell.SetOwnerQueueing(at, queueing)
 	o.yieldIfOverloaded(at)
 	scope := o.front.metrics.Scope
 	scope.Gauge("ownerDelaySeconds").Update(o.delay.Seconds())
-	scope.Gauge("ownerRing").Update(float64(len(o.events.Items())))
+	scope.Gauge("ownerRing").Update(float64(o.queuedEvents()))
 	scope.Gauge("ownerOrdersUnderWay").Update(float64(o.inFlight.Load()))
 	scope.Gauge("ownerOrdersWaiting").Update(float64(o.sender.queueLength()))
 	if o.delay < cell.SlowOwnerDelay || at.Sub(o.slowLoggedAt) < slowLogInterval {
@@ -180,7 +207,7 @@
 	maps.Copy(fields, o.front.machineFields())
 	known, silent := o.cell.Workers()
 	maps.Copy(fields, logrus.Fields{
-		"epoch": o.record.Epoch, "delayMs": o.delay.Milliseconds(), "ring": len(o.events.Items()), "orders": o.inFlight.Load(), "ordersWaiting": o.sender.queueLength(),
+		"epoch": o.record.Epoch, "delayMs": o.delay.Milliseconds(), "ring": o.queuedEvents(), "orders": o.inFlight.Load(), "ordersWaiting": o.sender.queueLength(),
 		"workers": known, "workersSilent": silent,
 	})
 	return fields
--- a/internal/entry/front/delay_test.go
+++ b/internal/entry/front/delay_test.go
@@ -23,12 +23,14 @@
 			d.recordWait(delayEvent, cell.SlowOwnerDelay*6/5)
 		}
 		d.recordWait(delayOrder, time.Millisecond)
-		return d.closeWindow()
+		delay, _ := d.closeWindow()
+		return delay
 	}
 	assert.Assert(t, lateWindow() < cell.SlowOwnerDelay)
 	assert.Assert(t, lateWindow() < cell.SlowOwnerDelay)
 	assert.Assert(t, lateWindow() >= cell.SlowOwnerDelay, "not slow after three late windows")
-	assert.Assert(t, d.closeWindow() < cell.SlowOwnerDelay, "still slow after a window without waits")
+	delay, _ := d.closeWindow()
+	assert.Assert(t, delay < cell.SlowOwnerDelay, "still slow after a window without waits")
 }
 
 // Silent workers or an unreachable data centre must not classify the owner as slow. A
@@ -45,7 +47,8 @@
 			for i := range slow {
 				d.recordResponse(fmt.Sprintf("slow-%d", i), timeout)
 			}
-			longest = max(longest, d.closeWindow())
+			delay, _ := d.closeWindow()
+			longest = max(longest, delay)
 		}
 		return longest
 	}
@@ -65,7 +68,8 @@
 	for range 5 {
 		d.closeWindow()
 	}
-	assert.Assert(t, d.closeWindow() < cell.SlowOwnerDelay, "still slow after windows without responses")
+	last, _ := d.closeWindow()
+	assert.Assert(t, last < cell.SlowOwnerDelay, "still slow after windows without responses")
 }
 
 // Log and metrics must show whether the owner or the workers are slow.
@@ -104,3 +108,24 @@
 	o.handleQueuedEvents()
 	assert.Equal(t, handled, eventQueueSize)
 }
+
+// Each job waits for requests and ends of appends, so these must not wait for the results of
+// orders for other jobs.
+func TestRequestsAndAppendsAreHandledBeforeResults(t *testing.T) {
+	f := newTestCluster(t, 1, 0, time.Millisecond)
+	o := newOwner(context.Background(), f.entries[0].Front, lease.Record{Epoch: 7}, time.Time{}, lease.CellClock{}, 1)
+	var handled []loopDuty
+	for _, d := range []loopDuty{loopResults, loopTopics, loopResults, loopStored, loopRequests} {
+		o.push(o.ctx, d, func(time.Time) { handled = append(handled, d) })
+	}
+	o.handleQueuedEvents()
+	assert.DeepEqual(t, handled, []loopDuty{loopStored, loopRequests, loopResults, loopTopics, loopResults})
+}
+
+func TestProcessorProbeMeasuresWait(t *testing.T) {
+	d := newDelayMonitor(newMetrics("a"))
+	ctx, cancel := context.WithTimeout(t.Context(), 20*processorProbeInterval)
+	defer cancel()
+	assert.NilError(t, d.probeProcessor(ctx))
+	assert.Assert(t, d.window[delayProcessor].n > 0)
+}
--- a/internal/entry/front/looptime.go
+++ b/internal/entry/front/looptime.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -78,6 +79,7 @@
 	}
 	process, err := processTime()
 	fields := o.loopTime.logFields(at, process)
+	maps.Copy(fields, o.delays.logFields())
 	fields["epoch"] = o.record.Epoch
 	if err != nil {
 		fields["error"] = err.Error()
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -61,9 +61,10 @@
 	record lease.Record
 	clock  lease.CellClock
 	cell   *cell.Cell
-	// events is the queue of functions that the loop runs.
-	events *ring.Ring[func(now time.Time)]
-	group  *errgroup.Group
+	// events is the queue of functions that the loop runs. It runs those in urgentEvents, on
+	// which a caller or a whole flush waits, before the others.
+	events, urgentEvents *ring.Ring[func(now time.Time)]
+	group                *errgroup.Group
 	// ctx is cancelled when the owner stops.
 	ctx context.Context
 	// ready is set once the cell has been restored.
@@ -115,7 +116,7 @@
 func newOwner(ctx context.Context, f *Front, record lease.Record, formerLeasesEnd time.Time, clock lease.CellClock, sequence uint64) *owner {
 	group, ctx := errgroup.WithContext(ctx)
 	o := &owner{
-		front: f, record: record, clock: clock, events: ring.New[func(time.Time)](eventQueueSize),
+		front: f, record: record, clock: clock, events: ring.New[func(time.Time)](eventQueueSize), urgentEvents: ring.New[func(time.Time)](eventQueueSize),
 		group: group, ctx: ctx, renewalSequence: sequence, cellSequence: sequence, delays: newDelayMonitor(f.metrics),
 		yielding: make(chan struct{}),
 		cell: cell.New(cell.Config{
@@ -137,6 +138,7 @@
 func (o *owner) run() error {
 	ctx := o.ctx
 	o.group.Go(func() error { return o.renewLoop(ctx) })
+	o.group.Go(func() error { return o.delays.probeProcessor(ctx) })
 	o.group.Go(func() error {
 		began := now()
 		offsets, err := o.restore(ctx)
@@ -273,6 +275,9 @@
 			return nil
 		case due := <-ticker.C:
 			o.delays.recordWait(delayTick, time.Since(due))
+		case f := <-o.urgentEvents.Items():
+			f(now())
+			o.handleQueuedEvents()
 		case f := <-o.events.Items():
 			f(now())
 			o.handleQueuedEvents()
@@ -288,9 +293,22 @@
 
 // push adds an event to the queue of the loop and measures how long it waits there.
 func (o *owner) push(ctx context.Context, d loopDuty, f func(at time.Time)) {
-	o.events.Push(ctx, o.measured(d, f))
+	o.queueOf(d).Push(ctx, o.measured(d, f))
+}
+
+// queueOf returns the queue for events of a duty. Callers wait for requests, and all jobs whose
+// changes were flushed for the end of an append; there are few of either, so the others wait
+// hardly longer.
+func (o *owner) queueOf(d loopDuty) *ring.Ring[func(now time.Time)] {
+	if d == loopRequests || d == loopStored {
+		return o.urgentEvents
+	}
+	return o.events
 }
 
+// queuedEvents returns the number of events that wait for the loop.
+func (o *owner) queuedEvents() int { return len(o.events.Items()) + len(o.urgentEvents.Items()) }
+
 // measured returns f extended to record the time from now until it is called, and how long
 // it takes.
 func (o *owner) measured(d loopDuty, f func(at time.Time)) func(at time.Time) {
@@ -306,7 +324,13 @@
 // handleQueuedEvents handles all events that are queued before the next step, so that the
 // number of steps does not grow with the backlog while steps are slow.
 func (o *owner) handleQueuedEvents() {
-	for range max(minEventLimit, len(o.events.Items())) {
+	for range max(minEventLimit, o.queuedEvents()) {
+		select {
+		case f := <-o.urgentEvents.Items():
+			f(now())
+			continue
+		default:
+		}
 		select {
 		case f := <-o.events.Items():
 			f(now())
@@ -571,7 +595,7 @@
 		return none, errNotOwner
 	}
 	done := make(chan T, 1)
-	if !o.events.TryPush(o.measured(loopRequests, func(at time.Time) { f(at, func(v T) { done <- v }) })) {
+	if !o.queueOf(loopRequests).TryPush(o.measured(loopRequests, func(at time.Time) { f(at, func(v T) { done <- v }) })) {
 		return none, errNotOwner
 	}
 	select {
--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -311,7 +311,7 @@
 	}
 	o.yield(logrus.Fields{
 		"epoch": o.record.Epoch, "reason": "stalled", "duty": stalled, "stalledMs": stall.Milliseconds(),
-		"ring": len(o.events.Items()), "orders": o.inFlight.Load(),
+		"ring": o.queuedEvents(), "orders": o.inFlight.Load(),
 	})
 }
 
