--- a/internal/entry/front/looptime.go
+++ b/internal/entry/front/looptime.go
@@ -80,6 +80,7 @@
 	process, err := processTime()
 	fields := o.loopTime.logFields(at, process)
 	maps.Copy(fields, o.delays.logFields())
+	fields["callsPerSecond"], fields["callsLimited"] = o.cell.CallLimit()
 	fields["epoch"] = o.record.Epoch
 	if err != nil {
 		fields["error"] = err.Error()
--- a/internal/jobs/callbudget/callbudget.go
+++ b/internal/jobs/callbudget/callbudget.go
@@ -158,6 +158,9 @@
 // Answered counts an answered call.
 func (b *Budget) Answered() { b.answered++ }
 
+// Rate returns the calls per second that are allowed.
+func (b *Budget) Rate() float64 { return b.rate }
+
 // Limited reports whether calls have had to wait lately.
 func (b *Budget) Limited() bool { return b.limited || b.wasLimited }
 
--- a/internal/jobs/cell/overload.go
+++ b/internal/jobs/cell/overload.go
@@ -61,6 +61,12 @@
 	return c.ownerSlow(now) || c.budget.Limited()
 }
 
+// CallLimit returns the calls per second that the owner may make, and whether calls have had
+// to wait lately.
+func (c *Cell) CallLimit() (perSecond float64, limited bool) {
+	return c.budget.Rate(), c.budget.Limited()
+}
+
 // callsLimited reports whether calls are limited: the owner's delay is reported.
 func (c *Cell) callsLimited() bool { return c.owner.Reported() }
 
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -62,8 +62,8 @@
 	if !v.Accept && !mustAccept {
 		c.counters.Refused++
 		c.note(Note{Event: "refused", Job: j.ID, Detail: fmt.Sprintf(
-			"%s: queue %s, %v of processor time ahead on %d milliprocessors, standing tasks reserve %d of %d, expected wait %v, retry after %v", v.reason, q.Name,
-			v.load.WorkAhead.Round(time.Second), v.load.MilliProcessors, v.standing, v.room, v.Wait.Round(time.Millisecond), v.RetryAfter.Round(time.Millisecond))})
+			"%s: queue %s, %v of processor time ahead on %d milliprocessors, %sstanding tasks reserve %d of %d, expected wait %v, retry after %v", v.reason, q.Name,
+			v.load.WorkAhead.Round(time.Second), v.load.MilliProcessors, describeStarts(v.load), v.standing, v.room, v.Wait.Round(time.Millisecond), v.RetryAfter.Round(time.Millisecond))})
 		return 0, &Refusal{Reason: v.reason, RetryAfter: v.RetryAfter}
 	}
 	c.counters.Accepted++
@@ -84,6 +84,14 @@
 	return j.stateFlush, nil
 }
 
+// describeStarts describes the starts ahead if the owner limits them.
+func describeStarts(l admission.Load) string {
+	if l.StartsPerSecond <= 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d starts ahead at %.0f per second, ", l.StartsAhead, l.StartsPerSecond)
+}
+
 // admissionVerdict is an admission decision with its inputs.
 type admissionVerdict struct {
 	admission.Decision
