--- a/internal/entry/front/delay.go
+++ b/internal/entry/front/delay.go
@@ -41,8 +41,8 @@
 	// delayResponse is the response time of workers. Its lower quartile over many
 	// workers measures the owner's link and how late the owner reads responses.
 	delayResponse
-	// delayProcessor is how late a goroutine gets a processor that has nothing else to do than
-	// to wait for a timer. Each hop of an order or an answer through a goroutine waits so long.
+	// delayProcessor is how late a goroutine that only waits for a timer gets a processor.
+	// Each goroutine that an order or an answer passes through waits as long.
 	delayProcessor
 	delayKindCount
 )
--- a/internal/entry/front/looptime.go
+++ b/internal/entry/front/looptime.go
@@ -38,28 +38,33 @@
 // loopTime accounts for the time of the owner's loop. It includes the time for which the
 // loop did not get a processor.
 type loopTime struct {
-	spent, loggedSpent [numLoopDuties]time.Duration
-	events             [numLoopDuties]int64
-	loggedEvents       [numLoopDuties]int64
-	loggedAt           time.Time
-	loggedProcess      time.Duration
+	// spent is the time spent on each duty, and calls how often it was begun.
+	spent [numLoopDuties]time.Duration
+	calls [numLoopDuties]int64
+	// logged is the state as of loggedAt, when it was last logged.
+	loggedAt time.Time
+	logged   struct {
+		spent   [numLoopDuties]time.Duration
+		calls   [numLoopDuties]int64
+		process time.Duration
+	}
 }
 
 // add adds the time since began to a duty.
 func (l *loopTime) add(d loopDuty, began time.Time) {
 	l.spent[d] += time.Since(began)
-	l.events[d]++
+	l.calls[d]++
 }
 
 // logFields returns the milliseconds and the number of calls of each duty since the last call,
 // and the processor time of the whole process.
 func (l *loopTime) logFields(at time.Time, process time.Duration) logrus.Fields {
-	fields := logrus.Fields{"elapsedMs": at.Sub(l.loggedAt).Milliseconds(), "processMs": (process - l.loggedProcess).Milliseconds()}
+	fields := logrus.Fields{"elapsedMs": at.Sub(l.loggedAt).Milliseconds(), "processMs": (process - l.logged.process).Milliseconds()}
 	for d := range numLoopDuties {
-		fields[d.String()+"Ms"] = (l.spent[d] - l.loggedSpent[d]).Milliseconds()
-		fields[d.String()] = l.events[d] - l.loggedEvents[d]
+		fields[d.String()+"Ms"] = (l.spent[d] - l.logged.spent[d]).Milliseconds()
+		fields[d.String()] = l.calls[d] - l.logged.calls[d]
 	}
-	l.loggedAt, l.loggedProcess, l.loggedSpent, l.loggedEvents = at, process, l.spent, l.events
+	l.loggedAt, l.logged.process, l.logged.spent, l.logged.calls = at, process, l.spent, l.calls
 	return fields
 }
 
--- a/internal/jobs/urgency/shed_test.go
+++ b/internal/jobs/urgency/shed_test.go
@@ -14,6 +14,11 @@
 
 func kept(processors, free float64, candidates ...*Candidate) []string {
 	ShedExcess(start, processors, free, candidates)
+	return keptNames(candidates)
+}
+
+// keptNames returns the names of the candidates that are not shed, sorted.
+func keptNames(candidates []*Candidate) []string {
 	var names []string
 	for _, c := range candidates {
 		if !c.Shed {
@@ -61,14 +66,7 @@
 	}
 	keptStarts := func(perSecond float64, candidates ...*Candidate) []string {
 		ShedExcessStarts(start, perSecond/usableStarts, candidates)
-		var names []string
-		for _, c := range candidates {
-			if !c.Shed {
-				names = append(names, c.Name)
-			}
-		}
-		slices.Sort(names)
-		return names
+		return keptNames(candidates)
 	}
 	jobs := func() []*Candidate {
 		return []*Candidate{job("a", 2500, 20, 2), job("b", 2500, 20, 1), job("c", 2500, 20, 3)}
