--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -98,8 +98,8 @@
 	load admission.Load
 	// work is the processor time of the job.
 	work time.Duration
-	// standing is the CPU that accepted standing tasks reserve, or will once they are placed,
-	// and room the CPU of all workers, in milliprocessors.
+	// standing is the CPU that standing tasks reserve and room the CPU of all workers, in
+	// milliprocessors.
 	standing, room int64
 	reason         string
 }
@@ -138,9 +138,6 @@
 		l.FreeMilliProcessors = 0
 	}
 	for _, other := range c.open {
-		if other.queue != nil && other.queue.Service == j.queue.Service {
-			v.standing += standingToPlace(other)
-		}
 		if other.work > 0 && other.queue != nil && other.queue.Service == j.queue.Service && c.placedBefore(now, other, j) {
 			l.WorkAhead += c.remainingWork(now, other)
 			if other.queue.Priority == j.queue.Priority {
@@ -176,20 +173,6 @@
 	return v
 }
 
-// standingToPlace returns the CPU in milliprocessors that standing tasks of a job will reserve
-// once they are placed.
-func standingToPlace(j *job) int64 {
-	total := int64(0)
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.Standing {
-				total += s.Size.MilliProcessors * int64(len(s.waiting))
-			}
-		}
-	}
-	return total
-}
-
 // maxStandingShare is the fraction of the CPU that standing tasks may reserve. Above it
 // urgent jobs find no capacity for minutes.
 const maxStandingShare = 0.85
