--- /dev/null
+++ b/review/stage2/cases.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// The room of a minion of the site.
+const (
+	minionCPU = 64000
+	minionMB  = 250000
+)
+
+const (
+	// settleTime is the time until an owner is elected and has reached the minions.
+	settleTime = 4 * time.Second
+	// finishTime is finish_s of the site, and idleTime how long a job may have nothing
+	// running.
+	finishTime = 14 * time.Second
+	idleTime   = 3 * time.Second
+)
+
+// step is a step of a job as a client submits it.
+type step map[string]any
+
+// jobOf returns the body of a submission.
+func jobOf(s step) map[string]any { return map[string]any{"task_spec": "spec", "steps": []step{s}} }
+
+// crashedJob is the job of the case crashes.
+const crashedJob = "c0000000000000a1"
+
+func setUpCrashes(record string) (*bed, error) {
+	return newBed(record, 3, 8, func(string) behaviour { return behaviour{lasts: true} })
+}
+
+// playCrashes has the minion crash that runs the only task of a lasting job, five times.
+func playCrashes(b *bed, trouble bool) (int, string) {
+	const (
+		crashes  = 5
+		interval = 5 * time.Second
+		downFor  = 1500 * time.Millisecond
+	)
+	time.Sleep(settleTime)
+	if !b.submit(crashedJob, jobOf(step{"count": 1, "cpu": 2000, "memory_request_mb": 1000, "long_running": true})) {
+		return notPlayed, "the job was not accepted"
+	}
+	for i := range crashes {
+		time.Sleep(interval)
+		if !trouble {
+			continue
+		}
+		for _, m := range b.minions {
+			if !m.runsOf(crashedJob) {
+				continue
+			}
+			b.note("disruption %d of %d: %s crashes and starts again after %v", i+1, crashes, m.id, downFor)
+			m.crash()
+			time.AfterFunc(downFor, func() {
+				if err := m.start(); err != nil {
+					b.note("%s does not start: %v", m.id, err)
+				}
+			})
+			break
+		}
+	}
+	time.Sleep(finishTime)
+	status, state := b.state(crashedJob)
+	starts, ends := b.counts()
+	why := fmt.Sprintf("the job is shown as %d %q after %d starts and ends %v; nobody has cancelled it", status, state, starts, ends)
+	switch {
+	case status != http.StatusOK:
+		return notPlayed, why
+	case (state == "failed" || state == "cancelled") && ends["failed"] == 0:
+		return broken, why
+	}
+	return held, why
+}
+
+const (
+	// lastJob is the job that comes after the cut in the case silent.
+	lastJob = "e00000000000ffff"
+	// smallJobs is the number of jobs before it, of smallTasks tasks each.
+	smallJobs  = 20
+	smallTasks = 400
+)
+
+func setUpSilent(record string) (*bed, error) {
+	b, err := newBed(record, 3, 6, func(task string) behaviour {
+		if strings.HasPrefix(task, lastJob) {
+			return behaviour{work: time.Second}
+		}
+		return behaviour{lasts: true}
+	})
+	if b != nil {
+		b.summary = true
+	}
+	return b, err
+}
+
+// playSilent cuts off the minion on which many small tasks run, and hands in another job
+// after that.
+func playSilent(b *bed, trouble bool) (int, string) {
+	const (
+		cutFor     = 5500 * time.Millisecond
+		recovering = 10 * time.Second
+		startLimit = 30 * time.Second
+	)
+	time.Sleep(settleTime)
+	for i := range smallJobs {
+		id := fmt.Sprintf("e%015x", i)
+		if !b.submit(id, jobOf(step{"count": smallTasks, "cpu": 6, "memory_request_mb": 20, "long_running": true, "required_label": "b"})) {
+			return notPlayed, "a small job was not accepted"
+		}
+	}
+	m := b.minions[0] // the only one with the label
+	for until := time.Now().Add(startLimit); m.runs() < smallJobs*smallTasks; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(until) {
+			return notPlayed, fmt.Sprintf("only %d of the small tasks run", m.runs())
+		}
+	}
+	b.noteCounts()
+	time.Sleep(settleTime)
+	if trouble {
+		b.note("disruption: %s is cut off and runs on", m.id)
+		m.setCut(true)
+		time.Sleep(cutFor)
+		m.setCut(false)
+		b.note("the cut has ended after %v", cutFor)
+	}
+	time.Sleep(recovering)
+	b.noteCounts()
+	if !b.submit(lastJob, jobOf(step{"count": 2, "cpu": 1000, "memory_request_mb": 1000, "estimated_ms": 1000})) {
+		return notPlayed, "the last job was not accepted"
+	}
+	time.Sleep(finishTime + idleTime)
+	status, state := b.state(lastJob)
+	why := fmt.Sprintf("%v after its acceptance the last job is shown as %d %q, and %d runs of its 2 tasks have started; %d of the %d small tasks run",
+		finishTime+idleTime, status, state, b.startsOf(lastJob), m.runs(), smallJobs*smallTasks)
+	if b.startsOf(lastJob) == 0 {
+		return broken, why
+	}
+	return held, why
+}
+
+func setUpUnknown(record string) (*bed, error) {
+	return newBed(record, 3, 4, func(string) behaviour { return behaviour{work: time.Second} })
+}
+
+// playUnknown cancels an ID that nobody has submitted, and asks for its state.
+func playUnknown(b *bed, trouble bool) (int, string) {
+	const id = "d0000000000000a1"
+	time.Sleep(settleTime)
+	for i := range 3 { // what other clients do
+		if !b.submit(fmt.Sprintf("d%015x", i), jobOf(step{"count": 2, "cpu": 1000, "memory_request_mb": 1000, "estimated_ms": 1000})) {
+			return notPlayed, "a job was not accepted"
+		}
+	}
+	if trouble {
+		b.note("disruption: one client of four cancels a job that nobody has submitted")
+		b.ask(b.daemons[0], http.MethodDelete, id, nil)
+	}
+	time.Sleep(settleTime)
+	status, state := b.state(id)
+	why := fmt.Sprintf("a job that nobody has submitted is shown as %d %q", status, state)
+	if status == http.StatusOK {
+		return broken, why
+	}
+	return held, why
+}
