--- a/review/stage2/bed.go
+++ b/review/stage2/bed.go
@@ -30,6 +30,8 @@
 type bed struct {
 	store   *standin.Store
 	storeAt string
+	// relay is between the first daemon and the store.
+	relay   *relay
 	minions []*minion
 	daemons []*daemon
 	folder  string
@@ -50,8 +52,10 @@
 type daemon struct {
 	name, ip string
 	port     int
-	cmd      *exec.Cmd
-	exited   chan struct{}
+	// store is the address of the store for this daemon.
+	store  string
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // newBed starts the store, the minions and the daemons, and publishes a configuration.
@@ -74,7 +78,10 @@
 	}
 	b.storeAt = listener.Addr().String()
 	go func() { _ = (&http.Server{Handler: b.store}).Serve(listener) }()
-	b.publish(1)
+	if b.relay, err = newRelay(b.storeAt); err != nil {
+		return b, err
+	}
+	b.publish(1, prefix)
 	for i := range minions {
 		port, err := freePort("127.0.0.1", 1)
 		if err != nil {
@@ -102,7 +109,10 @@
 		return b, err
 	}
 	for i := range daemons {
-		d := &daemon{name: fmt.Sprintf("frontend-%d", i), ip: daemonIP(network, i)}
+		d := &daemon{name: fmt.Sprintf("frontend-%d", i), ip: daemonIP(network, i), store: b.storeAt}
+		if i == 0 {
+			d.store = b.relay.address()
+		}
 		if d.port, err = freePort(d.ip, 4); err != nil {
 			return b, err
 		}
@@ -161,18 +171,22 @@
 	return 0, errors.New("no free ports")
 }
 
-// publish writes a configuration as the operator does.
-func (b *bed) publish(version int) {
-	data, _ := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-panel", "host": host, "path_prefix": prefix, "kind": "non_idempotent", "timeout_ms": 3000, "objective_ms": 1000,
+// publish writes a configuration with a queue for each path prefix, as the operator does.
+func (b *bed) publish(version int, prefixes ...string) {
+	var routes []map[string]any
+	for i, p := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r-%d", i), "host": host, "path_prefix": p, "kind": "non_idempotent", "timeout_ms": 3000, "objective_ms": 1000,
 			"priority": 0, "service": service, "max_attempts": 3, "stretch": 2.0,
-		}},
+		})
+	}
+	data, _ := json.Marshal(map[string]any{
+		"version": version, "routes": routes,
 		"services": []map[string]any{{"name": service, "health_path": "/health", "admission_check": false, "standby": false}},
 		"limits":   map[string]any{"max_body_bytes": 262144},
 	})
 	b.store.Put("keyed.op", "config", data)
+	b.note("configuration %d is acknowledged, with the queues %v", version, prefixes)
 }
 
 // settings is a settings file with the bounds of the site praf-bamboofall.
@@ -239,7 +253,7 @@
 // startDaemon starts a process of the system with the command of the deploy file.
 func (b *bed) startDaemon(d *daemon) error {
 	path := filepath.Join(b.folder, d.name+".toml")
-	text := fmt.Sprintf(settings, d.name, d.ip, zone, d.port, d.port+1, zone, d.ip, d.port+2, d.ip, d.port+3, b.storeAt)
+	text := fmt.Sprintf(settings, d.name, d.ip, zone, d.port, d.port+1, zone, d.ip, d.port+2, d.ip, d.port+3, d.store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -362,20 +376,26 @@
 
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
-// ask makes one request of a client at a daemon. The status is zero without an answer.
+// ask makes one request of a client about a job at a daemon. The status is zero without an
+// answer.
 func (b *bed) ask(d *daemon, method, id string, body any) (status int, answer string) {
+	return b.askPath(d, method, prefix+id, body)
+}
+
+// askPath is ask with the whole path.
+func (b *bed) askPath(d *daemon, method, path string, body any) (status int, answer string) {
 	var data []byte
 	if body != nil {
 		data, _ = json.Marshal(body)
 	}
-	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s%s", d.ip, d.port+2, prefix, id), bytes.NewReader(data))
+	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", d.ip, d.port+2, path), bytes.NewReader(data))
 	if err != nil {
 		return 0, err.Error()
 	}
 	req.Host = host
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Bamboofall-Timeout-Ms", "3000")
-	what := fmt.Sprintf("%s %s at %s", method, id, d.name)
+	what := fmt.Sprintf("%s %s at %s", method, path, d.name)
 	b.note("sent: %s", what)
 	client.Timeout = 4 * time.Second
 	res, err := client.Do(req)
--- a/review/stage2/cases.go
+++ b/review/stage2/cases.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -169,3 +171,70 @@
 	}
 	return held, why
 }
+
+func setUpQuiet(record string) (*bed, error) {
+	return newBed(record, 3, 4, func(string) behaviour { return behaviour{work: time.Second} })
+}
+
+// playQuiet lets the open connections of a daemon to the store go silent, has the operator
+// add a queue, and asks that daemon for the queue's count.
+func playQuiet(b *bed, trouble bool) (int, string) {
+	const (
+		contact     = 3 * time.Second // contact_ms of the site
+		configApply = 2 * time.Second // config_apply_ms of the site
+		newPrefix   = "/wire/"
+		askEvery    = 10 * time.Millisecond
+		askUntil    = 6 * time.Second
+	)
+	time.Sleep(settleTime)
+	b.relay.arm("topic=keyed.op&", trouble)
+	var silentAt time.Time
+	select {
+	case silentAt = <-b.relay.passed:
+	case <-time.After(10 * time.Second):
+		return notPlayed, "the daemon does not read the configuration"
+	}
+	if trouble {
+		b.note("disruption: the open connections of %s to the store go silent; new ones work", b.daemons[0].name)
+	}
+	time.Sleep(300 * time.Millisecond)
+	b.publish(2, prefix, newPrefix)
+	acknowledged := time.Now()
+	due := later(silentAt.Add(contact), acknowledged.Add(configApply))
+	var mu sync.Mutex
+	var refused []time.Duration
+	answered := 0
+	var asked sync.WaitGroup
+	for time.Since(silentAt) < askUntil {
+		sent := time.Now()
+		asked.Go(func() {
+			status, _ := b.askPath(b.daemons[0], http.MethodGet, newPrefix, nil)
+			mu.Lock()
+			defer mu.Unlock()
+			if !sent.After(due) {
+				return
+			}
+			answered++
+			if status == http.StatusNotFound {
+				refused = append(refused, sent.Sub(due))
+			}
+		})
+		time.Sleep(askEvery)
+	}
+	asked.Wait()
+	if status, _ := b.askPath(b.daemons[1], http.MethodGet, newPrefix, nil); status != http.StatusOK {
+		return notPlayed, "another daemon does not know the queue"
+	}
+	why := fmt.Sprintf("of %d requests sent after the machine was in touch again and the bound was over, %d got 404 for a queue that is there", answered, len(refused))
+	if len(refused) > 0 {
+		return broken, fmt.Sprintf("%s, the last %v after that", why, slices.Max(refused).Round(time.Millisecond))
+	}
+	return held, why
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -31,6 +31,7 @@
 	"silent":  {setUpSilent, playSilent},
 	"crashes": {setUpCrashes, playCrashes},
 	"unknown": {setUpUnknown, playUnknown},
+	"quiet":   {setUpQuiet, playQuiet},
 }
 
 // The daemons get a signal when the thread ends that started them.
