--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bamboofall ] && [ -x target/review-2 ] || { echo "build first: the deploy file's command, review/build-2.sh"; exit 2; }
-exec target/review-2 crashes review/7/record.txt
+exec target/review-2 forgotten review/7/record.txt
--- a/review/stage2/bed.go
+++ b/review/stage2/bed.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,6 +47,12 @@
 	starts        int
 	endsByKind    map[string]int
 	startedByTask map[string]int
+	// doneEnds holds the ends done by task, and twice the tasks of which a run started
+	// after such an end that was taken note of before or later.
+	doneEnds map[string][]*doneEnd
+	twice    map[string]bool
+	// lateDone is set once a late call was carried out.
+	lateDone atomic.Bool
 }
 
 // daemon is a process of the system.
@@ -71,13 +78,14 @@
 	b := &bed{
 		store: standin.NewStore(), folder: folder, does: does, record: file, began: time.Now(),
 		endsByKind: make(map[string]int), startedByTask: make(map[string]int),
+		doneEnds: make(map[string][]*doneEnd), twice: make(map[string]bool),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return b, err
 	}
 	b.storeAt = listener.Addr().String()
-	go func() { _ = (&http.Server{Handler: b.store}).Serve(listener) }()
+	go func() { _ = (&http.Server{Handler: http.HandlerFunc(b.serveStore)}).Serve(listener) }()
 	if b.relay, err = newRelay(b.storeAt); err != nil {
 		return b, err
 	}
@@ -124,6 +132,14 @@
 	return b, nil
 }
 
+// storeDelay is how long the store takes for an answer.
+const storeDelay = 4 * time.Millisecond
+
+func (b *bed) serveStore(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(storeDelay)
+	b.store.ServeHTTP(w, r)
+}
+
 // metricsPort is the port of the deploy file, the same at all daemons.
 const metricsPort = 9464
 
@@ -304,19 +320,55 @@
 	b.mu.Lock()
 	b.starts++
 	b.startedByTask[task]++
+	var broken []string
+	for _, e := range b.doneEnds[task] {
+		e.startedAgain = true
+		if e.noted {
+			b.twice[task] = true
+			broken = append(broken, fmt.Sprintf("TWICE: %s run %d starts at %s after run %d at %s has ended done, which was taken note of", task, run, minion, e.run, e.minion))
+		}
+	}
 	b.mu.Unlock()
+	for _, text := range broken {
+		b.note("%s", text)
+	}
 	if !b.summary {
 		b.note("start: %s run %d at %s", task, run, minion)
 	}
 }
 
-func (b *bed) ended(task string, run int, minion, how string) {
+// ended records an end, and returns it if it is done.
+func (b *bed) ended(task string, run int, minion, how string) *doneEnd {
 	b.mu.Lock()
 	b.endsByKind[how]++
+	var done *doneEnd
+	if how == "done" {
+		done = &doneEnd{run: run, minion: minion}
+		b.doneEnds[task] = append(b.doneEnds[task], done)
+	}
 	b.mu.Unlock()
 	if !b.summary {
 		b.note("end %s: %s run %d at %s", how, task, run, minion)
 	}
+	return done
+}
+
+// doneEnd is an end done.
+type doneEnd struct {
+	run    int
+	minion string
+	// noted is set once it was taken note of, and startedAgain once another run started.
+	noted, startedAgain bool
+}
+
+// noted records that an end done was taken note of.
+func (b *bed) noted(task string, e *doneEnd) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e.noted = true
+	if e.startedAgain {
+		b.twice[task] = true
+	}
 }
 
 // noteCounts writes the numbers of starts, ends and running tasks to the record.
--- a/review/stage2/cases.go
+++ b/review/stage2/cases.go
@@ -30,56 +30,6 @@
 // jobOf returns the body of a submission.
 func jobOf(s step) map[string]any { return map[string]any{"task_spec": "spec", "steps": []step{s}} }
 
-// crashedJob is the job of the case crashes.
-const crashedJob = "c0000000000000a1"
-
-func setUpCrashes(record string) (*bed, error) {
-	return newBed(record, 3, 8, func(string) behaviour { return behaviour{lasts: true} })
-}
-
-// playCrashes has the minion crash that runs the only task of a lasting job, five times.
-func playCrashes(b *bed, trouble bool) (int, string) {
-	const (
-		crashes  = 5
-		interval = 5 * time.Second
-		downFor  = 1500 * time.Millisecond
-	)
-	time.Sleep(settleTime)
-	if !b.submit(crashedJob, jobOf(step{"count": 1, "cpu": 2000, "memory_request_mb": 1000, "long_running": true})) {
-		return notPlayed, "the job was not accepted"
-	}
-	for i := range crashes {
-		time.Sleep(interval)
-		if !trouble {
-			continue
-		}
-		for _, m := range b.minions {
-			if !m.runsOf(crashedJob) {
-				continue
-			}
-			b.note("disruption %d of %d: %s crashes and starts again after %v", i+1, crashes, m.id, downFor)
-			m.crash()
-			time.AfterFunc(downFor, func() {
-				if err := m.start(); err != nil {
-					b.note("%s does not start: %v", m.id, err)
-				}
-			})
-			break
-		}
-	}
-	time.Sleep(finishTime)
-	status, state := b.state(crashedJob)
-	starts, ends := b.counts()
-	why := fmt.Sprintf("the job is shown as %d %q after %d starts and ends %v; nobody has cancelled it", status, state, starts, ends)
-	switch {
-	case status != http.StatusOK:
-		return notPlayed, why
-	case (state == "failed" || state == "cancelled") && ends["failed"] == 0:
-		return broken, why
-	}
-	return held, why
-}
-
 const (
 	// lastJob is the job that comes after the cut in the case silent.
 	lastJob = "e00000000000ffff"
@@ -146,32 +96,6 @@
 	return held, why
 }
 
-func setUpUnknown(record string) (*bed, error) {
-	return newBed(record, 3, 4, func(string) behaviour { return behaviour{work: time.Second} })
-}
-
-// playUnknown cancels an ID that nobody has submitted, and asks for its state.
-func playUnknown(b *bed, trouble bool) (int, string) {
-	const id = "d0000000000000a1"
-	time.Sleep(settleTime)
-	for i := range 3 { // what other clients do
-		if !b.submit(fmt.Sprintf("d%015x", i), jobOf(step{"count": 2, "cpu": 1000, "memory_request_mb": 1000, "estimated_ms": 1000})) {
-			return notPlayed, "a job was not accepted"
-		}
-	}
-	if trouble {
-		b.note("disruption: one client of four cancels a job that nobody has submitted")
-		b.ask(b.daemons[0], http.MethodDelete, id, nil)
-	}
-	time.Sleep(settleTime)
-	status, state := b.state(id)
-	why := fmt.Sprintf("a job that nobody has submitted is shown as %d %q", status, state)
-	if status == http.StatusOK {
-		return broken, why
-	}
-	return held, why
-}
-
 func setUpQuiet(record string) (*bed, error) {
 	return newBed(record, 3, 4, func(string) behaviour { return behaviour{work: time.Second} })
 }
@@ -238,3 +162,68 @@
 	}
 	return a
 }
+
+// shortTask is the run time of a task of the case forgotten.
+const shortTask = 300 * time.Millisecond
+
+func setUpForgotten(record string) (*bed, error) {
+	b, err := newBed(record, 3, 8, func(string) behaviour { return behaviour{work: shortTask} })
+	if b != nil {
+		b.summary = true
+	}
+	return b, err
+}
+
+// playForgotten has a minion with many short tasks start again in place, and carry out late
+// the hold call that follows.
+func playForgotten(b *bed, trouble bool) (int, string) {
+	const (
+		loadBefore = 16 * time.Second
+		loadAfter  = 6 * time.Second
+		jobEvery   = 1200 * time.Millisecond
+		jobTasks   = 100
+		// The call that follows an answer may come before the minion is up again. Then the
+		// minion crashes once more.
+		tries      = 8
+		retryAfter = 3 * time.Second
+	)
+	time.Sleep(settleTime)
+	over := make(chan struct{})
+	var load sync.WaitGroup
+	load.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-over:
+				return
+			case <-time.After(jobEvery):
+			}
+			id := fmt.Sprintf("a%015x", i)
+			load.Go(func() {
+				b.submit(id, jobOf(step{"count": jobTasks, "cpu": 900, "memory_request_mb": 100, "estimated_ms": shortTask.Milliseconds(), "required_label": "b"}))
+			})
+		}
+	})
+	time.Sleep(loadBefore)
+	b.noteCounts()
+	m := b.minions[0] // the only one with the label
+	for try := 0; trouble && try < tries && !m.hasLate(); try++ {
+		m.mu.Lock()
+		m.restartArmed, m.holdLate = true, false
+		m.mu.Unlock()
+		time.Sleep(retryAfter)
+	}
+	time.Sleep(loadAfter)
+	close(over)
+	load.Wait()
+	time.Sleep(finishTime)
+	if trouble && !b.lateDone.Load() {
+		return notPlayed, "the call after the restart did not reach the new process"
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	why := fmt.Sprintf("%d tasks have started again after a run of them had ended done and its end was taken note of", len(b.twice))
+	if len(b.twice) > 0 {
+		return broken, why
+	}
+	return held, why
+}
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -28,10 +28,9 @@
 }
 
 var scenarios = map[string]scenario{
-	"silent":  {setUpSilent, playSilent},
-	"crashes": {setUpCrashes, playCrashes},
-	"unknown": {setUpUnknown, playUnknown},
-	"quiet":   {setUpQuiet, playQuiet},
+	"silent":    {setUpSilent, playSilent},
+	"quiet":     {setUpQuiet, playQuiet},
+	"forgotten": {setUpForgotten, playForgotten},
 }
 
 // The daemons get a signal when the thread ends that started them.
--- a/review/stage2/minion.go
+++ b/review/stage2/minion.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -47,6 +48,10 @@
 	cut bool
 	// kind is the first label.
 	kind string
+	// restartArmed makes the minion crash and start again in place right after an answer
+	// that lists ends. holdLate is set in the life that follows: the first call that
+	// acknowledges ends is left unanswered and carried out late.
+	restartArmed, holdLate bool
 }
 
 // life is what a minion forgets when it crashes.
@@ -62,6 +67,12 @@
 	highest    map[string]int
 	changed    chan struct{}
 	over       chan struct{}
+	// waiting is the number of hold calls that wait, and listed the last end that an
+	// answer has listed.
+	waiting, listed int
+	// late is the hold call that is left unanswered since lateSince, or nil.
+	late      *call
+	lateSince time.Time
 }
 
 type run struct {
@@ -77,6 +88,8 @@
 	task   string
 	run    int
 	how    string
+	// done is set for an end done.
+	done *doneEnd
 }
 
 // call is the body of every call to a minion.
@@ -104,10 +117,16 @@
 	}
 	l.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(l, w, r) })}
 	m.mu.Lock()
+	first := m.life == nil
 	m.life = l
 	m.mu.Unlock()
 	go func() { _ = l.server.Serve(listener) }()
-	go m.beat(l)
+	go func() {
+		if !first {
+			time.Sleep(heartbeat / 2) // on average
+		}
+		m.beat(l)
+	}()
 	return nil
 }
 
@@ -181,18 +200,6 @@
 	return len(m.running)
 }
 
-// runsOf reports whether a run of the job is at work here.
-func (m *minion) runsOf(job string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for task := range m.running {
-		if strings.HasPrefix(task, job+".") {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *minion) serve(l *life, w http.ResponseWriter, r *http.Request) {
 	var c call
 	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
@@ -240,10 +247,16 @@
 		m.mu.Unlock()
 		l.reply(w, http.StatusOK, map[string]any{})
 	case "hold":
-		l.extend(c.DeadlineMS)
-		for len(l.ends) > 0 && l.ends[0].number <= c.LastSeen {
-			l.ends = l.ends[1:]
+		if m.holdLate && c.LastSeen > l.lastEnd { // it acknowledges ends of the former process
+			m.holdLate = false
+			l.late, l.lateSince = &c, time.Now()
+			m.bed.note("disruption: a hold call reaches the new process of %s and is left unanswered; it acknowledges the ends up to %d", m.id, c.LastSeen)
+			m.mu.Unlock()
+			<-r.Context().Done()
+			return
 		}
+		l.extend(c.DeadlineMS)
+		m.acknowledge(l, c.LastSeen)
 		m.mu.Unlock()
 		m.hold(l, w, r.Context(), time.Duration(c.WaitMS)*time.Millisecond)
 	default:
@@ -253,11 +266,32 @@
 }
 
 func (l *life) reply(w http.ResponseWriter, status int, body map[string]any) {
-	body["clock_ms"], body["born"] = l.clock().Milliseconds(), l.born.UnixMilli()
+	body["clock_ms"] = l.clock().Milliseconds()
 	data, _ := json.Marshal(body)
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// restartIfArmed crashes and starts again at once if that was asked for and nothing runs.
+func (m *minion) restartIfArmed() {
+	m.mu.Lock()
+	armed := m.restartArmed && len(m.running) == 0
+	m.restartArmed = m.restartArmed && !armed
+	m.holdLate = m.holdLate || armed
+	m.mu.Unlock()
+	if !armed {
+		return
+	}
+	m.bed.note("disruption: %s crashes after an answer that lists ends, and starts again at once under its id", m.id)
+	m.crash()
+	if err := m.start(); err != nil {
+		m.bed.note("%s does not start: %v", m.id, err)
+	}
 }
 
 func (l *life) extend(deadlineMS int64) {
@@ -265,6 +299,43 @@
 	l.leaseUntil = max(l.leaseUntil, until)
 }
 
+// hasLate reports whether a call is left unanswered or was carried out late.
+func (m *minion) hasLate() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.late != nil || m.bed.lateDone.Load()
+}
+
+// lateAfter is the least time after which an unanswered call is carried out.
+const lateAfter = 2 * time.Second
+
+// carryOutLate carries out the hold call that was left unanswered, once it is late enough
+// and ends have not been listed yet. The caller holds the lock.
+func (m *minion) carryOutLate(l *life) {
+	if l.late == nil || l.waiting > 0 || time.Since(l.lateSince) < lateAfter || l.late.FencingToken < l.token {
+		return
+	}
+	late := *l.late
+	l.late = nil
+	l.extend(late.DeadlineMS)
+	m.bed.note("the late call is carried out at %s after %v: it acknowledges the ends up to %d", m.id, time.Since(l.lateSince).Round(time.Millisecond), late.LastSeen)
+	for _, e := range l.ends {
+		m.bed.note("forgotten by the late call: end %d, %s run %d %s, listed before: %t", e.number, e.task, e.run, e.how, e.number <= l.listed)
+	}
+	m.acknowledge(l, late.LastSeen)
+	m.bed.lateDone.Store(true)
+}
+
+// acknowledge forgets the ends up to a number. The caller holds the lock.
+func (m *minion) acknowledge(l *life, last int) {
+	for len(l.ends) > 0 && l.ends[0].number <= last {
+		if e := l.ends[0]; e.done != nil {
+			m.bed.noted(e.task, e.done)
+		}
+		l.ends = l.ends[1:]
+	}
+}
+
 // expireLease ends all runs if the lease is over. The caller holds the lock.
 func (m *minion) expireLease(l *life) {
 	if l.clock() <= l.leaseUntil {
@@ -312,8 +383,8 @@
 	delete(l.running, x.task)
 	l.highest[x.task] = max(l.highest[x.task], x.number)
 	l.lastEnd++
-	l.ends = append(l.ends, end{l.lastEnd, x.task, x.number, how})
-	m.bed.ended(x.task, x.number, m.id, how)
+	l.ends = append(l.ends, end{l.lastEnd, x.task, x.number, how, m.bed.ended(x.task, x.number, m.id, how)})
+	m.carryOutLate(l)
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -335,6 +406,9 @@
 	for waited := wait <= 0; ; {
 		m.mu.Lock()
 		m.expireLease(l)
+		if n := min(len(l.ends), maxEnds); n > 0 {
+			l.listed = max(l.listed, l.ends[n-1].number)
+		}
 		if len(l.ends) > 0 || waited || l.isOver() {
 			running, finished := [][]any{}, [][]any{}
 			for _, x := range l.running {
@@ -352,17 +426,28 @@
 			case over:
 				panic(http.ErrAbortHandler)
 			}
-			l.reply(w, http.StatusOK, map[string]any{"running": running, "finished": finished})
+			l.reply(w, http.StatusOK, map[string]any{"running": running, "finished": finished, "born": l.born.UnixMilli()})
+			if len(finished) > 0 {
+				m.restartIfArmed()
+			}
 			return
 		}
 		changed := l.changed
+		l.waiting++
 		m.mu.Unlock()
+		gone := false
 		select {
 		case <-changed:
 		case <-timer.C:
 			waited = true
 		case <-l.over:
 		case <-ctx.Done():
+			gone = true
+		}
+		m.mu.Lock()
+		l.waiting--
+		m.mu.Unlock()
+		if gone {
 			return
 		}
 	}
