internal/jobs/cell: settle unanswered starts by one report

A start without an answer was settled by a stop, its confirmation and a report after that, as it could still be executed late. It can no more once the process has executed a later order, which has a higher token since the last commit. So the first report to such an order tells: if it does not list the run, the task is started again. The two other ways in which a report gave up an unknown run, by a confirmed stop and by a start that had been confirmed before a restart, go with it.

A start that is still under way when the process ends can be executed by the next one, as before (docs/incidents/unnoticed-restart.md, "What remains").

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -90,6 +90,8 @@
 	giveUp bool
 	// trial is set if the task was a suspect when the run was ordered.
 	trial bool
+	// token is that of the start order, or zero if a former owner sent it.
+	token bamboofall.Token
 	// inherited is set if a former owner started the run, so that startedAt is not the time
 	// of the start. survivedFormer is how long the worker is known to have survived the run
 	// under former owners.
@@ -261,6 +263,7 @@
 	a.resumed = checkpoint != ""
 	c.counters.Started++
 	o := c.newOrder(now, OrderStart, a)
+	a.token = o.Start.Token
 	o.Start.Payload, o.Start.Checkpoint, o.Start.LeaseUntil = t.step.occ.job.Payload, checkpoint, c.grantLease(now, w)
 	c.emit(o)
 	c.noteRun(a, "start", routine, fmt.Sprintf("waited %v, worker has %d of %d milliprocessors reserved",
--- a/internal/jobs/cell/lateorders_test.go
+++ b/internal/jobs/cell/lateorders_test.go
@@ -191,6 +191,51 @@
 	}
 }
 
+// The outcome of a start is known from the first report to a later order. Before, its task waited
+// for a stop to be confirmed and for another report.
+func TestUnansweredStartIsSettledByNextReport(t *testing.T) {
+	d := newManualCell(t)
+	d.SetWorker(d.now, testWorker(2))
+	d.failOnSilence = false
+	var start *cell.Order
+	for range 50 {
+		d.step()
+		open := d.open
+		d.open = nil
+		for _, o := range open {
+			switch {
+			case o.Kind == cell.OrderHold:
+				d.HoldAnswered(d.now, o, bamboofall.HoldReport{ResponseMeta: d.meta()}, nil)
+			case o.Kind == cell.OrderStart && start == nil:
+				start = &o
+				d.StartAnswered(d.now, o, bamboofall.ResponseMeta{}, errUnanswered)
+			case o.Kind == cell.OrderStart:
+				assert.Equal(t, o.Start.Task, start.Start.Task)
+				assert.Assert(t, o.Start.Run > start.Start.Run)
+				return
+			default:
+				t.Fatalf("unexpected %v order", o.Kind)
+			}
+		}
+	}
+	t.Fatal("the task was not started again within a second")
+}
+
+// A report to an order before the unanswered start must not settle it: the start may still be
+// executed.
+func TestReportToEarlierOrderDoesNotSettleStart(t *testing.T) {
+	d := newManualCell(t)
+	d.StartAnswered(d.now, d.next(cell.OrderStart), d.meta(), nil)
+	hold := d.next(cell.OrderHold)
+	d.submit("0000000000000002")
+	start := d.next(cell.OrderStart)
+	d.StartAnswered(d.now, start, bamboofall.ResponseMeta{}, errUnanswered)
+	d.HoldAnswered(d.now, hold, bamboofall.HoldReport{ResponseMeta: d.meta()}, nil)
+	for _, o := range d.Step(d.now).Orders {
+		assert.Assert(t, o.Kind != cell.OrderStart || o.Start.Task != start.Start.Task, "started again")
+	}
+}
+
 // The platform may drop the entry of a worker for a while though its process lives and has seen
 // the highest token.
 func TestTokensOfRemovedWorkerDoNotFall(t *testing.T) {
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -100,14 +100,13 @@
 		case !endsKnown:
 		case a.state == attemptRunning && a.confirmedAt.Before(o.sentAt) && (!a.stopping || !a.stopConfirmedAt.IsZero() && a.stopConfirmedAt.Before(o.sentAt)):
 			c.loseRun(now, a, "the worker no longer reports the run")
-		case a.state == attemptUnknown && a.confirmed && a.unknownSince.Before(o.sentAt):
-			// The start was answered before the call, so it cannot happen any more.
-			c.loseRun(now, a, "the worker restarted")
-		case a.state == attemptUnknown && !a.stopConfirmedAt.IsZero() && a.stopConfirmedAt.Before(o.sentAt):
-			// The stop was confirmed before the call, so the start can no longer happen.
-			c.loseRun(now, a, "the start was not carried out")
-		case a.state == attemptUnknown && !a.stopping && a.unknownSince.Before(o.sentAt):
-			c.stop(now, a, "the outcome of the start is unknown")
+		case a.state == attemptUnknown && o.token() > a.token:
+			// The process has executed a later order, so it rejects the start from now on.
+			reason := "the start was not carried out"
+			if a.confirmed {
+				reason = "the worker restarted"
+			}
+			c.loseRun(now, a, reason)
 		}
 	}
 	if len(w.serving) > 0 || len(w.bestEffort) > 0 {
