internal/jobs/cell: reckon with leases by an earlier clock after two restarts

What callers see: a standing task runs at two workers after a cut. A worker restarts twice within a second while a hold call is under way. The owner forgot at the second restart what it had reckoned with at the first.

TestTasksStartElsewhereAfterLeaseByEarlierClock starts the task 4.16 s early without the change, with the next second after the lease with it.

The order numbers do not close it: the second process has executed no later order. So such leases are reckoned with until an order can no longer be under way, 1 s after it was given. With deliveryTime, 4 s, in place of that TestStandingTaskDoesNotWaitForRepeatedRestarts fails, where a worker is announced anew each 2 s: 7.48 s, bound 6 s.

--- a/internal/jobs/cell/unnamedrestart.go
+++ b/internal/jobs/cell/unnamedrestart.go
@@ -35,6 +35,10 @@
 	c.probe(now, w)
 }
 
+// strayTime bounds the time from an order until a process receives it, without repetitions by
+// other relays. It may wait for 0.5 s each in the owner and at a relay.
+const strayTime = time.Second
+
 // resetLeases replaces the leases of a worker that has restarted by those that its new process
 // may have taken from orders for the former one.
 func (c *Cell) resetLeases(now time.Time, w *worker) {
@@ -45,6 +49,9 @@
 	}
 	w.usedByFormer = w.usedByFormer && !w.answered
 	if !w.unansweredSince.IsZero() {
+		w.strayGrantAt = w.grantedAt
+	}
+	if !w.strayGrantAt.IsZero() && now.Sub(w.strayGrantAt) < strayTime {
 		c.leasedByFormerClock(now, w)
 	}
 	w.unansweredSince = time.Time{}
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -97,6 +97,9 @@
 	// unansweredSince is when the first lease was granted after the worker is last known
 	// to have been up, or zero if all calls that granted one were answered.
 	unansweredSince time.Time
+	// strayGrantAt is when a lease was last granted whose call was not answered when its process
+	// had ended. A process after the next one may yet take the order.
+	strayGrantAt time.Time
 	// leasesEndLogged is the value of allLeasesEnd that was last logged as expired.
 	leasesEndLogged time.Time
 
