internal/jobs/cell: leave records of workers open that list too many runs

What callers see: after a worker with thousands of tasks was out of reach once, accepted jobs never start, for good, and no other VM takes over.

Cause: the record of a silent or draining worker lists its runs, some 38 bytes each. Above record_bytes the store answers 400, and the owner repeats the append without end, so nothing behind it is stored.

Change: such a record stays open, as that of a worker that has not reported.

--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -117,7 +117,7 @@
 		}
 	}
 	for id, w := range p.workers {
-		m := encodeWorker(w)
+		m := encodeWorker(w, w.recordClosed)
 		c.encodeLeasesEnd(w, m)
 		if err := add(keyWorker+id, m); err != nil {
 			return nil, 0, err
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -10,6 +10,7 @@
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/fencing"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
+	"bamboofall.example/bamboofall/internal/jobs/recordsize"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
 	"bamboofall.example/bamboofall/internal/jobs/suspicion"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
@@ -276,9 +277,9 @@
 // closeRecord replaces the record of a worker that became silent or drains by one that lists
 // every run that may exist there, so that only these tasks wait after a handover. It does
 // nothing while this owner does not have a full report of the worker, as it does not know
-// the runs then.
+// the runs then, or if the store does not take a record of all the runs.
 func (c *Cell) closeRecord(w *worker) {
-	if !w.recorded || !w.answered || w.owesReport() {
+	if !w.recorded || !w.answered || w.owesReport() || !recordsize.FitsWorker(encodeWorker(w, true), c.cfg.MaxRecordBytes) {
 		return
 	}
 	if !w.recordClosed && c.IsStored(w.recordFlush) {
@@ -296,10 +297,10 @@
 	}
 }
 
-// encodeWorker returns the store record of a worker.
-func encodeWorker(w *worker) *jobpb.Worker {
-	m := &jobpb.Worker{Address: w.info.Address.String(), BornUnixMs: jobspec.UnixMS(w.incarnation), Silent: w.recordClosed, Draining: w.info.Draining}
-	if !w.recordClosed {
+// encodeWorker returns the store record of a worker, which lists the runs if it is closed.
+func encodeWorker(w *worker, closed bool) *jobpb.Worker {
+	m := &jobpb.Worker{Address: w.info.Address.String(), BornUnixMs: jobspec.UnixMS(w.incarnation), Silent: closed, Draining: w.info.Draining}
+	if !closed {
 		return m
 	}
 	for _, a := range w.attempts {
--- a/internal/jobs/recordsize/recordsize.go
+++ b/internal/jobs/recordsize/recordsize.go
@@ -29,11 +29,18 @@
 	ratioBytes = 24
 	// settingsBytes is reserved for what is stored with a job beside what was submitted.
 	settingsBytes = 1 << 10
+	// leasesBytes is reserved for the ends of the leases of a worker.
+	leasesBytes = 64
 )
 
 // FitsJob reports whether the record of a job, with the settings of its queue, can be stored.
 func FitsJob(m *jobpb.Job, limit int) bool { return proto.Size(m)+settingsBytes <= valueLimit(limit) }
 
+// FitsWorker reports whether the record of a worker can be stored, with the ends of its leases.
+func FitsWorker(m *jobpb.Worker, limit int) bool {
+	return proto.Size(m)+leasesBytes <= valueLimit(limit)
+}
+
 // valueLimit returns the size of the largest value of a record, without its key.
 func valueLimit(limit int) int { return cmp.Or(limit, Default) - keyBytes }
 
