--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -10,8 +10,8 @@
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/fencing"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
-	"bamboofall.example/bamboofall/internal/jobs/recordsize"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
+	"bamboofall.example/bamboofall/internal/jobs/recordsize"
 	"bamboofall.example/bamboofall/internal/jobs/suspicion"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
