internal/entry/front: read the configuration in time after a silent connection

What callers see: 404 for a queue that was added while the VM's connection to the store was silent, for 0.1 s longer than contact_ms allows.

Cause: a read of the configuration waits 1.5 s and has 1.5 s more for its answer, the next comes 0.1 s later: 3.1 s, contact_ms is 3,000.

Change: the wait is shortened to what contact_ms leaves, 1.2 s on such sites.

--- a/internal/entry/front/follow_test.go
+++ b/internal/entry/front/follow_test.go
@@ -17,7 +17,7 @@
 )
 
 // clientMargin is what the client of the store adds to the wait of a read for its timeout.
-const clientMargin = 1500 * time.Millisecond
+const clientMargin = platform.ReadMargin
 
 // failingStore is a store without records whose reads fail until the end of an outage.
 type failingStore struct {
@@ -87,6 +87,17 @@
 	assert.Assert(t, late <= cycles*(clientMargin-retryReadTimeout), late)
 }
 
+// The connection of a read of the configuration goes silent, while new connections work. The
+// configuration was read again only after the VM counted as undisturbed, and queues that were added
+// meanwhile got 404.
+func TestConfigurationIsReadInTimeAfterSilentConnection(t *testing.T) {
+	for _, contact := range []time.Duration{2500 * time.Millisecond, 3 * time.Second, 4 * time.Second, 5 * time.Second} {
+		const silence = time.Millisecond
+		took := silence + timeUntilRead(t, platform.TopicOperator, configurationWait(contact), silence, failingStore{silent: true, answerTime: 50 * time.Millisecond})
+		assert.Assert(t, took < contact, "%v, contact time %v", took, contact)
+	}
+}
+
 // A store that answers slowly after an outage is read all the same.
 func TestTopicOfSlowStoreIsReadAfterOutage(t *testing.T) {
 	const limit = (fullRetryInterval-1)*(retryReadTimeout+storeRetryDelay) + clientMargin
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -47,9 +47,13 @@
 	lastResponsesTimeout = 500 * time.Millisecond
 	// storeRetryDelay is the time between attempts while the store fails.
 	storeRetryDelay = 100 * time.Millisecond
-	// configurationLongPoll is the long-poll duration of reads of the configuration. A
-	// dead connection is detected after this duration plus the timeout of a request.
-	configurationLongPoll = 1500 * time.Millisecond
+	// configurationLongPoll is the longest long-poll duration of reads of the configuration,
+	// see configurationWait, and minConfigurationLongPoll the shortest.
+	configurationLongPoll    = 1500 * time.Millisecond
+	minConfigurationLongPoll = 500 * time.Millisecond
+	// configurationReadTime is the time in which the configuration is read over a new
+	// connection.
+	configurationReadTime = 200 * time.Millisecond
 	// maxWorkerLease is the maximum lease that is requested from workers. It must
 	// exceed the time of a takeover, so that runs survive one.
 	maxWorkerLease = 5 * time.Second
@@ -291,7 +295,7 @@
 
 // followConfiguration tracks the newest valid configuration.
 func (f *Front) followConfiguration(ctx context.Context) error {
-	return f.follow(ctx, platform.TopicOperator, fromNewest, configurationLongPoll, topicReader{apply: func(r bamboofall.StoredRecord) {
+	return f.follow(ctx, platform.TopicOperator, fromNewest, configurationWait(f.settings.Bounds.Contact), topicReader{apply: func(r bamboofall.StoredRecord) {
 		if !platform.IsConfiguration(r.Key) || len(r.Value) == 0 {
 			return
 		}
@@ -311,6 +315,13 @@
 	}})
 }
 
+// configurationWait returns the long-poll duration of reads of the configuration. If a connection
+// goes silent, the configuration must be read over another one within Bounds.Contact.
+func configurationWait(contact time.Duration) time.Duration {
+	wait := contact - platform.ReadMargin - storeRetryDelay - configurationReadTime
+	return max(minConfigurationLongPoll, min(wait, configurationLongPoll))
+}
+
 // fromNewest makes follow start with the newest record of each key.
 const fromNewest = -1
 
