internal/entry/front: read the newest configuration after a failed read

What callers see: 404 for routes that were added while their VM was cut off, for seconds after it is back.

Cause: after a failed read the history of the configuration is read from where it was left. 1 MB of old versions takes 0.8 s on a link of 10 Mbit/s, and three of four such reads are given up after 0.6 s.

Change: after a failed read the newest records are read, which are all that matters; each fourth attempt reads the history as before.

TestNewestConfigurationIsReadAfterOutage fails without the change: not read for a minute after an outage of 4 s. Ruled out: a longer timeout of these reads, as the end of an outage would be found later.

--- a/internal/entry/front/follow_test.go
+++ b/internal/entry/front/follow_test.go
@@ -25,23 +25,32 @@
 	outageEnd time.Time
 	// silent is set if reads during the outage get no answer. Otherwise they are refused.
 	silent bool
-	// answerTime is the time until an answer after the outage.
-	answerTime time.Duration
+	// answerTime is the time until an answer after the outage, newestTime that of the newest
+	// records.
+	answerTime, newestTime time.Duration
 }
 
 func (s *failingStore) Read(ctx context.Context, _ string, _ int, from int64, wait time.Duration) (bamboofall.StorePage, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+clientMargin)
 	defer cancel()
+	return bamboofall.StorePage{Next: from}, s.call(ctx, s.answerTime+wait)
+}
+
+func (s *failingStore) Newest(ctx context.Context, _ string, _ int) ([]bamboofall.StoredRecord, int64, error) {
+	return nil, 0, s.call(ctx, s.newestTime)
+}
+
+// call answers a call after a time, or fails.
+func (s *failingStore) call(ctx context.Context, answerTime time.Duration) error {
 	switch {
 	case !time.Now().Before(s.outageEnd):
-		sleep(ctx, s.answerTime)
-		sleep(ctx, wait)
+		sleep(ctx, answerTime)
 	case s.silent:
 		<-ctx.Done()
 	default:
-		return bamboofall.StorePage{}, &bamboofall.NotDoneError{Call: "read", Reason: "HTTP status 503"}
+		return &bamboofall.NotDoneError{Call: "read", Reason: "HTTP status 503"}
 	}
-	return bamboofall.StorePage{Next: from}, ctx.Err()
+	return ctx.Err()
 }
 
 // timeUntilRead follows a topic from the beginning of an outage on, with reads that wait
@@ -54,7 +63,7 @@
 		defer cancel()
 		store.outageEnd = time.Now().Add(outage)
 		f := &Front{log: NewLog(io.Discard, "entry-0"), store: &store}
-		assert.NilError(t, f.follow(ctx, topic, 0, wait, topicReader{caughtUp: func(int64) {
+		assert.NilError(t, f.follow(ctx, topic, 0, wait, topicReader{newestOnly: topic == platform.TopicOperator, caughtUp: func(int64) {
 			took = time.Since(store.outageEnd)
 			cancel()
 		}}))
@@ -93,11 +102,22 @@
 func TestConfigurationIsReadInTimeAfterSilentConnection(t *testing.T) {
 	for _, contact := range []time.Duration{2500 * time.Millisecond, 3 * time.Second, 4 * time.Second, 5 * time.Second} {
 		const silence = time.Millisecond
-		took := silence + timeUntilRead(t, platform.TopicOperator, configurationWait(contact), silence, failingStore{silent: true, answerTime: 50 * time.Millisecond})
+		took := silence + timeUntilRead(t, platform.TopicOperator, configurationWait(contact), silence, failingStore{silent: true, newestTime: 50 * time.Millisecond})
 		assert.Assert(t, took < contact, "%v, contact time %v", took, contact)
 	}
 }
 
+// Behind a slow link the versions of a large configuration that were stored during a cut take
+// longer than a retry. They were read before the newest one, and machines that had long been back
+// answered by an old version.
+func TestNewestConfigurationIsReadAfterOutage(t *testing.T) {
+	const newestTime, contact = 400 * time.Millisecond, 3 * time.Second
+	for outage := 4 * time.Second; outage < 8*time.Second; outage += 10 * time.Millisecond {
+		took := timeUntilRead(t, platform.TopicOperator, configurationLongPoll, outage, failingStore{silent: true, answerTime: time.Minute, newestTime: newestTime})
+		assert.Assert(t, took < contact, "outage of %v: %v", outage, took)
+	}
+}
+
 // A store that answers slowly after an outage is read all the same.
 func TestTopicOfSlowStoreIsReadAfterOutage(t *testing.T) {
 	const limit = (fullRetryInterval-1)*(retryReadTimeout+storeRetryDelay) + clientMargin
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -295,7 +295,7 @@
 
 // followConfiguration tracks the newest valid configuration.
 func (f *Front) followConfiguration(ctx context.Context) error {
-	return f.follow(ctx, platform.TopicOperator, fromNewest, configurationWait(f.settings.Bounds.Contact), topicReader{apply: func(r bamboofall.StoredRecord) {
+	return f.follow(ctx, platform.TopicOperator, fromNewest, configurationWait(f.settings.Bounds.Contact), topicReader{newestOnly: true, apply: func(r bamboofall.StoredRecord) {
 		if !platform.IsConfiguration(r.Key) || len(r.Value) == 0 {
 			return
 		}
@@ -334,6 +334,9 @@
 	applyNewest func([]bamboofall.StoredRecord)
 	// caughtUp is called after each successful read with the offset after the last record.
 	caughtUp func(end int64)
+	// newestOnly is set if only the newest record of each key matters. These are tried first
+	// after a failed read, as all records since then may take a slow link too long.
+	newestOnly bool
 }
 
 // follow reads a keyed topic from offset next on, or first the newest record of each key,
@@ -348,6 +351,8 @@
 			next, err = f.readNewest(ctx, topic, to)
 		case failures == 0:
 			next, err = f.readFrom(ctx, topic, next, wait, to.apply)
+		case to.newestOnly && failures%fullRetryInterval != 0:
+			next, err = f.retryReadNewest(ctx, topic, next, to)
 		case topic == topicOwners: // the owner needs time to renew
 			next, err = f.retryReadFrom(ctx, topic, next, wait, failures, to.apply)
 		default:
@@ -430,6 +435,17 @@
 	return f.readFrom(ctx, topic, from, wait, apply)
 }
 
+// retryReadNewest is readNewest after a failed read. If it fails, reads go on at offset from.
+func (f *Front) retryReadNewest(ctx context.Context, topic string, from int64, to topicReader) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, retryReadTimeout)
+	defer cancel()
+	next, err := f.readNewest(ctx, topic, to)
+	if err != nil {
+		return from, err
+	}
+	return next, nil
+}
+
 func sleep(ctx context.Context, d time.Duration) { sleepOrSignal(ctx, nil, d) }
 
 // sleepOrSignal waits for d, a signal or the cancellation of ctx.
