--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -39,10 +39,8 @@
 	// other, so only the answer to a call sent later can show that the run is gone.
 	confirmedAt time.Time
 	// placedAt is when the task was placed at the worker.
-	placedAt time.Time
-	// unknownSince is when the outcome of the start became unknown.
-	unknownSince time.Time
-	startedAt    time.Time
+	placedAt  time.Time
+	startedAt time.Time
 	// progressedAt is when the reported progress last changed or could not be expected
 	// to, as the run was throttled.
 	progressedAt time.Time
@@ -353,7 +351,6 @@
 // markStartUnknown marks the outcome of a start as unknown and probes the worker for it.
 func (c *Cell) markStartUnknown(now time.Time, a *attempt) {
 	a.state = attemptUnknown
-	a.unknownSince = now
 	c.fenceEarlier(a.worker)
 	a.worker.holdNow(now)
 	c.probe(now, a.worker)
--- a/internal/jobs/cell/fence.go
+++ b/internal/jobs/cell/fence.go
@@ -87,7 +87,7 @@
 // ordered earlier must be known to be at the process that listed the ends, and the orders of later
 // ones have a higher token.
 func (w *worker) endToAcknowledge() uint64 {
-	if w.listedEnd > w.storedEnd || w.restartUnnamed || w.hasUnnamedRuns() || w.tokens.Exhausted() {
+	if w.listedEnd == 0 || w.listedEnd > w.storedEnd || w.restartUnnamed || w.hasUnnamedRuns() || w.tokens.Exhausted() {
 		return 0
 	}
 	return w.listedEnd
--- a/internal/jobs/cell/unnamedrestart.go
+++ b/internal/jobs/cell/unnamedrestart.go
@@ -64,7 +64,7 @@
 	if a.state == attemptRunning {
 		a.state = attemptUnknown
 	}
-	a.unknownSince, a.stopConfirmedAt = now, time.Time{}
+	a.stopConfirmedAt = time.Time{}
 	if a.restarted {
 		// Its start was carried out before an earlier restart became known.
 		w.formerClockLeasesEnd = later(w.formerClockLeasesEnd, formerEnd)
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -368,7 +368,7 @@
 		t.lastRun = max(t.lastRun, a.run)
 		a.state, a.confirmed, a.named, a.inherited = attemptUnknown, r.GetConfirmed(), r.GetNamed(), true
 		a.survivedFormer = time.Duration(r.GetSurvivedMs()) * time.Millisecond
-		a.startedAt, a.unknownSince = now, now
+		a.startedAt = now
 		if t.step.BestEffort {
 			a.ackedPace = paceUnknown
 		}
