internal/jobs/evacuation: start nothing in an evacuated data centre

Nothing read the operator's record op/evacuate/ZONE, so tasks were started in evacuated data centres for as long as the record stood.

The read that follows the configuration now follows these records too. The newest records replace the set, so a deletion that was trimmed is noticed; each data centre has the offset of its newest record, so a record that is read twice changes nothing. A new owner reads the topic once more while it restores. The sender compares each start with the VM's set right before it is sent; the cell places nothing there, takes back starts that were not sent (of a gang all), and counts the room that is left in admission and shedding at once. A submission is refused with reason evacuated while no worker of its service may get tasks.

--- a/errors.go
+++ b/errors.go
@@ -69,6 +69,8 @@
 	WithheldStale WithholdCause = "stale"
 	// WithheldWithdrawn means that the order was cancelled while it was queued.
 	WithheldWithdrawn WithholdCause = "withdrawn"
+	// WithheldEvacuated means that the data centre of the worker is evacuated.
+	WithheldEvacuated WithholdCause = "evacuated"
 )
 
 // WithheldError reports that the owner decided not to send an order. It says
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -72,8 +72,9 @@
 	workers bamboofall.TaskWorkers
 	peers   *peerClients
 	// config is the newest configuration, or nil before the first one.
-	config  atomic.Pointer[bamboofall.Configuration]
-	metrics *metrics
+	config      atomic.Pointer[bamboofall.Configuration]
+	evacuations evacuations
+	metrics     *metrics
 	// settingsPath is the path of the settings file, which reload reads again.
 	settingsPath string
 	// workersPerCore is the number of workers whose calls one processor core of an
@@ -293,26 +294,31 @@
 	return min(maxWorkerLease, time.Duration(workerLeaseShare*float64(f.settings.Bounds.MaxLease)))
 }
 
-// followConfiguration tracks the newest valid configuration.
+// followConfiguration tracks the newest valid configuration and the evacuations.
 func (f *Front) followConfiguration(ctx context.Context) error {
-	return f.follow(ctx, platform.TopicOperator, fromNewest, configurationWait(f.settings.Bounds.Contact), topicReader{newestOnly: true, apply: func(r bamboofall.StoredRecord) {
-		if !platform.IsConfiguration(r.Key) || len(r.Value) == 0 {
-			return
-		}
-		conf, err := platform.DecodeConfiguration(r.Value)
-		if err != nil {
-			f.log.Event("configuration rejected", logrus.Fields{"offset": r.Offset, "error": err.Error()})
-			return
-		}
-		if old := f.config.Load(); old != nil && old.Version >= conf.Version {
-			return
-		}
-		f.config.Store(conf)
-		f.log.Event("configuration", logrus.Fields{"version": conf.Version, "queues": len(conf.Queues)})
-		if o := f.owner.Load(); o != nil {
-			o.setConfiguration(conf)
-		}
-	}})
+	return f.follow(ctx, platform.TopicOperator, fromNewest, configurationWait(f.settings.Bounds.Contact), topicReader{
+		newestOnly: true, apply: f.applyOperatorRecord, applyNewest: f.applyNewestOperatorRecords,
+	})
+}
+
+// applyConfiguration applies a record if it is a newer configuration.
+func (f *Front) applyConfiguration(r bamboofall.StoredRecord) {
+	if !platform.IsConfiguration(r.Key) || len(r.Value) == 0 {
+		return
+	}
+	conf, err := platform.DecodeConfiguration(r.Value)
+	if err != nil {
+		f.log.Event("configuration rejected", logrus.Fields{"offset": r.Offset, "error": err.Error()})
+		return
+	}
+	if old := f.config.Load(); old != nil && old.Version >= conf.Version {
+		return
+	}
+	f.config.Store(conf)
+	f.log.Event("configuration", logrus.Fields{"version": conf.Version, "queues": len(conf.Queues)})
+	if o := f.owner.Load(); o != nil {
+		o.setConfiguration(conf)
+	}
 }
 
 // configurationWait returns the long-poll duration of reads of the configuration. If a connection
@@ -330,8 +336,9 @@
 	// apply is called with each record.
 	apply func(bamboofall.StoredRecord)
 	// applyNewest is called with the newest record of each key, which replace all records
-	// that were read before. Without it, apply is called with each of them.
-	applyNewest func([]bamboofall.StoredRecord)
+	// that were read before, and the offset at which the topic ended then. Without it, apply is
+	// called with each of them.
+	applyNewest func(records []bamboofall.StoredRecord, end int64)
 	// caughtUp is called after each successful read with the offset after the last record.
 	caughtUp func(end int64)
 	// newestOnly is set if only the newest record of each key matters. These are tried first
@@ -388,7 +395,7 @@
 		return fromNewest, err
 	}
 	if to.applyNewest != nil {
-		to.applyNewest(records)
+		to.applyNewest(records, end)
 		return end, nil
 	}
 	for _, r := range records {
--- a/internal/entry/front/orders.go
+++ b/internal/entry/front/orders.go
@@ -72,6 +72,8 @@
 	switch {
 	case o.isReleasing() || !o.front.mayAct(o.record.Epoch):
 		withheld.Cause = bamboofall.WithheldUnconfirmed
+	case o.front.evacuations.isEvacuated(&q.Order):
+		withheld.Cause = bamboofall.WithheldEvacuated
 	case q.Withdrawn():
 		withheld.Cause = bamboofall.WithheldWithdrawn
 	case age > maxOrderAge:
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -186,10 +186,12 @@
 		workersReadAt = now()
 		return err
 	})
+	group.Go(func() error { o.readEvacuations(ctx); return nil })
 	if err := group.Wait(); err != nil {
 		return offsets, err
 	}
 	o.cell.SetConfiguration(o.front.config.Load())
+	o.applyEvacuations(now())
 	for _, err := range o.cell.Restore(now(), records) {
 		o.front.log.Event("record left out", logrus.Fields{"error": err.Error()})
 	}
@@ -426,7 +428,7 @@
 		apply: func(r bamboofall.StoredRecord) {
 			o.push(ctx, loopTopics, func(at time.Time) { o.applyWorkerRecord(at, r) })
 		},
-		applyNewest: func(records []bamboofall.StoredRecord) {
+		applyNewest: func(records []bamboofall.StoredRecord, _ int64) {
 			o.push(ctx, loopTopics, func(at time.Time) { o.applyNewestWorkers(at, records) })
 		},
 		caughtUp: func(int64) { o.push(ctx, loopTopics, o.cell.WorkersRead) },
--- a/internal/entry/front/status.go
+++ b/internal/entry/front/status.go
@@ -104,6 +104,7 @@
 	if !seenAt.IsZero() {
 		s["cellOwnerRecordAgeSeconds"] = at.Sub(seenAt).Seconds()
 	}
+	f.addEvacuationStatus(at, s)
 	if o := f.owner.Load(); o != nil {
 		s["ownerRenewalAgeSeconds"] = at.Sub(confirmedAt).Seconds()
 		o.addStatus(at, s)
@@ -132,7 +133,8 @@
 	}
 	for name, n := range map[string]int{
 		"ownerWorkers": loop.cell.Known, "ownerWorkersUsable": loop.cell.Usable, "ownerWorkersSilent": loop.cell.Silent, "ownerWorkersUnlisted": loop.cell.Unlisted,
-		"ownerWorkersDirect": loop.direct, "ownerWorkersRelayed": loop.relayed, "ownerWorkersDirectSilent": loop.silentDirect, "ownerWorkersRelayedSilent": loop.silentRelayed,
+		"ownerWorkersEvacuated": loop.cell.Evacuated,
+		"ownerWorkersDirect":    loop.direct, "ownerWorkersRelayed": loop.relayed, "ownerWorkersDirectSilent": loop.silentDirect, "ownerWorkersRelayedSilent": loop.silentRelayed,
 		"ownerRelays": loop.relays, "ownerRelaysSuspended": loop.relaysSuspended,
 		"ownerStandingTasks": loop.cell.Standing, "ownerStandingTasksRunning": loop.cell.StandingRunning,
 		"ownerIdleJobs": loop.cell.IdleJobs,
--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -110,7 +110,7 @@
 // newOrder returns an order concerning a run.
 func (c *Cell) newOrder(now time.Time, kind OrderKind, a *attempt) Order {
 	return Order{
-		Kind: kind, Worker: a.worker.info.WorkerRef, attempt: a, worker: a.worker, sentAt: now, incarnation: a.worker.incarnation,
+		Kind: kind, Worker: a.worker.info.WorkerRef, DataCentre: a.worker.info.Zone, attempt: a, worker: a.worker, sentAt: now, incarnation: a.worker.incarnation,
 		Start: bamboofall.StartOrder{Task: a.task.name(), Run: a.run, Token: c.nextToken(a.worker)},
 	}
 }
@@ -329,6 +329,7 @@
 		c.callFailed(now, o, err)
 		w.holdNow(now)
 		c.enqueue(a.task)
+		c.withdrawEvacuatedGang(now, a, err)
 	default:
 		c.counters.StartsUnanswered++
 		c.recordLostAnswer(now, w, err)
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -89,6 +89,8 @@
 	awaitingStore []*attempt
 	// unstoredEnds holds the workers to call once their run ends are stored.
 	unstoredEnds []*worker
+	// evacuated holds the evacuated data centres.
+	evacuated []bamboofall.DataCentre
 	// removedNumber is the highest order number of the workers that were removed. They may be
 	// announced again.
 	removedNumber uint64
@@ -195,6 +197,8 @@
 	Hold   bamboofall.HoldOrder
 	// Percent is the CPU share of an OrderPace.
 	Percent int
+	// DataCentre is that of the worker.
+	DataCentre bamboofall.DataCentre
 
 	attempt *attempt
 	worker  *worker
@@ -346,9 +350,9 @@
 			"%d images are expected above %v of their tail-latency target without best-effort tasks, the first: %v", len(full), tailtier.MaxExpected, full[:min(len(full), maxLoggedNames)])})
 	}
 	c.note(Note{Event: "summary", Detail: fmt.Sprintf(
-		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, best-effort %d using %d; jobs %d known %d open; tasks waiting %d; "+
+		"workers %d usable %d serving %d silent %d evacuated; milliprocessors %d, reserved %d of which standing %d, best-effort %d using %d; jobs %d known %d open; tasks waiting %d; "+
 			"workers known %d unlisted %d; standing tasks %d running %d, longest down %v, with room %v; idle jobs %d, longest %v, with room %v; recovering %t; processor seconds: %v",
-		status.Usable, serving, status.Silent, room, used, standing, bestEffort, bestEffortUse, known, open, waiting,
+		status.Usable, serving, status.Silent, status.Evacuated, room, used, standing, bestEffort, bestEffortUse, known, open, waiting,
 		status.Known, status.Unlisted, status.Standing, status.StandingRunning,
 		status.LongestDown.Round(time.Millisecond), status.LongestDownWithRoom.Round(time.Millisecond),
 		status.IdleJobs, status.LongestIdle.Round(time.Millisecond), status.LongestIdleWithRoom.Round(time.Millisecond), status.Recovering, &c.usage)})
--- a/internal/jobs/cell/hold.go
+++ b/internal/jobs/cell/hold.go
@@ -341,7 +341,7 @@
 // act at present. The next order would be withheld as well.
 func (c *Cell) recordWithheld(now time.Time, err error) {
 	var withheld *bamboofall.WithheldError
-	if errors.As(err, &withheld) && withheld.Cause != bamboofall.WithheldWithdrawn {
+	if errors.As(err, &withheld) && withheld.Cause != bamboofall.WithheldWithdrawn && withheld.Cause != bamboofall.WithheldEvacuated {
 		c.withheldAt = now
 	}
 }
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -14,6 +14,9 @@
 // tail latencies.
 func (c *Cell) obstacleAt(now time.Time, t *task, tier tailtier.Tier, w *worker) obstacle.Reason {
 	s := t.step
+	if w.evacuated {
+		return obstacle.Evacuated
+	}
 	if !w.usable() {
 		return obstacle.Unusable
 	}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -165,7 +165,9 @@
 	}
 	used := int64(0)
 	for _, w := range c.workerList {
-		used += w.bestEffortCPU
+		if !w.evacuated {
+			used += w.bestEffortCPU
+		}
 	}
 	if c.bestEffortCapacity == 0 {
 		c.bestEffortCapacity = float64(used)
--- a/internal/jobs/cell/resize.go
+++ b/internal/jobs/cell/resize.go
@@ -58,11 +58,11 @@
 		"%s to %s; reserved %s", jobspec.DescribeResources(former.Room), jobspec.DescribeResources(w.info.Room), jobspec.DescribeResources(w.used))})
 }
 
-// withdrawUnordered withdraws starts that are not ordered yet: all of a silent or draining
-// worker, and of an overfull one the latest until the others fit. Runs that may have
+// withdrawUnordered withdraws starts that are not ordered yet: all of a silent, draining or
+// evacuated worker, and of an overfull one the latest until the others fit. Runs that may have
 // started go on.
 func (c *Cell) withdrawUnordered(now time.Time, w *worker) {
-	if !w.silent() && !w.info.Draining && w.free().Valid() {
+	if !w.silent() && !w.info.Draining && !w.evacuated && w.free().Valid() {
 		return
 	}
 	for _, a := range slices.Backward(slices.Clone(w.attempts)) {
@@ -72,6 +72,8 @@
 			c.withdraw(now, a, "the worker is silent")
 		case w.info.Draining:
 			c.withdraw(now, a, "the worker is draining")
+		case w.evacuated:
+			c.withdraw(now, a, "its data centre is evacuated")
 		case !w.free().Valid():
 			c.withdraw(now, a, "the worker has shrunk")
 		}
@@ -84,9 +86,13 @@
 	c.noteRun(a, "start not done", rare, reason)
 	c.stop(now, a, reason)
 	c.enqueue(a.task)
-	if s.gang == nil {
-		return
+	if s.gang != nil {
+		c.withdrawGang(now, s, reason)
 	}
+}
+
+// withdrawGang stops all runs of a gang, one of which was not started.
+func (c *Cell) withdrawGang(now time.Time, s *step, reason string) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		for _, other := range slices.Clone(t.attempts) {
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -96,7 +96,7 @@
 // capacityOf returns the processors of a pool and how many of them are idle.
 func (c *Cell) capacityOf(p capacityPool) (processors, free float64) {
 	for _, w := range c.workerList {
-		if !w.listed || w.silent() || w.info.Draining || w.info.Service != p.service {
+		if !w.countsAsRoom() || w.info.Service != p.service {
 			continue
 		}
 		room, idle := max(0, w.info.Room.MilliProcessors-w.standingCPU), w.free().MilliProcessors
--- a/internal/jobs/cell/status.go
+++ b/internal/jobs/cell/status.go
@@ -12,7 +12,7 @@
 // Status describes the workers and the standing tasks as of the last summary.
 type Status struct {
 	// Known workers include those that the platform no longer lists.
-	Known, Usable, Silent, Unlisted int
+	Known, Usable, Silent, Unlisted, Evacuated int
 	// Standing is the number of standing tasks that should run, and StandingRunning of
 	// those with a run that its worker has confirmed within the duration of a lease.
 	Standing, StandingRunning int
@@ -52,6 +52,9 @@
 		if !w.listed {
 			s.Unlisted++
 		}
+		if w.evacuated {
+			s.Evacuated++
+		}
 	}
 	var standing, idle []downTask
 	for _, j := range c.open {
@@ -147,7 +150,7 @@
 // believes of the worker's health.
 func (s *step) hasRoomAt(w *worker) bool {
 	q := s.occ.job.queue
-	return w.listed && !w.info.Draining && (q == nil || w.info.Service == q.Service) &&
+	return w.listed && !w.info.Draining && !w.evacuated && (q == nil || w.info.Service == q.Service) &&
 		w.orphans == 0 && s.Size.Fits(w.free()) && w.hasLabel(s)
 }
 
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -21,6 +21,7 @@
 	ReasonBacklog       = "backlog"
 	ReasonStandingShare = "standingTasksHaveTheirShare"
 	ReasonNoSuchQueue   = "noSuchQueue"
+	ReasonEvacuated     = "evacuated"
 )
 
 // Submit accepts or refuses a job. It returns the flush that makes an accepted job
@@ -113,8 +114,7 @@
 		return v
 	}
 	for _, w := range c.workerList {
-		// Workers that have not answered this owner yet count as announced.
-		if !w.listed || w.silent() || w.info.Draining || w.info.Service != j.queue.Service {
+		if !w.countsAsRoom() || w.info.Service != j.queue.Service {
 			continue
 		}
 		room := w.info.Room.MilliProcessors
@@ -149,6 +149,10 @@
 	if perSecond, limited := c.startRate(j.queue.Priority); limited {
 		l.StartsPerSecond = perSecond
 	}
+	if v.room == 0 && c.allEvacuated(j.queue.Service) {
+		v.reason, v.Decision = ReasonEvacuated, admission.Decide(admission.Load{}, admission.Job{})
+		return v
+	}
 	own := admission.Job{Work: j.work}
 	standing := false
 	for i := range j.Steps {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -53,6 +53,8 @@
 
 	// attempts are in placement order.
 	attempts []*attempt
+	// evacuated is set while the data centre of the worker is evacuated.
+	evacuated bool
 	// used is the sum of all reservations; best-effort tasks reserve no CPU and are
 	// counted in bestEffortCPU instead. standingCPU is the part of used that standing
 	// tasks reserve. Both are in milliprocessors.
@@ -193,7 +195,7 @@
 
 // usable reports whether tasks may be placed at the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.answered && !w.silent() && !w.restartUnnamed && !w.info.Draining
+	return w.listed && w.answered && !w.silent() && !w.restartUnnamed && !w.info.Draining && !w.evacuated
 }
 
 // MaxLeaseDuration returns the longest time, measured from the grant, that a lease can
@@ -258,8 +260,9 @@
 	if info.Draining != former.Draining && w.recorded {
 		c.pending.workers[info.ID] = w
 	}
+	c.updateEvacuated(w)
 	c.noteResized(w, former)
-	c.withdrawUnordered(now, w)
+	c.withdrawUnsent(now, w)
 	if !info.Draining && !w.recorded {
 		c.recordWorker(w)
 	}
--- a/internal/jobs/obstacle/obstacle.go
+++ b/internal/jobs/obstacle/obstacle.go
@@ -14,6 +14,7 @@
 // The reasons, in the order in which they are checked.
 const (
 	None         Reason = "fits"
+	Evacuated    Reason = "evacuated"
 	Unusable     Reason = "unusable"
 	Service      Reason = "otherService"
 	Room         Reason = "noRoom"
--- a/jobs.go
+++ b/jobs.go
@@ -197,6 +197,8 @@
 	Draining bool
 	// Remaining is the minimum time until a draining worker shuts down.
 	Remaining time.Duration
+	// ColdFor is how much longer the worker is slow after its start.
+	ColdFor time.Duration
 	// Room is the total amount of resources of the worker.
 	Room   Resources
 	Labels []string
