internal/jobs/warmup: fill cold workers last and in steps

Workers of a data centre that comes back are empty and slow for a while, and say so (cold_remaining_ms), which was not read. The emptiest workers got all that waited.

--- a/internal/entry/front/status.go
+++ b/internal/entry/front/status.go
@@ -133,8 +133,8 @@
 	}
 	for name, n := range map[string]int{
 		"ownerWorkers": loop.cell.Known, "ownerWorkersUsable": loop.cell.Usable, "ownerWorkersSilent": loop.cell.Silent, "ownerWorkersUnlisted": loop.cell.Unlisted,
-		"ownerWorkersEvacuated": loop.cell.Evacuated,
-		"ownerWorkersDirect":    loop.direct, "ownerWorkersRelayed": loop.relayed, "ownerWorkersDirectSilent": loop.silentDirect, "ownerWorkersRelayedSilent": loop.silentRelayed,
+		"ownerWorkersEvacuated": loop.cell.Evacuated, "ownerWorkersCold": loop.cell.Cold,
+		"ownerWorkersDirect": loop.direct, "ownerWorkersRelayed": loop.relayed, "ownerWorkersDirectSilent": loop.silentDirect, "ownerWorkersRelayedSilent": loop.silentRelayed,
 		"ownerRelays": loop.relays, "ownerRelaysSuspended": loop.relaysSuspended,
 		"ownerStandingTasks": loop.cell.Standing, "ownerStandingTasksRunning": loop.cell.StandingRunning,
 		"ownerIdleJobs": loop.cell.IdleJobs,
--- a/internal/jobs/cell/evacuation_test.go
+++ b/internal/jobs/cell/evacuation_test.go
@@ -44,6 +44,9 @@
 			c.running[id] = slices.DeleteFunc(c.running[id], func(r bamboofall.RunningTask) bool { return r.Task == o.Start.Task })
 			c.StopAnswered(c.now, o, c.meta(), nil)
 		case cell.OrderHold:
+			for i := range c.running[id] {
+				c.running[id][i].ProgressPercent = int(c.now.Sub(testStart) / time.Second)
+			}
 			c.HoldAnswered(c.now, o, bamboofall.HoldReport{ResponseMeta: c.meta(), Running: slices.Clone(c.running[id])}, nil)
 		}
 	}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -370,7 +370,7 @@
 			return 0, false
 		}
 	}
-	score := placement.Score(kind, s.Size, view)
+	score := placement.Score(kind, s.Size, view) - w.warmth.Demotion(now)
 	if t.lastFailedOn == w.info.ID {
 		score -= failedWorkerPenalty
 	}
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -282,14 +282,19 @@
 }
 
 // hasSpare reports whether much of a service's CPU is not reserved, that of workers which
-// get no tasks at present included.
+// get no tasks at present included, or much of that outside the evacuated data centres.
 func (c *Cell) hasSpare(service string) bool {
-	used, room := int64(0), int64(0)
+	var used, room, usedLeft, roomLeft int64
 	for _, w := range c.workerList {
-		if w.listed && w.info.Service == service {
-			used += w.used.MilliProcessors
-			room += w.info.Room.MilliProcessors
+		if !w.listed || w.info.Service != service {
+			continue
+		}
+		used += w.used.MilliProcessors
+		room += w.info.Room.MilliProcessors
+		if !w.evacuated {
+			usedLeft += w.used.MilliProcessors
+			roomLeft += w.info.Room.MilliProcessors
 		}
 	}
-	return float64(used) < spareUtilization*float64(room)
+	return float64(used) < spareUtilization*float64(room) || float64(usedLeft) < spareUtilization*float64(roomLeft)
 }
--- a/internal/jobs/cell/status.go
+++ b/internal/jobs/cell/status.go
@@ -12,7 +12,7 @@
 // Status describes the workers and the standing tasks as of the last summary.
 type Status struct {
 	// Known workers include those that the platform no longer lists.
-	Known, Usable, Silent, Unlisted, Evacuated int
+	Known, Usable, Silent, Unlisted, Evacuated, Cold int
 	// Standing is the number of standing tasks that should run, and StandingRunning of
 	// those with a run that its worker has confirmed within the duration of a lease.
 	Standing, StandingRunning int
@@ -55,6 +55,9 @@
 		if w.evacuated {
 			s.Evacuated++
 		}
+		if w.warmth.Cold(now) {
+			s.Cold++
+		}
 	}
 	var standing, idle []downTask
 	for _, j := range c.open {
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -55,6 +55,7 @@
 	attempts []*attempt
 	// evacuated is set while the data centre of the worker is evacuated.
 	evacuated bool
+	warmth    warmth
 	// used is the sum of all reservations; best-effort tasks reserve no CPU and are
 	// counted in bestEffortCPU instead. standingCPU is the part of used that standing
 	// tasks reserve. Both are in milliprocessors.
@@ -260,6 +261,7 @@
 	if info.Draining != former.Draining && w.recorded {
 		c.pending.workers[info.ID] = w
 	}
+	w.announceWarmth(now, info.ColdFor)
 	c.updateEvacuated(w)
 	c.noteResized(w, former)
 	c.withdrawUnsent(now, w)
--- a/internal/jobs/obstacle/obstacle.go
+++ b/internal/jobs/obstacle/obstacle.go
@@ -21,6 +21,7 @@
 	Memory       Reason = "noMemory"
 	Outdated     Reason = "outdated"
 	Health       Reason = "suspect"
+	Cold         Reason = "cold"
 	Label        Reason = "otherLabel"
 	AlreadyHere  Reason = "runsThere"
 	MaxPerWorker Reason = "apart"
--- a/internal/jobs/sim/audit.go
+++ b/internal/jobs/sim/audit.go
@@ -65,6 +65,7 @@
 
 // auditStart audits the start of a run of a task of step.
 func (w *World) auditStart(worker *Worker, order bamboofall.StartOrder, job *submission, step *bamboofall.Step) {
+	w.auditEvacuation(worker, order)
 	audit := w.auditOf(order.Task)
 	if audit.running > 0 && !step.Speculative {
 		w.reportViolation("%v: run %d started on %s while another run was in progress", order.Task, order.Run, worker.ID())
--- a/internal/jobs/sim/handover.go
+++ b/internal/jobs/sim/handover.go
@@ -28,6 +28,7 @@
 	w.cell.SetConfiguration(&bamboofall.Configuration{
 		Version: w.version, Queues: slices.Clone(w.cfg.Queues),
 	})
+	w.cell.SetEvacuated(w.now, w.evacuatedDataCentres())
 	var records []bamboofall.StoredRecord
 	for key, value := range w.store {
 		records = append(records, bamboofall.StoredRecord{StoreRecord: bamboofall.StoreRecord{Key: key, Value: value}})
--- a/internal/jobs/sim/runnable.go
+++ b/internal/jobs/sim/runnable.go
@@ -264,7 +264,7 @@
 
 // sound reports whether tasks could run at a worker.
 func (x *Worker) sound() bool {
-	return x.up && x.listed() && !x.draining && !x.faulty()
+	return x.up && x.listed() && !x.draining && !x.faulty() && !x.isEvacuated()
 }
 
 // faulty reports whether a fault is in effect at a worker that is up.
@@ -283,7 +283,7 @@
 // faultFingerprint describes the state of owner and workers that changes with faults only.
 func (w *World) faultFingerprint() string {
 	workers := slices.SortedFunc(slices.Values(w.workers), func(a, b *Worker) int { return cmp.Compare(a.index, b.index) })
-	out := fmt.Sprint(w.handovers)
+	out := fmt.Sprint(w.handovers, w.evacuationChanges)
 	for _, x := range workers {
 		out += fmt.Sprintf(" %d/%d/%t/%v", x.index, x.incarnation, x.up, x.capacity.room)
 	}
--- a/internal/jobs/sim/runnable_test.go
+++ b/internal/jobs/sim/runnable_test.go
@@ -126,6 +126,7 @@
 		all[name] = f
 	}
 	delete(all, unnoticedRestart) // has sequences of its own
+	delete(all, evacuated)        // likewise
 	for name, f := range standingFaults {
 		all["standing: "+name] = f
 	}
--- a/internal/jobs/sim/worker.go
+++ b/internal/jobs/sim/worker.go
@@ -122,7 +122,7 @@
 	room := x.listedRoom()
 	return bamboofall.Worker{
 		WorkerRef: bamboofall.WorkerRef{ID: x.ID(), Address: x.address},
-		Born:      x.born, Service: Service, Room: room, Clock: x.capacity.listedAt, Labels: []string{"a", fmt.Sprintf("r%d", x.rack)}, Draining: x.draining,
+		Born:      x.born, Service: Service, Zone: x.DataCentre(), Room: room, Clock: x.capacity.listedAt, Labels: []string{"a", fmt.Sprintf("r%d", x.rack)}, Draining: x.draining,
 	}
 }
 
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -30,6 +30,9 @@
 	Workers int
 	// Room is the initial capacity of each worker.
 	Room bamboofall.Resources
+	// DataCentres is the number of data centres over which the workers are spread. Without any, none
+	// can be evacuated.
+	DataCentres int
 	// PerRack is the number of workers per rack. Zero puts all workers on one rack.
 	PerRack int
 	Lease   time.Duration
@@ -93,6 +96,11 @@
 	appending bool
 	// StoreDown is set while the store does not answer.
 	StoreDown bool
+	// storeDownAt is when the store last did not answer.
+	storeDownAt time.Time
+	// evacuated holds since when data centres are evacuated, and evacuationChanges counts the changes.
+	evacuated         map[bamboofall.DataCentre]time.Time
+	evacuationChanges int
 	// RelayFaultShare is the share of the calls that relays delay or lose.
 	RelayFaultShare float64
 	// LostAcknowledgementShare is the share of the hold calls that acknowledge run ends and
@@ -244,7 +252,7 @@
 		cfg: cfg, now: start, startedAt: start, random: rand.New(rand.NewPCG(cfg.Seed, 1)), announceRandom: rand.New(rand.NewPCG(cfg.Seed, 7)),
 		store: make(map[string][]byte), jobs: make(map[bamboofall.JobID]*submission),
 		tasks: make(map[bamboofall.TaskName]*taskAudit), byID: make(map[string]*Worker),
-		Stats: Stats{Queues: make(map[string]*QueueStats)}, deadly: make(map[bamboofall.TaskName]*deadlyTask), brokenGangs: make(map[gangRun]bool), doneGangs: make(map[gangRun]bool), nextIndex: cfg.Workers,
+		Stats: Stats{Queues: make(map[string]*QueueStats)}, deadly: make(map[bamboofall.TaskName]*deadlyTask), brokenGangs: make(map[gangRun]bool), doneGangs: make(map[gangRun]bool), evacuated: make(map[bamboofall.DataCentre]time.Time), nextIndex: cfg.Workers,
 	}
 	for i := range cfg.Workers {
 		x := newWorker(w, i)
@@ -283,6 +291,9 @@
 // tick advances workers and owners, and schedules the next tick.
 func (w *World) tick() {
 	w.schedule(tick, w.tick)
+	if w.StoreDown {
+		w.storeDownAt = w.now
+	}
 	for _, x := range w.workers {
 		x.tick()
 	}
--- a/internal/jobs/sim/world_test.go
+++ b/internal/jobs/sim/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -151,6 +152,7 @@
 	"worker drained": func(w *sim.World, r *rand.Rand) { randomWorker(w, r).Drain(4500 * time.Millisecond) },
 	"deadly task":    submitRandomDeadly,
 	unnoticedRestart: restartWorkers,
+	evacuated:        evacuateDataCentre,
 }
 
 func randomWorker(w *sim.World, r *rand.Rand) *sim.Worker {
@@ -160,13 +162,17 @@
 var faultNames = []string{
 	"crash", "crash and partition", "partition", "short partition", "late orders", "failing worker", "stalling worker", "slow worker", "owner replaced",
 	"owner replaced twice", "owner replaced during partition", "owner partitioned from store", "owner partitioned from store and worker from new owner", "store down", "worker drained",
-	"long partition", "deadly task", unnoticedRestart,
+	"long partition", "deadly task", unnoticedRestart, evacuated,
 }
 
 // simulate runs a simulation in which each fault is injected once, at a random
 // time.
 func simulate(seed uint64, names ...string) *sim.World {
-	w := sim.New(config(seed))
+	cfg := config(seed)
+	if slices.Contains(names, evacuated) {
+		cfg.DataCentres = 4
+	}
+	w := sim.New(cfg)
 	submitLoad(w, seed, 20*time.Second, 6)
 	random := rand.New(rand.NewPCG(seed, 3))
 	for _, name := range names {
@@ -213,7 +219,7 @@
 }
 
 func TestInvariantsHoldUnderRandomFaultSequences(t *testing.T) {
-	last := uint64(200)
+	last := uint64(230)
 	if testing.Short() {
 		last = 130
 	}
@@ -227,6 +233,8 @@
 			among = faultNames[:16]
 		case seed < 190:
 			among = faultNames[:17]
+		case seed < 200:
+			among = faultNames[:18]
 		}
 		var names []string
 		for range 3 + random.IntN(4) {
--- a/internal/jobs/warmup/warmup.go
+++ b/internal/jobs/warmup/warmup.go
@@ -3,18 +3,18 @@
 // for how much longer.
 //
 // The load pattern is the return of a data centre under load: a quarter of the workers is
-// empty and slow. The emptiest workers would get all tasks that wait, urgent short ones among them,
+// empty and slow. Filled at once, they get all that waits, urgent short tasks among it,
 // which are late then though warm workers become free within a fraction of their time. So
-// warm workers go first, and a cold one is filled in steps.
+// warm workers go first, and a cold one is filled in steps. Where all workers are cold, as at
+// the start of a fleet, there is nothing to prefer, and they are filled at once.
 package warmup
 
 import "time"
 
 const (
-	// firstShare is the share of a cold worker that may be reserved at once, and steps the
-	// number of steps in which the share rises to the whole while it warms up.
-	firstShare = 0.25
-	steps      = 4
+	// steps is the number of steps in which the share of a cold worker that may be
+	// reserved rises to the whole.
+	steps = 4
 	// Penalty is subtracted from the placement score of a worker that has just become
 	// cold. It outweighs all that makes one warm worker better than another, except the rack
 	// with a task's data.
@@ -50,13 +50,16 @@
 	return min(1, float64(w.until.Sub(now))/float64(w.until.Sub(w.from)))
 }
 
-// Share returns the share of the worker that may be reserved. It rises in steps.
-func (w *Worker) Share(now time.Time) float64 {
-	if !w.Cold(now) {
-		return 1
-	}
-	step := int(steps * (1 - w.left(now)))
-	return min(1, firstShare+(1-firstShare)*float64(step)/(steps-1))
+// Step returns the number of the present step, which rises from 1 to 4 as the worker
+// warms up.
+func (w *Worker) Step(now time.Time) int {
+	return min(steps, 1+int(steps*(1-w.left(now))))
+}
+
+// Accepts reports whether a worker may be given a task that makes the reserved part of its
+// processors as large as stated. An idle worker accepts any task.
+func (w *Worker) Accepts(now time.Time, reserved, size, room int64) bool {
+	return reserved <= 0 || (reserved+size)*steps <= room*int64(w.Step(now))
 }
 
 // Demotion returns what is subtracted from the score of the worker.
