--- a/internal/jobs/cell/warmup.go
+++ b/internal/jobs/cell/warmup.go
@@ -13,8 +13,14 @@
 	base int64
 	// step is the step as of the last scan, or zero if the worker was warm.
 	step int
+	// checkedAt is when the worker last counted as one with a gain.
+	checkedAt time.Time
 }
 
+// coldCheckInterval is the time after which tasks that were kept from a cold worker are tried
+// there again, as those that have waited for long are not kept from it.
+const coldCheckInterval = 500 * time.Millisecond
+
 // inUse returns the CPU in milliprocessors that tasks reserve and best-effort tasks hold.
 func (w *worker) inUse() int64 { return w.used.MilliProcessors + w.bestEffortCPU }
 
@@ -27,8 +33,12 @@
 }
 
 // tooCold reports whether a cold worker may not be given a task of a step yet. While most
-// workers are cold there are no better ones to wait for.
+// workers are cold there are no better ones to wait for. Standing tasks outlast the cold time, and
+// a step that has waited for long without any run is served somewhere.
 func (c *Cell) tooCold(now time.Time, w *worker, s *step) bool {
+	if s.Standing || s.runs == 0 && now.Sub(s.readyAt) >= starvationDelay {
+		return false
+	}
 	return !c.mostlyCold && w.warmth.Cold(now) &&
 		!w.warmth.Accepts(now, w.inUse()-w.warmth.base, s.Size.MilliProcessors, w.info.Room.MilliProcessors-w.warmth.base)
 }
@@ -52,8 +62,8 @@
 		if w.warmth.Cold(now) {
 			step = w.warmth.Step(now)
 		}
-		if step != w.warmth.step || changed && step > 0 {
-			w.warmth.step = step
+		if step != w.warmth.step || step > 0 && (changed || now.Sub(w.warmth.checkedAt) >= coldCheckInterval) {
+			w.warmth.step, w.warmth.checkedAt = step, now
 			c.addGain(w)
 		}
 	}
