internal/entry/front: storms in which data centres are evacuated

The storms of restarts and failing orders knew no evacuations. With the checks of the cell and of the sender taken out (scratch copy) the storm, the sequences of jobs/sim and the two failure tests of the owner fail.

--- a/internal/entry/front/restartstorm_test.go
+++ b/internal/entry/front/restartstorm_test.go
@@ -57,6 +57,8 @@
 	series bool
 	// lateAcks is set if calls that acknowledge run ends are executed late, too.
 	lateAcks bool
+	// evacuations is set if data centres are evacuated in the storm.
+	evacuations *evacuationAudit
 	// over ends when no more faults are injected.
 	over  context.Context
 	tasks sync.WaitGroup
@@ -104,6 +106,11 @@
 )
 
 func playRestartStorm(t *testing.T, seed uint64, lateAcks bool) {
+	playStorm(t, seed, lateAcks, *restartStormDuration, nil)
+}
+
+// playStorm plays a storm. Data centres are evacuated in it if evacuations is set.
+func playStorm(t *testing.T, seed uint64, lateAcks bool, duration time.Duration, evacuations *evacuationAudit) {
 	setup := (&restartStorm{seed: seed}).random("setup")
 	entries, options := 3, []Option{}
 	if setup.float() < 0.3 {
@@ -113,7 +120,7 @@
 	if relayed {
 		options = append(options, WithWorkersPerCore(twoWorkersPerEntry))
 	}
-	s := &restartStorm{testCluster: newTestCluster(t, entries, stormWorkers, time.Minute, options...), seed: seed, series: setup.float() < 0.5, lateAcks: lateAcks}
+	s := &restartStorm{testCluster: newTestCluster(t, entries, stormWorkers, time.Minute, options...), seed: seed, series: setup.float() < 0.5, lateAcks: lateAcks, evacuations: evacuations}
 	durations := func(task string) time.Duration {
 		r := s.random(task)
 		return r.between(10*time.Millisecond, 300*time.Millisecond)
@@ -121,9 +128,12 @@
 	for _, w := range s.workers {
 		w.SetTaskDurations(durations, 30*time.Millisecond)
 	}
+	if evacuations != nil {
+		evacuations.spread(s.testCluster)
+	}
 	first := s.waitForOwner(-1)
 	s.waitForAnswers()
-	over, end := context.WithTimeout(t.Context(), *restartStormDuration)
+	over, end := context.WithTimeout(t.Context(), duration)
 	defer end()
 	s.over = over
 	if relayed && setup.float() < 0.6 {
@@ -134,8 +144,11 @@
 		s.tasks.Go(func() { s.restartRepeatedly(w) })
 	}
 	s.tasks.Go(s.submitJobs)
+	if evacuations != nil {
+		s.tasks.Go(s.evacuateRepeatedly)
+	}
 	if entries > 1 && setup.float() < 0.5 {
-		sleep(over, *restartStormDuration/2)
+		sleep(over, duration/2)
 		s.entries[first].stop()
 	}
 	s.tasks.Wait()
@@ -161,6 +174,9 @@
 	}
 	lateAck := s.lateAcknowledgements(w)
 	return func(c standin.WorkerCall) (fault standin.WorkerFault) {
+		if s.evacuations != nil {
+			s.evacuations.called(w, c)
+		}
 		if fault, late := lateAck(c); late {
 			return fault
 		}
