--- a/internal/entry/front/status.go
+++ b/internal/entry/front/status.go
@@ -104,6 +104,7 @@
 	if !seenAt.IsZero() {
 		s["cellOwnerRecordAgeSeconds"] = at.Sub(seenAt).Seconds()
 	}
+	f.addEvacuationStatus(at, s)
 	if o := f.owner.Load(); o != nil {
 		s["ownerRenewalAgeSeconds"] = at.Sub(confirmedAt).Seconds()
 		o.addStatus(at, s)
@@ -132,6 +133,7 @@
 	}
 	for name, n := range map[string]int{
 		"ownerWorkers": loop.cell.Known, "ownerWorkersUsable": loop.cell.Usable, "ownerWorkersSilent": loop.cell.Silent, "ownerWorkersUnlisted": loop.cell.Unlisted,
+		"ownerWorkersEvacuated": loop.cell.Evacuated, "ownerWorkersCold": loop.cell.Cold,
 		"ownerWorkersDirect": loop.direct, "ownerWorkersRelayed": loop.relayed, "ownerWorkersDirectSilent": loop.silentDirect, "ownerWorkersRelayedSilent": loop.silentRelayed,
 		"ownerRelays": loop.relays, "ownerRelaysSuspended": loop.relaysSuspended,
 		"ownerStandingTasks": loop.cell.Standing, "ownerStandingTasksRunning": loop.cell.StandingRunning,
--- a/internal/jobs/cell/worker.go
+++ b/internal/jobs/cell/worker.go
@@ -13,6 +13,7 @@
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
 	"bamboofall.example/bamboofall/internal/jobs/recordsize"
 	"bamboofall.example/bamboofall/internal/jobs/suspicion"
+	"bamboofall.example/bamboofall/internal/jobs/warmup"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
 
@@ -53,6 +54,9 @@
 
 	// attempts are in placement order.
 	attempts []*attempt
+	// evacuated is set while the data centre of the worker is evacuated.
+	evacuated bool
+	warmth    warmup.Worker
 	// used is the sum of all reservations; best-effort tasks reserve no CPU and are
 	// counted in bestEffortCPU instead. standingCPU is the part of used that standing
 	// tasks reserve. Both are in milliprocessors.
@@ -193,7 +197,7 @@
 
 // usable reports whether tasks may be placed at the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.answered && !w.silent() && !w.restartUnnamed && !w.info.Draining
+	return w.listed && w.answered && !w.silent() && !w.restartUnnamed && !w.info.Draining && !w.evacuated
 }
 
 // MaxLeaseDuration returns the longest time, measured from the grant, that a lease can
@@ -258,8 +262,10 @@
 	if info.Draining != former.Draining && w.recorded {
 		c.pending.workers[info.ID] = w
 	}
+	w.warmth.Announced(now, info.ColdFor)
+	c.updateEvacuated(w)
 	c.noteResized(w, former)
-	c.withdrawUnordered(now, w)
+	c.withdrawUnsent(now, w)
 	if !info.Draining && !w.recorded {
 		c.recordWorker(w)
 	}
@@ -413,7 +419,7 @@
 // runs and the removal of workers that are gone.
 func (c *Cell) watchWorker(now time.Time, w *worker) {
 	c.pace(now, w)
-	c.evacuate(now, w)
+	c.emptyDraining(now, w)
 	c.closeDraining(w)
 	c.recordFormerEnd(now, w)
 	c.watchCrash(now, w)
