internal/jobs/headroom: tell how well tails beside new best-effort tasks are expected

The owner now compares the tail that it expected with the first one that the worker reports 0.5 to 1.5 s after the start. The summary line shows missed targets by expected tail, two counters the totals. No limit changes: decisions.golden is as before.

--- a/internal/jobs/cell/attempt.go
+++ b/internal/jobs/cell/attempt.go
@@ -70,6 +70,9 @@
 	pausedSince time.Time
 	// moveCheckedAt is when it was last checked whether the run can move.
 	moveCheckedAt time.Time
+	// expectedTail is the highest tail latency, as a fraction of the target, expected at the
+	// worker when a best-effort task was placed, until it was compared with a reported one.
+	expectedTail float64
 	// withdrawn is set once the start order must not be sent any more.
 	withdrawn atomic.Bool
 	// resumed reports whether the run began from a checkpoint.
@@ -179,8 +182,12 @@
 	if w.recordClosed {
 		c.recordWorker(w) // the worker does not drain any more
 	}
+	expectedTail := 0.0
+	if t.step.BestEffort && len(w.serving) > 0 {
+		expectedTail = c.worstTailWith(now, w, t.step)
+	}
 	a := c.reserve(w, t, run)
-	a.placedAt = now
+	a.placedAt, a.expectedTail = now, expectedTail
 	if t.lastRun == 0 {
 		c.passStage(t.step.occ.job, stage.Placement, now.Sub(t.step.readyAt))
 	}
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -9,6 +9,7 @@
 	"bamboofall.example/bamboofall/internal/jobs/callbudget"
 	"bamboofall.example/bamboofall/internal/jobs/duration"
 	"bamboofall.example/bamboofall/internal/jobs/freshness"
+	"bamboofall.example/bamboofall/internal/jobs/headroom"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
 	"bamboofall.example/bamboofall/internal/jobs/stage"
 	"bamboofall.example/bamboofall/internal/jobs/tailtier"
@@ -129,7 +130,9 @@
 	bestEffortCapacity  float64
 	bestEffortSampledAt time.Time
 	pressure            *pressure.Model
-	usage               usage.Account
+	// accuracy tells how well tail latencies are expected.
+	accuracy headroom.Accuracy
+	usage    usage.Account
 	// stages holds the times of all jobs, recentStages those since the last summary.
 	stages, recentStages stage.Account
 	fits                 fitCache
@@ -145,6 +148,9 @@
 	StartsRejected, StartsUnanswered, HoldFailures  int64
 	Quarantines, Paced, Adopted, OrphanedRuns       int64
 	WorkersCrashed, TasksSuspected, TasksGivenUp    int64
+	// PlacementsJudged counts the best-effort tasks whose disturbance was compared with what
+	// was expected, PlacementsOver those beside which a target was missed.
+	PlacementsJudged, PlacementsOver int64
 }
 
 // Note is an entry for the log.
@@ -347,11 +353,11 @@
 	}
 	c.note(Note{Event: "summary", Detail: fmt.Sprintf(
 		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, best-effort %d using %d; jobs %d known %d open; tasks waiting %d; "+
-			"workers known %d unlisted %d; standing tasks %d running %d, longest down %v, with room %v; idle jobs %d, longest %v, with room %v; recovering %t; processor seconds: %v",
+			"workers known %d unlisted %d; standing tasks %d running %d, longest down %v, with room %v; idle jobs %d, longest %v, with room %v; recovering %t; processor seconds: %v; targets missed beside new best-effort tasks, by expected tail: %v",
 		status.Usable, serving, status.Silent, room, used, standing, bestEffort, bestEffortUse, known, open, waiting,
 		status.Known, status.Unlisted, status.Standing, status.StandingRunning,
 		status.LongestDown.Round(time.Millisecond), status.LongestDownWithRoom.Round(time.Millisecond),
-		status.IdleJobs, status.LongestIdle.Round(time.Millisecond), status.LongestIdleWithRoom.Round(time.Millisecond), status.Recovering, &c.usage)})
+		status.IdleJobs, status.LongestIdle.Round(time.Millisecond), status.LongestIdleWithRoom.Round(time.Millisecond), status.Recovering, &c.usage, &c.accuracy)})
 }
 
 // passStage records that a job of a queue has spent a time in a stage.
--- a/internal/jobs/cell/pace.go
+++ b/internal/jobs/cell/pace.go
@@ -61,6 +61,7 @@
 		if !s.BestEffort || a.state != attemptRunning || a.stopping {
 			continue
 		}
+		c.judgePlacement(now, a, load)
 		if worst == nil {
 			a.targetPace = fullPace
 			continue
