--- a/internal/entry/front/metrics.go
+++ b/internal/entry/front/metrics.go
@@ -43,6 +43,7 @@
 		"runsLost": c.LostRuns, "runsStopped": c.Stopped, "startsRejected": c.StartsRejected, "startsUnanswered": c.StartsUnanswered,
 		"holdFailures": c.HoldFailures, "workersSuspected": c.Quarantines, "paceOrders": c.Paced, "runsAdopted": c.Adopted,
 		"runsOrphaned": c.OrphanedRuns, "workersCrashed": c.WorkersCrashed, "tasksSuspected": c.TasksSuspected, "tasksGivenUp": c.TasksGivenUp,
+		"jobsWithdrawn": c.Withdrawn,
 	} {
 		m.SetTotal(name, nil, total)
 	}
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -141,6 +141,7 @@
 // Counters counts the actions of an owner.
 type Counters struct {
 	Accepted, Refused, Completed, Failed, Cancelled int64
+	Withdrawn                                       int64
 	Started, Done, TaskFailures, LostRuns, Stopped  int64
 	StartsRejected, StartsUnanswered, HoldFailures  int64
 	Quarantines, Paced, Adopted, OrphanedRuns       int64
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -33,6 +33,9 @@
 	// promised is set if the caller was told that the job is accepted before this owner
 	// stored it.
 	promised bool
+	// specFlush is the flush that makes the submission durable, or zero if a former owner
+	// has stored it.
+	specFlush uint64
 	// stateFlush is the flush that makes the latest state durable.
 	stateFlush uint64
 	// visibleState is the durable state, which callers see.
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -45,7 +45,10 @@
 // submit submits a job with the settings of its queue. With mustAccept it never refuses.
 func (c *Cell) submit(now time.Time, spec *bamboofall.Job, q *bamboofall.Queue, mustAccept bool) (uint64, *Refusal) {
 	if j := c.jobs[spec.ID]; j != nil {
-		j.promised = j.promised || mustAccept
+		if !mustAccept {
+			return j.submittedFlush(), nil
+		}
+		j.promised = true
 		return j.stateFlush, nil
 	}
 	if q == nil && !mustAccept {
@@ -71,6 +74,7 @@
 	c.addOpen(j)
 	c.updateMeanWork(j)
 	c.pending.add(j)
+	j.specFlush = j.stateFlush
 	if spec.Repetitions > 0 {
 		c.recurring[j] = true
 		c.openDueOccurrences(now)
@@ -243,6 +247,7 @@
 		j := c.newJob(&bamboofall.Job{ID: id}, nil, now)
 		c.jobs[id] = j
 		c.addOpen(j)
+		j.specFlush = c.pending.nextFlush
 	}
 	flush, _ := c.Cancel(now, id)
 	return flush
