internal/entry/front: tell callers "not run" while the store refuses

While a data centre is cut off, its VMs kept their callers until these had no time left.

Change: the owner takes a job back 200 ms before its caller's call ends, unless it may be stored, and says so; the entry VM hands it in again or puts it into the inbox while the caller has time, and answers 503 storeRefuses then. A flush is rebuilt between attempts that certainly had no effect. An owner that ends takes back what it can. A VM that reaches neither the store nor the owner for 1.2 s leaves rotation and refuses at once (cutOff), so that its callers reach other data centres; so does an owner that hears neither the store nor other data centres, and the VMs beside it.

--- a/internal/entry/front/announce.go
+++ b/internal/entry/front/announce.go
@@ -59,6 +59,7 @@
 func (f *Front) announceOnce(ctx context.Context) bool {
 	owner, known := f.currentOwner()
 	if known && owner.Process == f.process {
+		f.ownerLink.Answered(now())
 		return true
 	}
 	if !known {
@@ -70,6 +71,7 @@
 		Process: f.process, Address: f.settings.Peers.String(), DataCentre: string(f.settings.DataCentre),
 		Capacity: vmCapacity(f.settings.Machine), Leaving: f.isDraining(),
 	}))
+	f.recordOwnerCall(now(), err)
 	if err != nil || res.Msg.GetNotOwner() {
 		f.metrics.Increment("announcementsFailed", nil)
 		return false
@@ -93,10 +95,17 @@
 		Capacity: announced.GetCapacity(), Leaving: announced.GetLeaving(),
 	}
 	s.front.announcements.add(now(), vm)
+	if vm.DataCentre != s.front.settings.DataCentre {
+		s.front.othersHeardAt.set(now())
+	}
 	vm.Capacity = capacityOrDefault(vm.Capacity)
 	if !o.events.TryPush(o.measured(loopTopics, func(at time.Time) { o.dispatcher.applyAnnouncement(at, vm) })) {
 		return connect.NewResponse(&jobpb.AnnounceResponse{NotOwner: true}), nil
 	}
+	if s.front.isIsolated(now()) {
+		// The VMs here can be served by no owner, and are to leave rotation.
+		return nil, connect.NewError(codeIsolated, errIsolated)
+	}
 	return connect.NewResponse(&jobpb.AnnounceResponse{}), nil
 }
 
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -21,6 +21,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/dispatch"
+	"bamboofall.example/bamboofall/internal/request/holding"
 	"bamboofall.example/bamboofall/internal/run/clock"
 	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
@@ -71,6 +72,14 @@
 	store   bamboofall.KeyedStore
 	workers bamboofall.TaskWorkers
 	peers   *peerClients
+	// storeLink tells whether the store answers this VM.
+	storeLink holding.Link
+	// ownerLink tells whether the owner answers this VM, and othersHeardAt is when a VM in
+	// another data centre last announced itself to the owner here.
+	ownerLink     holding.Link
+	othersHeardAt atomicTime
+	// wasCutOff is whether this VM was cut off as of the last readiness probe.
+	wasCutOff atomic.Bool
 	// config is the newest configuration, or nil before the first one.
 	config  atomic.Pointer[bamboofall.Configuration]
 	metrics *metrics
@@ -363,12 +372,14 @@
 				return nil
 			}
 			failures++
+			f.recordStoreCall(now(), err)
 			if failures == 1 {
 				f.log.Event("store lost", logrus.Fields{"topic": topic, "error": err.Error()})
 			}
 			sleep(ctx, storeRetryDelay)
 			continue
 		}
+		f.recordStoreCall(now(), nil)
 		if failures > 0 {
 			failures = 0
 			f.log.Event("store regained", logrus.Fields{"topic": topic})
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -1,11 +1,9 @@
 package front
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +15,7 @@
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
+	"bamboofall.example/bamboofall/internal/request/holding"
 	"bamboofall.example/bamboofall/internal/run/ring"
 	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
@@ -69,6 +68,8 @@
 	ctx context.Context
 	// ready is set once the cell has been restored.
 	ready atomic.Bool
+	// loopEnded is closed when the loop has ended and no event is handled any more.
+	loopEnded chan struct{}
 	// renewalSequence is the producer sequence number of the next append to the owners
 	// topic.
 	renewalSequence uint64
@@ -87,15 +88,21 @@
 	quiet atomic.Bool
 	// inFlight is the number of orders without a result.
 	inFlight atomic.Int64
-	progress ownerProgress
+	// appendFails is set while the last append to the cell's partition has failed.
+	appendFails atomic.Bool
+	progress    ownerProgress
 
 	// The fields below are used by the owner's loop only.
 	dispatcher *relayDispatcher
 	// cellSequence is the producer sequence number of the next append to the cell's
 	// partition, and appending is set while one is in flight.
-	cellSequence     uint64
-	appending        bool
-	waiters          []waiter
+	cellSequence uint64
+	appending    bool
+	// outbox holds the flush that is being stored, or the last one.
+	outbox  *holding.Outbox
+	waiters []waiter
+	// dueCheckedAt is when it was last checked which of them are due.
+	dueCheckedAt     time.Time
 	metricsUpdatedAt time.Time
 	loopTime         loopTime
 	// appendErr is the error of a failed append, which stops the owner.
@@ -106,19 +113,13 @@
 	delayUpdatedAt, slowLoggedAt time.Time
 }
 
-// waiter is a callback that runs once a flush of the cell is stored.
-type waiter struct {
-	flush uint64
-	done  func()
-}
-
 // newOwner returns an owner that has not started. It stops when ctx is cancelled.
 func newOwner(ctx context.Context, f *Front, record lease.Record, formerLeasesEnd time.Time, clock lease.CellClock, sequence uint64) *owner {
 	group, ctx := errgroup.WithContext(ctx)
 	o := &owner{
 		front: f, record: record, clock: clock, events: ring.New[func(time.Time)](eventQueueSize), urgentEvents: ring.New[func(time.Time)](eventQueueSize),
 		group: group, ctx: ctx, renewalSequence: sequence, cellSequence: sequence, delays: newDelayMonitor(f.metrics),
-		yielding: make(chan struct{}),
+		yielding: make(chan struct{}), loopEnded: make(chan struct{}),
 		cell: cell.New(cell.Config{
 			Epoch: record.Epoch, Lease: f.workerLease(), MaxLease: f.settings.Bounds.MaxLease, FormerLeasesEnd: formerLeasesEnd, Clock: clock,
 			EndedJobRetention: f.settings.Bounds.EndedJobRetention + 10*time.Second,
@@ -225,47 +226,14 @@
 	}
 }
 
-// appendWithRetry appends records to the cell's partition. It retries until the append
-// succeeds, another owner has fenced the partition or ctx is cancelled. All attempts
-// have the same sequence number, so the store appends the records once.
+// appendWithRetry appends records to the cell's partition, see appendOutbox.
 func (o *owner) appendWithRetry(ctx context.Context, records []bamboofall.StoreRecord) error {
-	first := true
-	o.progress.storingSince.set(now())
-	defer o.progress.storingSince.set(time.Time{})
-	for {
-		began := now()
-		_, err := o.front.store.Append(ctx, bamboofall.StoreAppend{
-			Topic: topicCells, Partition: cellPartition, Records: records, ExpectedEnd: -1,
-			Producer: producerName, Epoch: o.record.Epoch, Sequence: o.cellSequence,
-		})
-		var fenced *bamboofall.FencedError
-		switch {
-		case err == nil:
-			o.front.metrics.recordLatency("storeAppend", now().Sub(began))
-			o.progress.storedAt.set(now())
-			o.cellSequence++
-			return nil
-		case errors.As(err, &fenced):
-			if fenced.Sequence && !first && fenced.Expected == o.cellSequence+1 {
-				o.progress.storedAt.set(now())
-				o.cellSequence++ // an earlier attempt succeeded
-				return nil
-			}
-			return fmt.Errorf("%w: %w", errDeposed, err)
-		case ctx.Err() != nil:
-			return ctx.Err()
-		}
-		o.front.metrics.Increment("appendsFailed", map[string]string{"topic": topicCells})
-		if first {
-			o.front.log.Event("append failed", logrus.Fields{"epoch": o.record.Epoch, "records": len(records), "error": err.Error()})
-		}
-		first = false
-		sleep(ctx, storeRetryDelay)
-	}
+	return o.appendOutbox(ctx, holding.NewOutbox(records, maxAppendBytes))
 }
 
 // loop handles events and runs the steps of the cell.
 func (o *owner) loop(ctx context.Context) error {
+	defer o.endLoop()
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	o.progress.steppedAt.set(now())
@@ -296,6 +264,7 @@
 func (o *owner) step(at time.Time) error {
 	o.progress.steppedAt.set(at)
 	o.updateDelay(at)
+	o.takeBackDue(at)
 	if !o.quiet.Load() {
 		if err := o.decide(at); err != nil {
 			return err
@@ -325,7 +294,8 @@
 	}
 	if len(records) > 0 {
 		o.appending = true
-		go o.storeRecords(records, flush)
+		o.outbox = holding.NewOutbox(deletionsLast(records), maxAppendBytes)
+		go o.storeOutbox(o.outbox, flush)
 	}
 	return nil
 }
@@ -355,67 +325,6 @@
 	return nil
 }
 
-// storeRecords appends a flush to the cell's partition, and then calls the waiters of
-// stored flushes in the loop.
-func (o *owner) storeRecords(records []bamboofall.StoreRecord, flush uint64) {
-	err := o.appendFlush(o.ctx, records)
-	o.push(o.ctx, loopStored, func(at time.Time) {
-		o.appending = false
-		if err != nil {
-			o.appendErr = err
-			return
-		}
-		o.cell.Stored(at, flush)
-		kept := o.waiters[:0]
-		for _, w := range o.waiters {
-			if o.cell.IsStored(w.flush) {
-				w.done()
-				continue
-			}
-			kept = append(kept, w)
-		}
-		o.waiters = kept
-	})
-}
-
-// appendFlush appends the records of a flush to the cell's partition.
-func (o *owner) appendFlush(ctx context.Context, records []bamboofall.StoreRecord) error {
-	for _, batch := range appendBatches(records, maxAppendBytes) {
-		if err := o.appendWithRetry(ctx, batch); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// appendBatches divides records into appends of at most maxBytes each. Deletions are
-// last: an owner that is replaced between two appends must not leave the progress of a
-// job whose steps are deleted.
-func appendBatches(records []bamboofall.StoreRecord, maxBytes int) [][]bamboofall.StoreRecord {
-	ordered := slices.Clone(records)
-	slices.SortStableFunc(ordered, func(a, b bamboofall.StoreRecord) int {
-		return cmp.Compare(deletionRank(a), deletionRank(b))
-	})
-	var batches [][]bamboofall.StoreRecord
-	first, size := 0, 0
-	for i, r := range ordered {
-		n := len(r.Key) + len(r.Value)
-		if i > first && size+n > maxBytes {
-			batches = append(batches, ordered[first:i])
-			first, size = i, 0
-		}
-		size += n
-	}
-	return append(batches, ordered[first:])
-}
-
-func deletionRank(r bamboofall.StoreRecord) int {
-	if len(r.Value) == 0 {
-		return 1
-	}
-	return 0
-}
-
 func (o *owner) setConfiguration(conf *bamboofall.Configuration) {
 	o.push(o.ctx, loopTopics, func(time.Time) { o.cell.SetConfiguration(conf) })
 }
@@ -533,35 +442,6 @@
 	}
 }
 
-// whenStored calls done once a flush is stored, or at once if it is.
-func (o *owner) whenStored(flush uint64, done func()) {
-	if o.cell.IsStored(flush) {
-		done()
-		return
-	}
-	o.waiters = append(o.waiters, waiter{flush, done})
-}
-
-// runInLoop runs f in the owner's loop and returns the value that f passes to reply.
-func runInLoop[T any](ctx context.Context, o *owner, f func(at time.Time, reply func(T))) (T, error) {
-	var none T
-	if !o.ready.Load() || o.isReleasing() {
-		return none, errNotOwner
-	}
-	done := make(chan T, 1)
-	if !o.queueOf(loopRequests).TryPush(o.measured(loopRequests, func(at time.Time) { f(at, func(v T) { done <- v }) })) {
-		return none, errNotOwner
-	}
-	select {
-	case v := <-done:
-		return v, nil
-	case <-ctx.Done():
-		return none, &bamboofall.UnknownOutcomeError{Call: "owner", Err: ctx.Err()}
-	case <-o.ctx.Done():
-		return none, &bamboofall.UnknownOutcomeError{Call: "owner", Err: errDeposed}
-	}
-}
-
 // errNotOwner reports that a request had no effect because this VM does not own the
 // cell.
 var errNotOwner = errors.New("this VM does not own the cell")
--- a/internal/entry/front/ownerappend_test.go
+++ b/internal/entry/front/ownerappend_test.go
@@ -15,6 +15,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
+	"bamboofall.example/bamboofall/internal/request/holding"
 	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
 	"bamboofall.example/bamboofall/platform"
@@ -120,7 +121,7 @@
 	}
 	stored := make(chan struct{})
 	go func() {
-		c.storeRecords(records, 1)
+		c.storeOutbox(holding.NewOutbox(deletionsLast(records), maxAppendBytes), 1)
 		close(stored)
 	}()
 	select {
@@ -132,6 +133,16 @@
 	assert.Equal(t, len(newest), jobs)
 }
 
+// appendBatches returns the appends that store records.
+func appendBatches(records []bamboofall.StoreRecord, maxBytes int) (batches [][]bamboofall.StoreRecord) {
+	box := holding.NewOutbox(deletionsLast(records), maxBytes)
+	for batch := box.Next(); len(batch) > 0; batch = box.Next() {
+		batches = append(batches, batch)
+		box.Stored()
+	}
+	return batches
+}
+
 // The steps of a job must not be deleted before the end of the job is stored.
 func TestDeletionsAreStoredLast(t *testing.T) {
 	records := []bamboofall.StoreRecord{{Key: "ja"}, {Key: "jb", Value: []byte("12345")}, {Key: "pa", Value: []byte("1")}, {Key: "pc", Value: []byte("1")}}
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -12,6 +12,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
+	"bamboofall.example/bamboofall/internal/request/holding"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 )
@@ -65,7 +66,7 @@
 // hadNoEffect reports whether an error proves that the request had no effect on the other
 // VM.
 func hadNoEffect(err error) bool {
-	return httpclient.IsNotSent(err) || errors.Is(err, errNotOwner)
+	return httpclient.IsNotSent(err) || errors.Is(err, errNotOwner) || errors.Is(err, errNotStored)
 }
 
 func (f *Front) peersHandler() http.Handler {
@@ -136,12 +137,26 @@
 func (f *Front) submitLocal(ctx context.Context, m *jobpb.SubmitRequest) (*jobpb.SubmitResponse, error) {
 	spec := jobspec.Decode(m.GetJob())
 	return runInLocalOwner(ctx, f, func(o *owner, at time.Time, reply func(*jobpb.SubmitResponse)) {
+		if ctx.Err() != nil {
+			return // nobody waits for the answer
+		}
+		withheld := func() {
+			reply(&jobpb.SubmitResponse{Refused: true, Reason: holding.ReasonStoreRefuses, RetryAfterMs: holding.RetryAfter(spec.ID).Milliseconds()})
+		}
+		if o.appendFails.Load() && timeLeft(ctx, at) <= holding.MinTime && !o.cell.IsSubmitted(spec.ID) {
+			withheld() // it would be taken back
+			return
+		}
 		flush, refusal := o.cell.Submit(at, spec)
 		if refusal != nil {
 			reply(&jobpb.SubmitResponse{Refused: true, Reason: refusal.Reason, RetryAfterMs: refusal.RetryAfter.Milliseconds()})
 			return
 		}
-		o.whenStored(flush, func() { reply(&jobpb.SubmitResponse{Accepted: true}) })
+		o.wait(waiter{
+			flush: flush, submission: submissionOf(ctx, at, spec.ID),
+			done:     func() { reply(&jobpb.SubmitResponse{Accepted: true}) },
+			withheld: withheld,
+		})
 	})
 }
 
--- a/internal/entry/front/requests.go
+++ b/internal/entry/front/requests.go
@@ -19,6 +19,7 @@
 	"bamboofall.example/bamboofall/internal/jobs/admission"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/recordsize"
+	"bamboofall.example/bamboofall/internal/request/holding"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
 	"bamboofall.example/bamboofall/platform"
 )
@@ -57,7 +58,9 @@
 }
 
 func (f *Front) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if f.isDraining() || f.config.Load() == nil {
+	cutOff := f.isCutOff(now())
+	f.noteCutOff(cutOff)
+	if f.isDraining() || f.config.Load() == nil || cutOff {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -81,6 +84,9 @@
 		res = response{status: http.StatusServiceUnavailable, reason: "noConfiguration", retryAfter: takeoverRetryAfter}
 	} else if q, rest, found := findQueue(conf, r); !found {
 		res = response{status: http.StatusNotFound, reason: "noSuchQueue"}
+	} else if f.isCutOff(began) {
+		res = f.unavailable(reasonCutOff)
+		job, queue = rest, q.Name
 	} else {
 		job, queue = rest, q.Name
 		ctx, cancel := f.requestContext(r)
@@ -102,7 +108,7 @@
 
 func (f *Front) writeResponse(w http.ResponseWriter, res response) {
 	w.Header().Set("Content-Type", "application/json")
-	if f.isDraining() {
+	if f.isDraining() || res.reason == reasonCutOff {
 		w.Header().Set("Connection", "close")
 	}
 	if res.retryAfter > 0 {
@@ -221,6 +227,9 @@
 		if res.GetAccepted() {
 			return nil, nil
 		}
+		if res.GetReason() == holding.ReasonStoreRefuses {
+			return nil, errNotStored
+		}
 		return &response{
 			status: http.StatusTooManyRequests, reason: res.GetReason(),
 			retryAfter: time.Duration(res.GetRetryAfterMs()) * time.Millisecond,
@@ -246,9 +255,11 @@
 // owner. State is the job's state after success. Attempt calls the owner: it returns a
 // response if the owner declines the request, and nil if the request succeeded.
 //
-// If it is certain that the request had no effect, the caller is told at once, as it can
-// retry at another entry VM. After an unknown outcome it cannot, so the request, which
-// is idempotent here, is retried until the timeout.
+// If it is certain that the request had no effect as neither owner nor inbox can be reached from
+// here, the caller is told soon, as it can retry at another entry VM. While the owner cannot store
+// it, no other VM has more success, so the request is held until the timeout. After an unknown
+// outcome the caller cannot retry, so the request, which is idempotent here, is retried until the
+// timeout, too.
 func (f *Front) callOwnerOrDefer(ctx context.Context, key string, deferred *jobpb.Deferred, state bamboofall.JobState, attempt func() (*response, error)) response {
 	success := response{status: http.StatusOK, body: platform.EncodeState(state.String())}
 	unknown := response{status: http.StatusGatewayTimeout, reason: "unknown"}
@@ -256,8 +267,12 @@
 	if err != nil {
 		return malformedRequest(err)
 	}
-	notExecuted := true
+	began := now()
+	notExecuted, heldByOwner := true, false
 	for {
+		if notExecuted && f.isCutOff(now()) {
+			return f.notRun(deferred, reasonCutOff)
+		}
 		declined, err := attempt()
 		switch {
 		case err == nil && declined == nil:
@@ -268,30 +283,46 @@
 			return unknown // an earlier attempt may still submit the job
 		}
 		notExecuted = notExecuted && hadNoEffect(err)
+		withheld := errors.Is(err, errNotStored)
+		heldByOwner = heldByOwner || withheld
 		if notExecuted && ctx.Err() != nil {
-			return f.unavailable("noTime")
+			return f.notRun(deferred, "noTime")
 		}
-		_, err = f.store.Append(ctx, bamboofall.StoreAppend{
-			Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: key, Value: value}}, ExpectedEnd: -1,
-		})
-		if err == nil {
-			f.metrics.Increment("callsDeferred", nil)
-			return success
+		if !notExecuted || f.mayDefer(now(), withheld) {
+			_, err = f.store.Append(ctx, bamboofall.StoreAppend{
+				Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: key, Value: value}}, ExpectedEnd: -1,
+			})
+			f.recordStoreCall(now(), err)
+			if err == nil {
+				f.metrics.Increment("callsDeferred", nil)
+				return success
+			}
+			var notDone *bamboofall.NotDoneError
+			notExecuted = notExecuted && errors.As(err, &notDone)
 		}
-		var notDone *bamboofall.NotDoneError
-		notExecuted = notExecuted && errors.As(err, &notDone)
 		if notExecuted {
-			return f.unavailable("noOwner")
+			left := timeLeft(ctx, now())
+			switch {
+			case heldByOwner && left <= holding.MinTime:
+				return f.notRun(deferred, holding.ReasonStoreRefuses)
+			case !heldByOwner && (now().Sub(began) >= holding.UnreachableFor || left <= holding.MinTime):
+				return f.notRun(deferred, "noOwner")
+			}
+		}
+		if !withheld { // the owner has held the request for a while
+			sleep(ctx, ownerRetryDelay)
 		}
-		sleep(ctx, ownerRetryDelay)
 		if ctx.Err() != nil {
+			if notExecuted {
+				return f.notRun(deferred, "noTime")
+			}
 			return unknown
 		}
 	}
 }
 
 func (f *Front) lookup(ctx context.Context, id bamboofall.JobID) response {
-	res, err := retryUntilDone(ctx, func() (*jobpb.LookupResponse, error) {
+	res, err := retryUntilDone(ctx, f.cutOffNow, func() (*jobpb.LookupResponse, error) {
 		return callOwner(ctx, f, &jobpb.LookupRequest{Id: string(id)}, f.lookupLocal, jobpb.JobsClient.Lookup, (*jobpb.LookupResponse).GetNotOwner)
 	})
 	switch {
@@ -304,7 +335,7 @@
 }
 
 func (f *Front) pending(ctx context.Context, q *bamboofall.Queue) response {
-	res, err := retryUntilDone(ctx, func() (*jobpb.PendingResponse, error) {
+	res, err := retryUntilDone(ctx, f.cutOffNow, func() (*jobpb.PendingResponse, error) {
 		return callOwner(ctx, f, &jobpb.PendingRequest{Queue: q.Name}, f.pendingLocal, jobpb.JobsClient.Pending, (*jobpb.PendingResponse).GetNotOwner)
 	})
 	if err != nil {
@@ -313,11 +344,11 @@
 	return response{status: http.StatusOK, body: platform.EncodePending(int(res.GetJobs()))}
 }
 
-// retryUntilDone retries a read-only call until it succeeds or ctx is done.
-func retryUntilDone[T any](ctx context.Context, f func() (T, error)) (T, error) {
+// retryUntilDone retries a read-only call until it succeeds, ctx is done or this VM is cut off.
+func retryUntilDone[T any](ctx context.Context, cutOff func() bool, f func() (T, error)) (T, error) {
 	for {
 		v, err := f()
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || cutOff() {
 			return v, err
 		}
 		sleep(ctx, ownerRetryDelay)
--- a/internal/entry/front/restartstorm_test.go
+++ b/internal/entry/front/restartstorm_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -274,12 +275,17 @@
 
 // call makes a call about a job and returns the status, or 0 if there was no response.
 func (s *restartStorm) call(at int, method, job, body string) int {
+	return s.callWithin(3*time.Second, at, method, job, body)
+}
+
+// callWithin is call for a caller that waits for a time.
+func (s *restartStorm) callWithin(timeout time.Duration, at int, method, job, body string) int {
 	req, err := http.NewRequest(method, s.entries[at].url+"/q/"+job, strings.NewReader(body))
 	if !assert.Check(s.t, err) {
 		return 0
 	}
 	req.Host = "jobs.example"
-	req.Header.Set("X-Bamboofall-Timeout-Ms", "3000")
+	req.Header.Set("X-Bamboofall-Timeout-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	res, err := (&http.Client{Timeout: 5 * time.Second}).Do(req)
 	if err != nil {
 		return 0 // a stopped entry VM
--- a/internal/entry/front/status.go
+++ b/internal/entry/front/status.go
@@ -30,6 +30,14 @@
 	t.unixNano.Store(at.UnixNano())
 }
 
+// get returns t.
+func (t *atomicTime) get() time.Time {
+	if ns := t.unixNano.Load(); ns != 0 {
+		return time.Unix(0, ns)
+	}
+	return time.Time{}
+}
+
 // age returns the time since t, or noAge if t is zero.
 func (t *atomicTime) age(now time.Time) time.Duration {
 	ns := t.unixNano.Load()
@@ -71,11 +79,13 @@
 	relays, relaysSuspended int
 	// Numbers of workers by route, and of silent ones among them:
 	direct, relayed, silentDirect, silentRelayed int
+	// held is the number of submissions that wait for the store.
+	held int
 }
 
 // updateProgress publishes the state of the loop.
 func (o *owner) updateProgress() {
-	s := &loopState{cell: o.cell.Status()}
+	s := &loopState{cell: o.cell.Status(), held: o.held()}
 	s.relays, s.relaysSuspended = o.dispatcher.table.Relays()
 	for id, relayed := range o.dispatcher.table.Routes() {
 		n, silent := &s.direct, &s.silentDirect
@@ -135,7 +145,7 @@
 		"ownerWorkersDirect": loop.direct, "ownerWorkersRelayed": loop.relayed, "ownerWorkersDirectSilent": loop.silentDirect, "ownerWorkersRelayedSilent": loop.silentRelayed,
 		"ownerRelays": loop.relays, "ownerRelaysSuspended": loop.relaysSuspended,
 		"ownerStandingTasks": loop.cell.Standing, "ownerStandingTasksRunning": loop.cell.StandingRunning,
-		"ownerIdleJobs": loop.cell.IdleJobs,
+		"ownerIdleJobs": loop.cell.IdleJobs, "ownerHeldSubmissions": loop.held,
 	} {
 		s[name] = float64(n)
 	}
