internal/jobs/cell: do not confirm a job that is held; internal/request/holding: stricter signs of a cut

A lookup of a held job was answered "queued", as its record was in the outbox, and the job could be taken back after that (GET 200, then POST 503, then GET 410). An owner that had lost another data centre long ago counted as isolated once the store went silent for all, and one lost announcement was enough for a VM to count as cut off. The others must now have been lost with the store, every answered call to the owner counts, and two calls in a row must be lost.

--- a/internal/entry/front/ownership.go
+++ b/internal/entry/front/ownership.go
@@ -142,6 +142,7 @@
 	fields := f.machineFields()
 	fields["epoch"] = record.Epoch
 	f.log.Event("claimed", fields)
+	f.othersHeardAt.set(time.Time{})
 	o := newOwner(ctx, f, record, formerLeasesEnd, clock, sequence+1)
 	f.owner.Store(o)
 	f.owners.Go(func() { f.runOwner(o) })
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -221,6 +221,7 @@
 	if notOwner(res.Msg) {
 		return nil, errNotOwner
 	}
+	f.ownerLink.Answered(now())
 	return res.Msg, nil
 }
 
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -257,7 +257,7 @@
 // only known from a submission that has not been answered.
 func (c *Cell) Lookup(id bamboofall.JobID) (bamboofall.JobState, bool) {
 	j := c.jobs[id]
-	if j == nil || !j.promised && j.stateFlush > c.pending.storedFlush && c.pending.specs[id] != nil {
+	if j == nil || !j.promised && !c.IsStored(j.submittedFlush()) {
 		return 0, false
 	}
 	if j.visibleState == bamboofall.JobQueued && j.started {
--- a/internal/request/holding/link.go
+++ b/internal/request/holding/link.go
@@ -80,11 +80,11 @@
 	return maxAge == 0 || now.Sub(l.answeredAt) <= maxAge
 }
 
-// Lost reports whether the last call got no answer, and the last answer is older than LostAfter.
+// Lost reports whether the last call got no answer, and the last answer is older than ownerLostAfter.
 func (l *Link) Lost(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.unanswered && now.Sub(l.answeredAt) > LostAfter
+	return l.unanswered && now.Sub(l.answeredAt) > ownerLostAfter
 }
 
 // Silent reports whether the last answer is older than LostAfter and the last call was not
@@ -95,20 +95,31 @@
 	return l.refusedAt.IsZero() && now.Sub(l.answeredAt) > LostAfter
 }
 
-// LostAfter is the time without an answer after which a server counts as lost. Each VM reads from
-// the store twice a second and calls the owner once a second, and a slow store takes half a
-// second to answer.
-const LostAfter = 1200 * time.Millisecond
+// lastAnswer returns when the server last answered.
+func (l *Link) lastAnswer() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answeredAt
+}
+
+const (
+	// LostAfter is the time without an answer after which the store counts as lost. Each VM
+	// reads from it twice a second, and a slow store takes half a second to answer.
+	LostAfter = 1200 * time.Millisecond
+	// ownerLostAfter is that time for the owner, which a VM calls once a second at least. It is
+	// longer than a single lost call and its repetition take.
+	ownerLostAfter = 2 * time.Second
+)
 
 // CutOff reports whether this VM can serve nothing, as neither store nor owner answer. A request
 // then has more success at another VM. While the store alone is lost, others have no more.
 func CutOff(now time.Time, store, owner *Link) bool { return store.Silent(now) && owner.Lost(now) }
 
 // Isolated reports whether an owner is cut off from other data centres: the store is lost, and
-// so are the VMs in other data centres, which announce themselves once a second. HeardAt is when
-// one last did, or zero if none has.
+// so are, since about the same time, the VMs in other data centres, which announce themselves
+// once a second. HeardAt is when one last did, or zero if none has.
 func Isolated(now time.Time, store *Link, heardAt time.Time) bool {
-	return store.Silent(now) && !heardAt.IsZero() && now.Sub(heardAt) > isolatedAfter
+	return store.Silent(now) && !heardAt.IsZero() && now.Sub(heardAt) > isolatedAfter && store.lastAnswer().Sub(heardAt) <= isolatedAfter
 }
 
 // isolatedAfter is the time without an announcement from another data centre after which an
