--- a/internal/entry/front/metrics.go
+++ b/internal/entry/front/metrics.go
@@ -44,6 +44,7 @@
 		"holdFailures": c.HoldFailures, "workersSuspected": c.Quarantines, "paceOrders": c.Paced, "runsAdopted": c.Adopted,
 		"runsOrphaned": c.OrphanedRuns, "workersCrashed": c.WorkersCrashed, "tasksSuspected": c.TasksSuspected, "tasksGivenUp": c.TasksGivenUp,
 		"placementsJudged": c.PlacementsJudged, "placementsOver": c.PlacementsOver,
+		"jobsWithdrawn": c.Withdrawn,
 	} {
 		m.SetTotal(name, nil, total)
 	}
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -46,7 +46,10 @@
 // submit submits a job with the settings of its queue. With mustAccept it never refuses.
 func (c *Cell) submit(now time.Time, spec *bamboofall.Job, q *bamboofall.Queue, mustAccept bool) (uint64, *Refusal) {
 	if j := c.jobs[spec.ID]; j != nil {
-		j.promised = j.promised || mustAccept
+		if !mustAccept {
+			return j.submittedFlush(), nil
+		}
+		j.promised = true
 		return j.stateFlush, nil
 	}
 	if q == nil && !mustAccept {
@@ -72,6 +75,7 @@
 	c.addOpen(j)
 	c.updateMeanWork(j)
 	c.pending.add(j)
+	j.specFlush = j.stateFlush
 	if spec.Repetitions > 0 {
 		c.recurring[j] = true
 		c.openDueOccurrences(now)
@@ -247,6 +251,7 @@
 		j := c.newJob(&bamboofall.Job{ID: id}, nil, now)
 		c.jobs[id] = j
 		c.addOpen(j)
+		j.specFlush = c.pending.nextFlush
 	}
 	flush, _ := c.Cancel(now, id)
 	return flush
@@ -256,7 +261,7 @@
 // only known from a submission that has not been answered.
 func (c *Cell) Lookup(id bamboofall.JobID) (bamboofall.JobState, bool) {
 	j := c.jobs[id]
-	if j == nil || !j.promised && j.stateFlush > c.pending.storedFlush && c.pending.specs[id] != nil {
+	if j == nil || !j.promised && !c.IsStored(j.submittedFlush()) {
 		return 0, false
 	}
 	if j.visibleState == bamboofall.JobQueued && j.started {
