internal/wire, internal/entry/front: bounds on what clients, peers, store and workers can make a process hold

Cause: the parser kept up to 32 MB of a request before a handler saw it, the limit of the configuration was checked after that, nothing bounded the sum, the connections by descriptors, the kernel's buffers, unread answers, unpacked messages, decoded lists, responses, or the tasks of small requests.

Change: - internal/wire/intake: a plan of budgets from memory and sockets, and the decision which connection goes when one is short, without I/O.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -21,10 +21,12 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/dispatch"
+	"bamboofall.example/bamboofall/internal/jobs/taskroom"
 	"bamboofall.example/bamboofall/internal/run/clock"
 	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
 	"bamboofall.example/bamboofall/internal/wire/httpserver"
+	"bamboofall.example/bamboofall/internal/wire/intake"
 	"bamboofall.example/bamboofall/platform"
 )
 
@@ -92,6 +94,9 @@
 	// owners tracks the owners that have not stopped.
 	owners sync.WaitGroup
 
+	// intake bounds what the clients of the servers may send.
+	intake *serverIntake
+
 	// activeRequests is the number of callers' requests in flight, and lastRequest the
 	// time at which one last started or ended, in Unix nanoseconds.
 	activeRequests, lastRequest atomic.Int64
@@ -114,7 +119,11 @@
 
 // New returns a Front that has not started. Path is the path of its settings file.
 func New(path string, settings *platform.Settings, engine *httpclient.Engine, log *Log, options ...Option) *Front {
-	client := httpclient.New(engine)
+	plan := intake.PlanFor(intake.Machine{MemoryBytes: settings.Machine.MemoryBytes, Sockets: settings.Machine.Sockets()})
+	storeClient := httpclient.New(engine, httpclient.WithLimits(plan.StoreResponses))
+	workerClient := httpclient.New(engine, httpclient.WithLimits(plan.WorkerResponses))
+	jobsClient := httpclient.New(engine, httpclient.WithLimits(plan.PeerResponses))
+	relaysClient := httpclient.New(engine, httpclient.WithLimits(plan.PeerResponses))
 	process := string(settings.VM) + "/" + uuid.NewString()[:8]
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(process))
@@ -123,14 +132,15 @@
 	ownership.SetCapacity(vmCapacity(settings.Machine))
 	f := &Front{
 		settings: settings, log: log, process: process, settingsPath: path,
-		store:    platform.NewStore(client, settings.Store),
-		workers:  platform.NewWorkers(client),
-		peers:    newPeerClients(client, httpclient.New(engine)),
+		store:    platform.NewStore(storeClient, settings.Store),
+		workers:  platform.NewWorkers(workerClient),
+		peers:    newPeerClients(jobsClient, relaysClient),
 		metrics:  newMetrics(string(settings.DataCentre)),
 		lease:    ownership,
 		draining: make(chan struct{}), releasing: make(chan struct{}),
 		workersPerCore: dispatch.WorkersPerCore, ownerChanged: make(chan struct{}, 1),
 	}
+	f.intake = newServerIntake(plan, taskroom.For(settings.Machine.MemoryBytes), f.metrics, log)
 	f.relay = newRelay(f)
 	f.serving, f.endServing = context.WithCancel(context.Background())
 	for _, option := range options {
@@ -190,19 +200,22 @@
 		name    string
 		at      netip.AddrPort
 		handler http.Handler
+		limits  intake.Limits
+		maxBody func() int64
 	}{
-		{"callers", f.settings.Callers, http.HandlerFunc(f.serveRequest)},
-		{"readiness", f.settings.Ready, http.HandlerFunc(f.serveReadiness)},
-		{"peers", f.settings.Peers, f.peersHandler()},
-		{"metrics", netip.AddrPortFrom(f.settings.Peers.Addr(), metricsPort), http.HandlerFunc(f.serveMetrics)},
+		{"callers", f.settings.Callers, http.HandlerFunc(f.serveRequest), f.intake.plan.Callers, f.maxCallerBody},
+		{"readiness", f.settings.Ready, http.HandlerFunc(f.serveReadiness), f.intake.plan.Probes, maxProbeBody},
+		{"peers", f.settings.Peers, f.peersHandler(), f.intake.plan.Peers, maxPeerBody},
+		{"metrics", netip.AddrPortFrom(f.settings.Peers.Addr(), metricsPort), http.HandlerFunc(f.serveMetrics), f.intake.plan.Probes, maxProbeBody},
 	} {
-		s, err := httpserver.Start(l.at, l.handler)
+		s, err := httpserver.StartLimited(l.at, l.handler, f.intake.options(l.name, l.limits, l.maxBody))
 		if err != nil {
 			f.endServing()
 			shutDown(servers...)
 			return nil, nil, fmt.Errorf("listen for %s: %w", l.name, err)
 		}
 		servers = append(servers, s)
+		f.intake.add(l.name, s)
 	}
 	return servers[0], servers[1:], nil
 }
--- a/internal/entry/front/metrics.go
+++ b/internal/entry/front/metrics.go
@@ -95,6 +95,7 @@
 	}
 	f.metrics.SetTotal("logLinesLeftOut", nil, f.log.Dropped())
 	f.metrics.updateStatus(f.status(now()))
+	f.intake.updateGauges()
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	// An error means that the reader has disconnected.
 	_ = f.metrics.Write(w, formatHistogram)
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/admission"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
@@ -36,8 +37,9 @@
 	}
 }
 
-// disabledCompression is the compression that is switched off for relays: the messages
-// are small, and on a local network compression takes longer than it saves.
+// disabledCompression is the compression that is switched off between entry VMs: the
+// messages are small, on a local network compression takes longer than it saves, and a
+// small compressed message may hold a large one.
 const disabledCompression = "gzip"
 
 func (p *peerClients) relayClient(at netip.AddrPort) jobpb.RelaysClient {
@@ -45,7 +47,7 @@
 	defer p.mu.Unlock()
 	c := p.relaysClients[at]
 	if c == nil {
-		c = jobpb.NewRelaysClient(p.relaysHTTP, "http://"+at.String(), connect.WithAcceptCompression(disabledCompression, nil, nil))
+		c = jobpb.NewRelaysClient(p.relaysHTTP, "http://"+at.String(), connect.WithAcceptCompression(disabledCompression, nil, nil), connect.WithReadMaxBytes(maxPeerMessage))
 		p.relaysClients[at] = c
 	}
 	return c
@@ -56,7 +58,7 @@
 	defer p.mu.Unlock()
 	c := p.jobsClients[at]
 	if c == nil {
-		c = jobpb.NewJobsClient(p.jobsHTTP, "http://"+at.String())
+		c = jobpb.NewJobsClient(p.jobsHTTP, "http://"+at.String(), connect.WithAcceptCompression(disabledCompression, nil, nil), connect.WithReadMaxBytes(maxPeerMessage))
 		p.jobsClients[at] = c
 	}
 	return c
@@ -69,10 +71,10 @@
 }
 
 func (f *Front) peersHandler() http.Handler {
-	path, handler := jobpb.NewJobsHandler(&jobsServer{f})
+	path, handler := jobpb.NewJobsHandler(&jobsServer{f}, connect.WithCompression(disabledCompression, nil, nil), connect.WithReadMaxBytes(maxPeerMessage))
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
-	mux.Handle(jobpb.NewRelaysHandler(&relaysServer{f}, connect.WithCompression(disabledCompression, nil, nil)))
+	mux.Handle(jobpb.NewRelaysHandler(&relaysServer{f}, connect.WithCompression(disabledCompression, nil, nil), connect.WithReadMaxBytes(maxPeerMessage)))
 	return mux
 }
 
@@ -136,6 +138,10 @@
 func (f *Front) submitLocal(ctx context.Context, m *jobpb.SubmitRequest) (*jobpb.SubmitResponse, error) {
 	spec := jobspec.Decode(m.GetJob())
 	return runInLocalOwner(ctx, f, func(o *owner, at time.Time, reply func(*jobpb.SubmitResponse)) {
+		if f.lacksRoomForTasks(at, o, spec) {
+			reply(&jobpb.SubmitResponse{Refused: true, Reason: reasonTooManyTasks, RetryAfterMs: admission.MaxRetryAfter.Milliseconds()})
+			return
+		}
 		flush, refusal := o.cell.Submit(at, spec)
 		if refusal != nil {
 			reply(&jobpb.SubmitResponse{Refused: true, Reason: refusal.Reason, RetryAfterMs: refusal.RetryAfter.Milliseconds()})
--- a/internal/entry/front/requests.go
+++ b/internal/entry/front/requests.go
@@ -176,10 +176,7 @@
 	}
 	switch r.Method {
 	case http.MethodPost:
-		limit := conf.Limits.BodyBytes
-		if limit <= 0 {
-			limit = defaultMaxBodyBytes
-		}
+		limit := maxBodyBytes(conf)
 		body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 		if err != nil {
 			return malformedRequest(fmt.Errorf("read request body: %w", err))
@@ -271,6 +268,12 @@
 		if notExecuted && ctx.Err() != nil {
 			return f.unavailable("noTime")
 		}
+		if !f.intake.mayDefer(now(), deferred) {
+			if notExecuted {
+				return f.unavailable(reasonTooManyTasks)
+			}
+			return unknown
+		}
 		_, err = f.store.Append(ctx, bamboofall.StoreAppend{
 			Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: key, Value: value}}, ExpectedEnd: -1,
 		})
--- /dev/null
+++ b/internal/jobs/taskroom/deferral.go
@@ -0,0 +1,38 @@
+package taskroom
+
+import (
+	"time"
+
+	"bamboofall.example/bamboofall"
+)
+
+const (
+	// deferralWindow is the time in which an entry VM defers deferralShare of its own room,
+	// as 1/deferralShare. An owner that comes back cannot refuse what was deferred.
+	deferralWindow = 10 * time.Second
+	deferralShare  = 8
+)
+
+// Deferral bounds the tasks that an entry VM accepts while no owner can be asked. Use
+// Room.Deferral. It is not safe for concurrent use.
+type Deferral struct {
+	most   int
+	opened time.Time
+	taken  int
+}
+
+// Deferral returns the bound for an entry VM with this room.
+func (r Room) Deferral() *Deferral { return &Deferral{most: r.tasks / deferralShare} }
+
+// Take reports whether a job may be deferred, and counts it if so.
+func (d *Deferral) Take(now time.Time, job *bamboofall.Job) bool {
+	if now.Sub(d.opened) >= deferralWindow {
+		d.opened, d.taken = now, 0
+	}
+	tasks := Tasks(now, job, 0, 0)
+	if tasks > d.most-d.taken {
+		return false
+	}
+	d.taken += tasks
+	return true
+}
--- /dev/null
+++ b/internal/jobs/taskroom/taskroom_test.go
@@ -0,0 +1,77 @@
+package taskroom
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall"
+)
+
+var now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func job(count, repetitions int, first time.Time, interval time.Duration) *bamboofall.Job {
+	return &bamboofall.Job{Steps: []bamboofall.Step{{Count: count}}, FirstRun: first, Interval: interval, Repetitions: repetitions}
+}
+
+func TestTasksCountsOccurrencesThatAreDueSoon(t *testing.T) {
+	for _, c := range []struct {
+		job        *bamboofall.Job
+		open, next int
+		tasks      int
+	}{
+		{job(7, 0, time.Time{}, 0), 0, 0, 7},
+		{job(7, 100_000, time.UnixMilli(0), time.Millisecond), 0, 0, 700_000},
+		{job(7, 100_000, now, 0), 0, 0, 700_000},
+		{job(7, 100_000, now, time.Hour), 0, 0, 7},
+		{job(7, 100_000, now, 10*time.Second), 0, 0, 49},
+		{job(7, 100_000, now, 10*time.Second), 2, 3, 42},
+		{job(7, 100_000, now.Add(time.Hour), time.Second), 0, 0, 0},
+		{job(7, 3, now.Add(-time.Hour), time.Second), 1, 3, 7},
+	} {
+		assert.Equal(t, Tasks(now, c.job, c.open, c.next), c.tasks, "%+v", c)
+	}
+}
+
+// Huge jobs are not deferred; ordinary ones are, and again after the window.
+func TestDeferralIsBounded(t *testing.T) {
+	d := For(184 << 20).Deferral()
+	taken := 0
+	for range 400 {
+		assert.Assert(t, !d.Take(now, job(100_000, 0, time.Time{}, 0)))
+		if d.Take(now, job(180, 0, time.Time{}, 0)) {
+			taken += 180
+		}
+	}
+	assert.Assert(t, taken > 0 && taken*bytesPerTask <= 184<<20/memoryShare/deferralShare)
+	assert.Assert(t, d.Take(now.Add(deferralWindow), job(180, 0, time.Time{}, 0)))
+}
+
+// A crowd submits jobs of 100,000 short tasks between ordinary jobs. By processor time all
+// of them fit: 100 s each on thousands of processors. They would take several times the
+// memory of the VM; with the room for tasks, ordinary jobs are accepted to the end.
+func TestOrdinaryJobsFitBesideHugeOnes(t *testing.T) {
+	room := For(184 << 20)
+	const endsAfter = 20 // ordinary jobs are done after as many further submissions
+	held, unbounded, ordinary := 0, 0, 0
+	var ends []int
+	for i := range 400 {
+		huge := job(100_000, 0, time.Time{}, 0)
+		unbounded += Tasks(now, huge, 0, 0)
+		if room.Fits(now, held, huge) {
+			held += 100_000
+		}
+		if i >= endsAfter {
+			held -= ends[i-endsAfter]
+		}
+		small := job(180, 0, time.Time{}, 0)
+		ends = append(ends, 0)
+		if room.Fits(now, held, small) {
+			held, ends[i], ordinary = held+180, 180, ordinary+1
+		}
+	}
+	assert.Equal(t, ordinary, 400)
+	assert.Assert(t, held*bytesPerTask <= 184<<20/memoryShare, "%d tasks", held)
+	assert.Assert(t, unbounded*bytesPerTask > 10*184<<20)
+}
--- a/internal/wire/httpclient/conn.go
+++ b/internal/wire/httpclient/conn.go
@@ -46,6 +46,8 @@
 	// timeout bounds each call of Do.
 	timeout time.Duration
 	resp    response
+	// responses is the budget for the response.
+	responses *responseBudget
 	// used is set once a request has been written.
 	used bool
 
@@ -97,6 +99,7 @@
 func (c *Conn) exchange(ctx context.Context, host string, request []byte, start, deadline time.Time, keepsHeader bool) error {
 	x := call{conn: c, ctx: ctx, host: host, unsent: request, start: start, deadline: deadline}
 	c.resp.keepsHeader = keepsHeader
+	defer func() { c.responses.release(&c.resp) }()
 	err := x.run()
 	if errors.Is(err, errStale) {
 		// No byte was sent, so the request can be sent on a new connection.
@@ -371,6 +374,10 @@
 			x.err = err
 			return true
 		}
+		if err := x.conn.responses.take(x.host, &x.conn.resp, n); err != nil {
+			x.err = err
+			return true
+		}
 		if x.conn.resp.complete {
 			return true
 		}
--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -22,6 +22,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"bamboofall.example/bamboofall/internal/wire/connpool"
+	"bamboofall.example/bamboofall/internal/wire/intake"
 )
 
 const (
@@ -125,7 +126,9 @@
 
 // NewConn returns a connection that its first call opens. The timeout bounds each
 // call; a call that exceeds it fails.
-func (e *Engine) NewConn(timeout time.Duration) *Conn { return &Conn{engine: e, timeout: timeout} }
+func (e *Engine) NewConn(timeout time.Duration) *Conn {
+	return &Conn{engine: e, timeout: timeout, responses: &responseBudget{limits: defaultResponseLimits}}
+}
 
 // Client makes calls over pooled connections. Use New. It implements
 // connect.HTTPClient.
@@ -135,11 +138,25 @@
 	pools  map[string]*connpool.Pool[*Conn]
 	// lastSweep is when the idle connections of all hosts were last expired.
 	lastSweep time.Time
+	responses *responseBudget
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithLimits bounds the responses that a client reads. A call whose response exceeds them
+// fails with a *ResponseTooLargeError.
+func WithLimits(l intake.ResponseLimits) Option {
+	return func(c *Client) { c.responses = &responseBudget{limits: l} }
 }
 
 // New returns a client without connections.
-func New(e *Engine) *Client {
-	return &Client{engine: e, pools: make(map[string]*connpool.Pool[*Conn])}
+func New(e *Engine, options ...Option) *Client {
+	c := &Client{engine: e, pools: make(map[string]*connpool.Pool[*Conn]), responses: &responseBudget{limits: defaultResponseLimits}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Request is a request whose body is in memory.
@@ -241,7 +258,9 @@
 	conn, ok, expired := p.Take(now, maxSilence)
 	closeAll(expired)
 	if !ok {
-		return c.engine.NewConn(defaultTimeout), now
+		conn = c.engine.NewConn(defaultTimeout)
+		conn.responses = c.responses
+		return conn, now
 	}
 	return conn, now
 }
--- a/internal/wire/httpclient/response.go
+++ b/internal/wire/httpclient/response.go
@@ -26,6 +26,11 @@
 	keepsHeader bool
 	// closes is set if the server closes the connection after the response.
 	closes bool
+	// read is the number of bytes that were read, and taken those that count for the
+	// client's budget. announced is the size of the body according to its header.
+	read, taken, announced int64
+	// headRead is set once the parser has passed the header.
+	headRead bool
 	// surplus is set if another response followed the first one.
 	surplus bool
 }
@@ -74,6 +79,13 @@
 	}
 }
 
+// OnContentLength implements nbhttp.Processor. It is called at the end of the header.
+func (r *response) OnContentLength(_ *nbhttp.Parser, length int) {
+	if !r.complete {
+		r.headRead, r.announced = true, int64(length)
+	}
+}
+
 // OnBody implements nbhttp.Processor.
 func (r *response) OnBody(_ *nbhttp.Parser, data []byte) error {
 	if !r.complete {
--- a/internal/wire/httpserver/conn.go
+++ b/internal/wire/httpserver/conn.go
@@ -1,10 +1,14 @@
 package httpserver
 
 import (
+	"errors"
 	"net"
+	"net/netip"
+	"os"
 	"sync/atomic"
+	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
+	"bamboofall.example/bamboofall/internal/wire/intake"
 )
 
 // conn is a connection that can be closed on the condition that it is idle: none of the
@@ -12,6 +16,13 @@
 type conn struct {
 	net.Conn
 	state atomic.Int32
+	// refused is the server's Options.Refused.
+	refused func(Refusal)
+	// record is the connection's place in the server's table, whose lock guards it.
+	record *intake.Conn
+	// evictedFor is set once the server has taken the connection from the table to make
+	// room for others.
+	evictedFor atomic.Pointer[Refusal]
 }
 
 // States of a conn.
@@ -34,20 +45,23 @@
 	}
 }
 
-// requestTracker is a processor that records whether the parser is within a request.
-type requestTracker struct {
-	nbhttp.Processor
-	inRequest bool
-}
-
-// OnMethod implements nbhttp.Processor. It is called at the start of a request.
-func (t *requestTracker) OnMethod(parser *nbhttp.Parser, method string) {
-	t.inRequest = true
-	t.Processor.OnMethod(parser, method)
+// Write writes within responseTimeout, so that a client that does not read its responses
+// does not hold them for longer.
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(responseTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.refused(*readTooSlowly)
+	}
+	return n, err
 }
 
-// OnComplete implements nbhttp.Processor. It returns after the response.
-func (t *requestTracker) OnComplete(parser *nbhttp.Parser) {
-	t.Processor.OnComplete(parser)
-	t.inRequest = false
+// client returns the address of the other side, without its port.
+func (c *conn) client() netip.Addr {
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
 }
--- a/internal/wire/httpserver/httpserver.go
+++ b/internal/wire/httpserver/httpserver.go
@@ -17,24 +17,18 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
-)
 
-const (
-	// maxBody bounds the size of a request with its body, in bytes.
-	maxBody = 32 << 20
-	// maxConnections bounds the number of open connections of a server.
-	maxConnections = 50_000
-	// readBufferSize is the size of the read buffer of each connection, in bytes.
-	readBufferSize = 4 << 10
-	// acceptRetryDelay is the wait after a failed accept, as when file descriptors
-	// have run out.
-	acceptRetryDelay = 50 * time.Millisecond
+	"bamboofall.example/bamboofall/internal/wire/intake"
 )
 
+// acceptRetryDelay is the wait after a failed accept, as when file descriptors have run out.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // requestTimeout bounds the time from the end of one request to the end of the next.
 // It thus also closes connections that are never idle because a client sends a request
 // a few bytes at a time.
@@ -46,34 +40,85 @@
 type Server struct {
 	engine   *nbhttp.Engine
 	listener net.Listener
+	options  Options
 
 	// stopping is set by Shutdown and Stop. Responses then close their connections.
 	stopping atomic.Bool
 
+	// draining is the number of connections whose refused requests are read to their end.
+	draining atomic.Int32
+
 	mu sync.Mutex
+	// table decides which connections stay, and byRecord holds those in it.
+	table    *intake.Table
+	byRecord map[*intake.Conn]*conn
 	// conns holds the open connections.
 	conns map[*conn]struct{}
 	// allClosed is closed when conns is empty after Shutdown has started.
 	allClosed chan struct{}
 }
 
-// Start listens on an address and serves requests in the background. Requests of one
-// connection are served in order.
+// Start listens on an address and serves requests in the background, with the default
+// limits. Requests of one connection are served in order.
 func Start(address netip.AddrPort, handler http.Handler) (*Server, error) {
+	return StartLimited(address, handler, Options{})
+}
+
+// StartLimited is Start with other limits.
+func StartLimited(address netip.AddrPort, handler http.Handler, options Options) (*Server, error) {
+	options = options.withDefaults()
 	// Keep-alive probes are off: idle connections are closed after requestTimeout.
-	config := net.ListenConfig{KeepAlive: -1}
+	config := net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { limitSocketBuffers(int(fd), options.SocketBuffer) })
+	}}
 	l, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	s := newServer(handler, options)
+	s.listener = l
+	go s.accept()
+	return s, nil
+}
+
+// newServer returns a server without a listener.
+func newServer(handler http.Handler, options Options) *Server {
 	runInline := func(f func()) { f() }
-	s := &Server{listener: l, conns: make(map[*conn]struct{}), allClosed: make(chan struct{})}
+	s := &Server{
+		options: options, table: intake.NewTable(options.Limits), byRecord: make(map[*intake.Conn]*conn),
+		conns: make(map[*conn]struct{}), allClosed: make(chan struct{}),
+	}
+	// The tracker bounds bodies and heads. The parser's own limit is a second bound on
+	// what it caches.
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Handler: s.closeWhenAsked(handler), MaxHTTPBodySize: maxBody, ReadLimit: maxBody, KeepaliveTime: requestTimeout,
+		Handler: s.closeWhenAsked(handler), ReadLimit: parserReadLimit, KeepaliveTime: requestTimeout,
 		ServerExecutor: runInline, ClientExecutor: runInline,
 	})
-	go s.accept()
-	return s, nil
+	return s
+}
+
+// parserReadLimit bounds what the parser caches of a request, in bytes.
+const parserReadLimit = 64 << 20
+
+// limitSocketBuffers sets the kernel's buffers of a listener, which its connections
+// inherit. An error leaves the kernel's own sizes.
+func limitSocketBuffers(fd, size int) {
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_SNDBUF, size)
+}
+
+// Usage is what a server's clients hold.
+type Usage struct {
+	Connections int
+	// RequestBytes is the size of the requests that are being received or run.
+	RequestBytes int64
+}
+
+// Usage returns what the server's clients hold at present.
+func (s *Server) Usage() Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Usage{Connections: len(s.conns), RequestBytes: s.table.Held()}
 }
 
 // closeWhenAsked extends a handler to close the connection after a response with the header
@@ -141,8 +186,8 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := &conn{Conn: accepted}
-		if !s.register(c) {
+		c := &conn{Conn: accepted, refused: s.options.Refused}
+		if !s.register(time.Now(), c) {
 			_ = c.Close()
 			continue
 		}
@@ -150,14 +195,22 @@
 	}
 }
 
-// register adds a connection. It returns false if the server is stopping or maxConnections
-// are open.
-func (s *Server) register(c *conn) bool {
+// register adds a connection. It returns false if the server is stopping, or if as many
+// connections as it may have are open and none of them can be closed.
+func (s *Server) register(now time.Time, c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopping.Load() || len(s.conns) >= maxConnections {
+	if s.stopping.Load() {
 		return false
 	}
+	record, evicted := s.table.Add(now, c.client())
+	s.evict(evicted, tooManyConnections)
+	if record == nil {
+		s.options.Refused(*tooManyConnections)
+		return false
+	}
+	c.record = record
+	s.byRecord[record] = c
 	s.conns[c] = struct{}{}
 	return true
 }
@@ -165,37 +218,9 @@
 func (s *Server) unregister(c *conn) {
 	s.mu.Lock()
 	delete(s.conns, c)
+	delete(s.byRecord, c.record)
+	s.table.Remove(c.record)
 	s.signalIfAllClosed()
 	s.mu.Unlock()
 	_ = c.Close()
 }
-
-// serve handles the requests of a connection until it is closed, a request is
-// malformed or requestTimeout passes. nbhttp extends the read deadline with each
-// response.
-func (s *Server) serve(c *conn) {
-	defer s.unregister(c)
-	processor := &requestTracker{Processor: nbhttp.NewServerProcessor()}
-	parser := nbhttp.NewParser(c, s.engine, processor, false, nbhttp.SyncExecutor)
-	defer parser.CloseAndClean(net.ErrClosed)
-	if err := c.SetReadDeadline(time.Now().Add(s.engine.KeepaliveTime)); err != nil {
-		return
-	}
-	buffer := make([]byte, readBufferSize)
-	for {
-		n, err := c.Read(buffer)
-		if err != nil || !c.setBusy() {
-			return
-		}
-		if err := parser.Parse(buffer[:n]); err != nil {
-			return
-		}
-		if processor.inRequest {
-			continue
-		}
-		c.setIdle()
-		if s.stopping.Load() {
-			return
-		}
-	}
-}
