internal/jobs/taskroom, internal/wire/httpclient: bounds on small jobs without pause

Change: taskroom counts jobs with their payloads, and ended ones; the cell drops the payload of a job that ends (its record is deleted then, too); the client of the workers opens no connection that the clients, store and peers need.

Ruled out: counting payloads of ended jobs instead of dropping them, as the retention of 120 s at 60 jobs a second would refuse callers of a large deployment.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -121,7 +121,8 @@
 func New(path string, settings *platform.Settings, engine *httpclient.Engine, log *Log, options ...Option) *Front {
 	plan := intake.PlanFor(intake.Machine{MemoryBytes: settings.Machine.MemoryBytes, Sockets: settings.Machine.Sockets()})
 	storeClient := httpclient.New(engine, httpclient.WithLimits(plan.StoreResponses))
-	workerClient := httpclient.New(engine, httpclient.WithLimits(plan.WorkerResponses))
+	var f *Front
+	workerClient := httpclient.New(engine, httpclient.WithLimits(plan.WorkerResponses), httpclient.WithConnectionLimit(func() int { return f.intake.freeSockets() }))
 	jobsClient := httpclient.New(engine, httpclient.WithLimits(plan.PeerResponses))
 	relaysClient := httpclient.New(engine, httpclient.WithLimits(plan.PeerResponses))
 	process := string(settings.VM) + "/" + uuid.NewString()[:8]
@@ -130,7 +131,7 @@
 	rank := float64(h.Sum32()%1024) / 1024
 	ownership := lease.New(now(), lease.DefaultTiming(), process, settings.Peers, rank)
 	ownership.SetCapacity(vmCapacity(settings.Machine))
-	f := &Front{
+	f = &Front{
 		settings: settings, log: log, process: process, settingsPath: path,
 		store:    platform.NewStore(storeClient, settings.Store),
 		workers:  platform.NewWorkers(workerClient),
--- a/internal/entry/front/intake.go
+++ b/internal/entry/front/intake.go
@@ -44,14 +44,14 @@
 
 func maxProbeBody() int64 { return probeBodyBytes }
 
-// reasonTooManyTasks is the reason of a refused job whose tasks do not fit into the memory
-// of the owner.
+// reasonTooManyTasks is the reason of a refused job that does not fit into the memory of the
+// owner.
 const reasonTooManyTasks = "tooManyTasks"
 
-// lacksRoomForTasks reports whether a job that the owner does not know has more tasks than
-// this VM has memory for.
+// lacksRoomForTasks reports whether a job that the owner does not know takes more memory
+// than this VM has for jobs.
 func (f *Front) lacksRoomForTasks(at time.Time, o *owner, spec *bamboofall.Job) bool {
-	return !o.cell.Knows(spec.ID) && !taskroom.For(f.settings.Machine.MemoryBytes).Fits(at, o.cell.OpenTasks(at), spec)
+	return !o.cell.Knows(spec.ID) && !taskroom.For(f.settings.Machine.MemoryBytes).Fits(at, o.cell.JobBytes(at), spec)
 }
 
 // mayDefer reports whether a call may be stored for the next owner, which cannot refuse it.
@@ -121,12 +121,26 @@
 	s.log.Event("clients over the limits", fields)
 }
 
+// runningServers returns the servers by name. Their locks are not taken under that of s,
+// which they take to count refusals.
+func (s *serverIntake) runningServers() map[string]*httpserver.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.servers)
+}
+
+// freeSockets returns the number of sockets that clients of the servers leave.
+func (s *serverIntake) freeSockets() int {
+	free := s.plan.Sockets
+	for _, server := range s.runningServers() {
+		free -= server.Usage().Connections + 1
+	}
+	return free
+}
+
 // updateGauges exports what the clients of each server hold.
 func (s *serverIntake) updateGauges() {
-	s.mu.Lock()
-	servers := maps.Clone(s.servers)
-	s.mu.Unlock()
-	for name, server := range servers {
+	for name, server := range s.runningServers() {
 		usage := server.Usage()
 		scope := s.metrics.Scope.Tagged(map[string]string{"server": name})
 		scope.Gauge("openConnections").Update(float64(usage.Connections))
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -335,6 +335,7 @@
 	}
 	j.state = state
 	j.endedAt = now
+	j.dropPayload()
 	c.accountJob(j)
 	c.ended = append(c.ended, j)
 	c.removeOpen(j)
--- a/internal/jobs/taskroom/deferral.go
+++ b/internal/jobs/taskroom/deferral.go
@@ -13,7 +13,7 @@
 	deferralShare  = 8
 )
 
-// Deferral bounds the tasks that an entry VM accepts while no owner can be asked. Use
+// Deferral bounds the memory of the jobs that an entry VM accepts while no owner can be asked. Use
 // Room.Deferral. It is not safe for concurrent use.
 type Deferral struct {
 	most   int
@@ -22,17 +22,17 @@
 }
 
 // Deferral returns the bound for an entry VM with this room.
-func (r Room) Deferral() *Deferral { return &Deferral{most: r.tasks / deferralShare} }
+func (r Room) Deferral() *Deferral { return &Deferral{most: r.bytes / deferralShare} }
 
 // Take reports whether a job may be deferred, and counts it if so.
 func (d *Deferral) Take(now time.Time, job *bamboofall.Job) bool {
 	if now.Sub(d.opened) >= deferralWindow {
 		d.opened, d.taken = now, 0
 	}
-	tasks := Tasks(now, job, 0, 0)
-	if tasks > d.most-d.taken {
+	bytes := Bytes(now, job, 0, 0)
+	if bytes > d.most-d.taken {
 		return false
 	}
-	d.taken += tasks
+	d.taken += bytes
 	return true
 }
--- a/internal/jobs/taskroom/taskroom.go
+++ b/internal/jobs/taskroom/taskroom.go
@@ -1,10 +1,11 @@
-// Package taskroom decides whether the tasks of a job fit into the memory of the VM that
+// Package taskroom decides whether a job and its tasks fit into the memory of the VM that
 // owns the cell.
 //
 // It answers the load of callers whose requests are small and whose jobs are not: a request
 // of a hundred bytes may submit a job of a hundred thousand tasks, or one with as many
-// occurrences that are all due at once. Admission by processor time accepts them if their
-// tasks are short, and each later owner would restore them.
+// occurrences that are all due at once. It also answers callers that submit small jobs as
+// fast as they can. Admission by processor time accepts both if the tasks are short, and
+// each later owner would restore them.
 package taskroom
 
 import (
@@ -14,32 +15,43 @@
 )
 
 const (
-	// bytesPerTask is the memory of an open task in the cell, and memoryShare the share of
-	// the VM's memory that open tasks may take, as 1/memoryShare.
-	bytesPerTask = 512
-	memoryShare  = 4
+	// bytesPerTask, bytesPerJob and bytesPerEndedJob are the memory of an open task in the
+	// cell, of an open job beside its tasks and its payload, and of one that has ended.
+	bytesPerTask     = 512
+	bytesPerJob      = 4 << 10
+	bytesPerEndedJob = 1 << 10
+	// memoryShare is the share of the VM's memory that jobs may take, as 1/memoryShare.
+	memoryShare = 4
 	// defaultMemory is the memory of a VM of which it is not known.
 	defaultMemory = 512 << 20
 	// horizon is how far ahead occurrences count that are not open yet.
 	horizon = time.Minute
 )
 
-// Room is the number of open tasks that a VM has memory for. Use For.
-type Room struct{ tasks int }
+// Room is the memory that a VM has for jobs. Use For.
+type Room struct{ bytes int }
 
 // For returns the room of a VM with the given memory, or with the default if it is zero.
 func For(memoryBytes uint64) Room {
 	if memoryBytes == 0 {
 		memoryBytes = defaultMemory
 	}
-	return Room{int(min(memoryBytes, 1<<50) / memoryShare / bytesPerTask)}
+	return Room{int(min(memoryBytes, 1<<50) / memoryShare)}
 }
 
-// Fits reports whether a job can be accepted beside the given number of open tasks.
-func (r Room) Fits(now time.Time, open int, job *bamboofall.Job) bool {
-	return Tasks(now, job, 0, 0) <= r.tasks-open
+// Fits reports whether a job can be accepted beside others that take held bytes.
+func (r Room) Fits(now time.Time, held int, job *bamboofall.Job) bool {
+	return Bytes(now, job, 0, 0) <= r.bytes-held
 }
 
+// Bytes returns the memory that a job takes with its tasks; see Tasks.
+func Bytes(now time.Time, job *bamboofall.Job, open, next int) int {
+	return bytesPerJob + len(job.Payload) + bytesPerTask*Tasks(now, job, open, next)
+}
+
+// EndedBytes returns the memory of a number of ended jobs.
+func EndedBytes(jobs int) int { return bytesPerEndedJob * jobs }
+
 // Tasks returns the number of tasks that a job keeps open soon: those of its open
 // occurrences and of the occurrences from number next on that are due within the horizon.
 func Tasks(now time.Time, job *bamboofall.Job, open, next int) int {
--- a/internal/jobs/taskroom/taskroom_test.go
+++ b/internal/jobs/taskroom/taskroom_test.go
@@ -41,10 +41,10 @@
 	for range 400 {
 		assert.Assert(t, !d.Take(now, job(100_000, 0, time.Time{}, 0)))
 		if d.Take(now, job(180, 0, time.Time{}, 0)) {
-			taken += 180
+			taken += Bytes(now, job(180, 0, time.Time{}, 0), 0, 0)
 		}
 	}
-	assert.Assert(t, taken > 0 && taken*bytesPerTask <= 184<<20/memoryShare/deferralShare)
+	assert.Assert(t, taken > 0 && taken <= 184<<20/memoryShare/deferralShare)
 	assert.Assert(t, d.Take(now.Add(deferralWindow), job(180, 0, time.Time{}, 0)))
 }
 
@@ -60,7 +60,7 @@
 		huge := job(100_000, 0, time.Time{}, 0)
 		unbounded += Tasks(now, huge, 0, 0)
 		if room.Fits(now, held, huge) {
-			held += 100_000
+			held += Bytes(now, huge, 0, 0)
 		}
 		if i >= endsAfter {
 			held -= ends[i-endsAfter]
@@ -68,10 +68,11 @@
 		small := job(180, 0, time.Time{}, 0)
 		ends = append(ends, 0)
 		if room.Fits(now, held, small) {
-			held, ends[i], ordinary = held+180, 180, ordinary+1
+			ends[i], ordinary = Bytes(now, small, 0, 0), ordinary+1
+			held += ends[i]
 		}
 	}
 	assert.Equal(t, ordinary, 400)
-	assert.Assert(t, held*bytesPerTask <= 184<<20/memoryShare, "%d tasks", held)
+	assert.Assert(t, held <= 184<<20/memoryShare, "%d bytes", held)
 	assert.Assert(t, unbounded*bytesPerTask > 10*184<<20)
 }
--- a/internal/wire/httpclient/conn.go
+++ b/internal/wire/httpclient/conn.go
@@ -29,8 +29,10 @@
 )
 
 var (
-	errClosed         = errors.New("connection is closed")
-	errDeadlinePassed = errors.New("deadline passed before the request was sent")
+	errClosed = errors.New("connection is closed")
+	// errTooManyConnections reports that the process has no descriptor to spare.
+	errTooManyConnections = errors.New("too many connections are open")
+	errDeadlinePassed     = errors.New("deadline passed before the request was sent")
 	// errStale reports that the server closed the connection, or sent unexpected data,
 	// between two calls.
 	errStale = errors.New("idle connection was closed or received unexpected data")
@@ -48,6 +50,8 @@
 	resp    response
 	// responses is the budget for the response.
 	responses *responseBudget
+	// maxConnections is that of the client, or nil.
+	maxConnections func() int
 	// used is set once a request has been written.
 	used bool
 
@@ -195,7 +199,11 @@
 
 // dial opens the network connection and completes the attempt.
 func (c *Conn) dial(attempt *dialAttempt, host string) {
-	conn, err := c.engine.dial(host)
+	var conn *net.TCPConn
+	err := errTooManyConnections
+	if c.maxConnections == nil || c.engine.openConnections() < c.maxConnections() {
+		conn, err = c.engine.dial(host)
+	}
 	c.mu.Lock()
 	attempt.err = err
 	if err == nil {
--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -118,6 +118,13 @@
 	return true
 }
 
+// openConnections returns the number of open connections.
+func (e *Engine) openConnections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.conns)
+}
+
 func (e *Engine) unregister(c *Conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -139,6 +146,9 @@
 	// lastSweep is when the idle connections of all hosts were last expired.
 	lastSweep time.Time
 	responses *responseBudget
+	// maxConnections, if set, returns the number of connections of the engine at which
+	// this client opens no more.
+	maxConnections func() int
 }
 
 // Option configures a Client.
@@ -150,6 +160,12 @@
 	return func(c *Client) { c.responses = &responseBudget{limits: l} }
 }
 
+// WithConnectionLimit keeps a client from opening connections while all clients of its
+// engine have as many open as limit returns. Calls that need one then fail, unsent.
+func WithConnectionLimit(limit func() int) Option {
+	return func(c *Client) { c.maxConnections = limit }
+}
+
 // New returns a client without connections.
 func New(e *Engine, options ...Option) *Client {
 	c := &Client{engine: e, pools: make(map[string]*connpool.Pool[*Conn]), responses: &responseBudget{limits: defaultResponseLimits}}
@@ -259,7 +275,7 @@
 	closeAll(expired)
 	if !ok {
 		conn = c.engine.NewConn(defaultTimeout)
-		conn.responses = c.responses
+		conn.responses, conn.maxConnections = c.responses, c.maxConnections
 		return conn, now
 	}
 	return conn, now
--- a/internal/wire/intake/plan.go
+++ b/internal/wire/intake/plan.go
@@ -12,6 +12,8 @@
 	// Callers and Peers are the limits of the servers for callers and for peers, Probes
 	// those of each server that answers probes and metrics.
 	Callers, Peers, Probes Limits
+	// Sockets is the number of sockets of the process.
+	Sockets int
 	// StoreResponses, WorkerResponses and PeerResponses are the limits of what the
 	// process reads as a client.
 	StoreResponses, WorkerResponses, PeerResponses ResponseLimits
@@ -75,7 +77,7 @@
 	}
 	return Plan{
 		StoreResponses: responses(maxStoreResponse), WorkerResponses: responses(maxWorkerResponse), PeerResponses: responses(maxPeerResponse),
-		Callers: many, Peers: many,
+		Callers: many, Peers: many, Sockets: m.Sockets,
 		Probes: Limits{Connections: max(1, min(probeConnections, m.Sockets/probeShare)), Bytes: probeBytes},
 	}
 }
