--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -165,7 +165,9 @@
 	}
 	used := int64(0)
 	for _, w := range c.workerList {
-		used += w.bestEffortCPU
+		if !w.evacuated {
+			used += w.bestEffortCPU
+		}
 	}
 	if c.bestEffortCapacity == 0 {
 		c.bestEffortCapacity = float64(used)
@@ -368,7 +370,7 @@
 			return 0, false
 		}
 	}
-	score := placement.Score(kind, s.Size, view)
+	score := placement.Score(kind, s.Size, view) - w.warmth.Demotion(now)
 	if t.lastFailedOn == w.info.ID {
 		score -= failedWorkerPenalty
 	}
