internal/wire, internal/entry: count kernel buffers in the plan, close unread responses for others

A connection whose response the client leaves unread for a second may be closed for others, and a connection for which there is no room is answered 503 with Retry-After instead of being closed without a word. Connections that the table has let go count as well.

A job counts once against what a VM may defer, and not at all if it was certainly not stored; the retries of a call go on. A job that ends before its specification is flushed keeps its payload until then.

--- a/internal/entry/front/intake.go
+++ b/internal/entry/front/intake.go
@@ -22,10 +22,6 @@
 	maxPeerMessage = 4 << 20
 	// probeBodyBytes bounds the body of a probe, which has none.
 	probeBodyBytes = 4 << 10
-	// callerSocketBuffer and peerSocketBuffer are the sizes of the kernel's buffers of
-	// a connection, in bytes.
-	callerSocketBuffer = 16 << 10
-	peerSocketBuffer   = 64 << 10
 	// refusalLogInterval is the least time between two lines about refusals.
 	refusalLogInterval = 10 * time.Second
 )
@@ -64,6 +60,16 @@
 	return s.deferral.Take(at, jobspec.Decode(deferred.GetJob()))
 }
 
+// giveBack undoes mayDefer for a call that was not stored.
+func (s *serverIntake) giveBack(takenAt time.Time, deferred *jobpb.Deferred) {
+	if deferred.GetJob() == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deferral.GiveBack(takenAt, jobspec.Decode(deferred.GetJob()))
+}
+
 // serverIntake holds the limits of this process's servers, and counts what they refuse.
 type serverIntake struct {
 	plan    intake.Plan
@@ -86,12 +92,8 @@
 
 // options returns the options of a server.
 func (s *serverIntake) options(name string, limits intake.Limits, maxBody func() int64) httpserver.Options {
-	buffer := callerSocketBuffer
-	if name == "peers" {
-		buffer = peerSocketBuffer
-	}
 	return httpserver.Options{
-		Limits: limits, MaxBody: maxBody, SocketBuffer: buffer,
+		Limits: limits, MaxBody: maxBody,
 		Body:    func(r httpserver.Refusal) []byte { return platform.EncodeRefusal(r.Reason, r.RetryAfter) },
 		Refused: func(r httpserver.Refusal) { s.count(now(), name, r) },
 	}
--- a/internal/entry/front/requests.go
+++ b/internal/entry/front/requests.go
@@ -254,6 +254,7 @@
 		return malformedRequest(err)
 	}
 	notExecuted := true
+	var takenAt time.Time // when the intake allowed the call to be stored
 	for {
 		declined, err := attempt()
 		switch {
@@ -268,11 +269,17 @@
 		if notExecuted && ctx.Err() != nil {
 			return f.unavailable("noTime")
 		}
-		if !f.intake.mayDefer(now(), deferred) {
+		if at := now(); takenAt.IsZero() && f.intake.mayDefer(at, deferred) {
+			takenAt = at
+		}
+		if takenAt.IsZero() {
 			if notExecuted {
 				return f.unavailable(reasonTooManyTasks)
 			}
-			return unknown
+			if sleep(ctx, ownerRetryDelay); ctx.Err() != nil {
+				return unknown
+			}
+			continue
 		}
 		_, err = f.store.Append(ctx, bamboofall.StoreAppend{
 			Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: key, Value: value}}, ExpectedEnd: -1,
@@ -284,6 +291,7 @@
 		var notDone *bamboofall.NotDoneError
 		notExecuted = notExecuted && errors.As(err, &notDone)
 		if notExecuted {
+			f.intake.giveBack(takenAt, deferred)
 			return f.unavailable("noOwner")
 		}
 		sleep(ctx, ownerRetryDelay)
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -335,7 +335,9 @@
 	}
 	j.state = state
 	j.endedAt = now
-	j.dropPayload()
+	if c.pending.specs[j.ID] == nil {
+		j.dropPayload()
+	}
 	c.accountJob(j)
 	c.ended = append(c.ended, j)
 	c.removeOpen(j)
--- a/internal/jobs/cell/jobbytes.go
+++ b/internal/jobs/cell/jobbytes.go
@@ -19,7 +19,8 @@
 // Knows reports whether a job was accepted and is not forgotten.
 func (c *Cell) Knows(id bamboofall.JobID) bool { return c.jobs[id] != nil }
 
-// dropPayload frees the payload of an ended job, which no order needs any more. The job is
+// dropPayload frees the payload of an ended job, which no order needs any more and which
+// has been encoded if the job is to be stored. The job is
 // kept for callers that ask for its state.
 func (j *job) dropPayload() {
 	spec := *j.Job
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -171,6 +171,9 @@
 	p.unstoredStates = p.unstoredStates[n:]
 	for len(p.unstoredJobs) > 0 && p.unstoredJobs[0].flush <= p.storedFlush {
 		j := p.unstoredJobs[0].job
+		if j.state.Ended() {
+			j.dropPayload()
+		}
 		c.passStage(j, stage.Acceptance, now.Sub(j.accepted))
 		p.unstoredJobs = p.unstoredJobs[1:]
 	}
--- a/internal/jobs/taskroom/deferral.go
+++ b/internal/jobs/taskroom/deferral.go
@@ -36,3 +36,10 @@
 	d.taken += bytes
 	return true
 }
+
+// GiveBack undoes Take for a job that was taken at the given time and not deferred.
+func (d *Deferral) GiveBack(takenAt time.Time, job *bamboofall.Job) {
+	if !takenAt.Before(d.opened) {
+		d.taken = max(0, d.taken-Bytes(takenAt, job, 0, 0))
+	}
+}
--- a/internal/jobs/taskroom/taskroom_test.go
+++ b/internal/jobs/taskroom/taskroom_test.go
@@ -76,3 +76,20 @@
 	assert.Assert(t, held <= 184<<20/memoryShare, "%d bytes", held)
 	assert.Assert(t, unbounded*bytesPerTask > 10*184<<20)
 }
+
+// What was not deferred after all does not count, but what was given back late does not make
+// room in a later window.
+func TestJobThatWasNotDeferredIsGivenBack(t *testing.T) {
+	d := For(184 << 20).Deferral()
+	small := job(180, 0, time.Time{}, 0)
+	for range 1000 {
+		assert.Assert(t, d.Take(now, small))
+		d.GiveBack(now, small)
+	}
+	assert.Assert(t, d.Take(now, small))
+	later := now.Add(deferralWindow)
+	assert.Assert(t, d.Take(later, small))
+	taken := d.taken
+	d.GiveBack(now, small)
+	assert.Equal(t, d.taken, taken)
+}
--- a/internal/wire/httpserver/httpserver.go
+++ b/internal/wire/httpserver/httpserver.go
@@ -29,6 +29,10 @@
 // acceptRetryDelay is the wait after a failed accept, as when file descriptors have run out.
 const acceptRetryDelay = 50 * time.Millisecond
 
+// lingeringShare is the number of connections that are about to be closed beyond the limit,
+// as 1/lingeringShare of it, beside those whose refused requests are read to their end.
+const lingeringShare = 8
+
 // requestTimeout bounds the time from the end of one request to the end of the next.
 // It thus also closes connections that are never idle because a client sends a request
 // a few bytes at a time.
@@ -69,7 +73,7 @@
 	options = options.withDefaults()
 	// Keep-alive probes are off: idle connections are closed after requestTimeout.
 	config := net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { limitSocketBuffers(int(fd), options.SocketBuffer) })
+		return raw.Control(func(fd uintptr) { limitSocketBuffers(int(fd), options.Limits.SocketBuffer) })
 	}}
 	l, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
@@ -188,7 +192,7 @@
 		}
 		c := &conn{Conn: accepted, refused: s.options.Refused}
 		if !s.register(time.Now(), c) {
-			_ = c.Close()
+			s.turnAway(c)
 			continue
 		}
 		go s.serve(c)
@@ -203,13 +207,18 @@
 	if s.stopping.Load() {
 		return false
 	}
+	// Connections that the table has let go are open until they are answered.
+	if limit := s.options.Limits.Connections; len(s.conns) >= limit+limit/lingeringShare+maxDraining {
+		s.options.Refused(*tooManyConnections)
+		return false
+	}
 	record, evicted := s.table.Add(now, c.client())
 	s.evict(evicted, tooManyConnections)
 	if record == nil {
 		s.options.Refused(*tooManyConnections)
 		return false
 	}
-	c.record = record
+	c.server, c.record = s, record
 	s.byRecord[record] = c
 	s.conns[c] = struct{}{}
 	return true
--- a/internal/wire/httpserver/limits.go
+++ b/internal/wire/httpserver/limits.go
@@ -34,6 +34,8 @@
 	// responseTimeout the time in which a client reads a part of a response.
 	receiveTimeout  = 15 * time.Second
 	responseTimeout = 10 * time.Second
+	// refusalTimeout bounds the writing of the response to a refused request.
+	refusalTimeout = time.Second
 
 	// busyRetryAfter is the Retry-After of requests that are refused for other requests.
 	busyRetryAfter = time.Second
@@ -86,8 +88,6 @@
 	Limits intake.Limits
 	// MaxBody returns the size of the largest request body, in bytes.
 	MaxBody func() int64
-	// SocketBuffer is the size of the kernel's buffers of a connection, in bytes.
-	SocketBuffer int
 	// Body returns the body of the response to a refused request. It may be nil.
 	Body func(Refusal) []byte
 	// Refused, if set, is called for each refusal. It must not block.
@@ -104,8 +104,8 @@
 	if o.MaxBody == nil {
 		o.MaxBody = func() int64 { return defaultMaxBody }
 	}
-	if o.SocketBuffer == 0 {
-		o.SocketBuffer = defaultSocketBuffer
+	if o.Limits.SocketBuffer == 0 {
+		o.Limits.SocketBuffer = defaultSocketBuffer
 	}
 	if o.Refused == nil {
 		o.Refused = func(Refusal) {}
--- a/internal/wire/httpserver/serve.go
+++ b/internal/wire/httpserver/serve.go
@@ -43,6 +43,9 @@
 			s.refuse(c, parser, refusal)
 			return
 		}
+		if c.writeFailed.Load() {
+			return
+		}
 		// nbhttp recovers from a handler's panic and goes on without a response.
 		if err != nil || tracker.inHandler {
 			return
@@ -53,6 +56,10 @@
 			if s.stopping.Load() {
 				return
 			}
+			if c.evictedFor.Load() != nil { // nbhttp may have set another deadline since
+				s.handleReadError(c, tracker, nil)
+				return
+			}
 			continue
 		}
 		if tracker.ended {
@@ -79,7 +86,7 @@
 	if refusal := c.evictedFor.Load(); refusal != nil {
 		s.options.Refused(*refusal)
 		if c.record.WasReceiving() {
-			_, _ = c.Write(s.options.response(*refusal))
+			_, _ = c.writeWithin(s.options.response(*refusal), refusalTimeout)
 		}
 	} else if tracker.inRequest && errors.Is(err, os.ErrDeadlineExceeded) {
 		s.options.Refused(*receivedTooSlowly)
@@ -92,7 +99,7 @@
 	s.options.Refused(*r)
 	parser.CloseAndClean(net.ErrClosed)
 	s.leave(c)
-	if _, err := c.Write(s.options.response(*r)); err != nil {
+	if _, err := c.writeWithin(s.options.response(*r), refusalTimeout); err != nil {
 		return
 	}
 	if s.draining.Add(1) <= maxDraining {
@@ -101,6 +108,28 @@
 	s.draining.Add(-1)
 }
 
+// turnAway answers a connection for which there is no room, and closes it.
+func (s *Server) turnAway(c *conn) {
+	if s.stopping.Load() {
+		_ = c.Close()
+		return
+	}
+	// The buffers of a new connection take the response without a wait.
+	_, err := c.writeWithin(s.options.response(*tooManyConnections), refusalTimeout)
+	if err != nil || s.draining.Add(1) > maxDraining {
+		if err == nil {
+			s.draining.Add(-1)
+		}
+		_ = c.Close()
+		return
+	}
+	go func() {
+		drain(c)
+		s.draining.Add(-1)
+		_ = c.Close()
+	}()
+}
+
 // drain closes the connection for writing and discards what the client sends, within
 // bounds. Closing a connection with unread bytes resets it, which may keep the client from
 // reading the response.
@@ -137,6 +166,20 @@
 	s.table.Done(now, c.record, 0)
 }
 
+// beginWrite records that a connection's response is being written, and endWrite that it
+// was. beginWrite returns false if the connection has no running request.
+func (s *Server) beginWrite(now time.Time, c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Write(now, c.record)
+}
+
+func (s *Server) endWrite(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Written(c.record)
+}
+
 // leave takes the connection from the table.
 func (s *Server) leave(c *conn) {
 	s.mu.Lock()
@@ -145,7 +188,7 @@
 }
 
 // evict ends connections that the table has removed for a reason. Their goroutines wait
-// for data, and close them. The caller holds the lock.
+// for data, or for the client to read a response, and close them. The caller holds the lock.
 func (s *Server) evict(records []*intake.Conn, reason *Refusal) {
 	for _, record := range records {
 		c := s.byRecord[record]
@@ -154,6 +197,6 @@
 			continue
 		}
 		c.evictedFor.Store(reason)
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_ = c.SetDeadline(time.Unix(1, 0))
 	}
 }
--- a/internal/wire/intake/intake.go
+++ b/internal/wire/intake/intake.go
@@ -7,7 +7,8 @@
 // comes when its budget is used up serves the clients that came first, which are those that
 // hold on to it. A Table makes room instead: it closes what costs other callers most.
 //
-// A request that runs is never closed, as its outcome would be unknown to its caller.
+// A request that runs is never closed, as its outcome would be unknown to its caller. One
+// whose response the client does not read has run, and is closed like the others.
 package intake
 
 import (
@@ -21,6 +22,9 @@
 	Connections int
 	// Bytes is the size of all requests that are being received or run.
 	Bytes int64
+	// SocketBuffer is the size of the kernel's buffers of a connection in each direction,
+	// in bytes.
+	SocketBuffer int
 }
 
 // roomShare is the share of a limit that is made free at once, as 1/roomShare, so that the
@@ -37,6 +41,9 @@
 	Receiving
 	// Running connections have a request that a handler has seen.
 	Running
+	// Answering connections have a request whose response is being written. They may be
+	// closed once the client has not read for a while.
+	Answering
 	// Closed connections are no longer in the table.
 	Closed
 )
@@ -45,7 +52,8 @@
 type Conn struct {
 	address netip.Addr
 	state   State
-	// since is when the connection became idle, or its request began.
+	// since is when the connection became idle, its request began, or the write of its
+	// response began.
 	since time.Time
 	held  int64
 	// wasReceiving is set if the connection was receiving when it left the table.
@@ -137,6 +145,23 @@
 	return true
 }
 
+// Write records that the write of a response begins. It returns false if the connection
+// has no running request.
+func (t *Table) Write(now time.Time, c *Conn) bool {
+	if c.state != Running {
+		return false
+	}
+	c.state, c.since = Answering, now
+	return true
+}
+
+// Written records that the client has taken what was written.
+func (t *Table) Written(c *Conn) {
+	if c.state == Answering {
+		c.state = Running
+	}
+}
+
 // Done records that a connection's request has been answered. The next request, of which
 // rest bytes have arrived, has begun if rest is positive.
 func (t *Table) Done(now time.Time, c *Conn, rest int) {
@@ -162,25 +187,35 @@
 // the same size that does not get on.
 func byteCost(now time.Time) func(*Conn) cost {
 	return func(c *Conn) cost {
-		if c.state != Receiving {
+		if c.state != Receiving && !c.isStuck(now) {
 			return cost{class: -1}
 		}
 		return cost{amount: float64(c.held) * (minAge + now.Sub(c.since)).Seconds()}
 	}
 }
 
+// stuckAfter is how long a client may leave a response unread before its connection is
+// closed for others.
+const stuckAfter = time.Second
+
+// isStuck reports whether the client does not read its response.
+func (c *Conn) isStuck(now time.Time) bool {
+	return c.state == Answering && now.Sub(c.since) >= stuckAfter
+}
+
 // minAge is the least age of a request in byteCost. It covers the time in which a request
 // within the limits arrives, so that size decides among those that have just begun.
 const minAge = 100 * time.Millisecond
 
 // connectionCost returns what connections cost when connections are short: first the time
-// for which they have not been used, then the time for which their request has not ended.
+// for which they have not been used, then the time for which their request has not ended or
+// their response was not read.
 func connectionCost(now time.Time) func(*Conn) cost {
 	return func(c *Conn) cost {
-		switch c.state {
-		case Idle:
+		switch {
+		case c.state == Idle:
 			return cost{class: 1, amount: now.Sub(c.since).Seconds()}
-		case Receiving:
+		case c.state == Receiving, c.isStuck(now):
 			return cost{amount: now.Sub(c.since).Seconds()}
 		}
 		return cost{class: -1}
--- a/internal/wire/intake/intake_test.go
+++ b/internal/wire/intake/intake_test.go
@@ -165,12 +165,53 @@
 	assert.Equal(t, table.Len(), 0)
 }
 
+// A client that does not read its response gives way after a while, also with its bytes.
+func TestUnreadResponseGivesWay(t *testing.T) {
+	table := NewTable(Limits{Connections: 2, Bytes: 100})
+	var conns []*Conn
+	for i := range 2 {
+		c, _ := table.Add(start, shared)
+		table.Receive(start, c, 50)
+		assert.Assert(t, table.Run(start, c))
+		assert.Assert(t, table.Write(start.Add(time.Duration(i)*time.Millisecond), c))
+		conns = append(conns, c)
+	}
+	none, closed := table.Add(start.Add(stuckAfter-time.Millisecond), shared)
+	assert.Assert(t, none == nil && len(closed) == 0)
+	table.Written(conns[1])
+	assert.Equal(t, conns[1].State(), Running)
+	late := start.Add(stuckAfter)
+	c, closed := table.Add(late, shared)
+	assert.Assert(t, c != nil && len(closed) == 1 && closed[0] == conns[0])
+	assert.Assert(t, !conns[0].WasReceiving() && !table.Write(late, conns[0]))
+
+	assert.Assert(t, table.Write(late, conns[1]))
+	closed = table.Receive(late.Add(stuckAfter), c, 60)
+	assert.Assert(t, len(closed) == 1 && closed[0] == conns[1])
+	assert.Equal(t, table.Held(), int64(60))
+}
+
+// All connections, with the kernel's buffers of each in use, take less than half of the
+// memory, which leaves room for jobs.
 func TestPlanFitsMachine(t *testing.T) {
-	for _, m := range []Machine{{}, {MemoryBytes: 64 << 20, Sockets: 100}, {MemoryBytes: 184 << 20, Sockets: 3900}, {MemoryBytes: 1 << 40, Sockets: 1 << 20}} {
+	for _, m := range []Machine{
+		{},
+		{MemoryBytes: 64 << 20, Sockets: 100},
+		{MemoryBytes: 96 << 20, Sockets: 312},
+		{MemoryBytes: 160 << 20, Sockets: 3900},
+		{MemoryBytes: 184 << 20, Sockets: 3900},
+		{MemoryBytes: 1 << 40, Sockets: 1 << 20},
+	} {
 		if m.MemoryBytes > 0 {
 			p := PlanFor(m)
 			assert.Assert(t, p.Callers.Connections+p.Peers.Connections+2*p.Probes.Connections < m.Sockets, "%+v", p)
 			assert.Assert(t, uint64(p.Callers.Bytes+p.Peers.Bytes+2*p.Probes.Bytes) < m.MemoryBytes/8, "%+v", p)
+			var connections uint64
+			for _, l := range []Limits{p.Callers, p.Peers, p.Probes, p.Probes} {
+				assert.Assert(t, l.Connections > 0 && l.SocketBuffer > 0, "%+v", p)
+				connections += uint64(l.Connections) * uint64(16<<10+4*l.SocketBuffer)
+			}
+			assert.Assert(t, connections <= m.MemoryBytes/2, "%+v: %d bytes", p, connections)
 		}
 		assert.Assert(t, PlanFor(m).Callers.Bytes >= minBytes)
 	}
