internal/jobs/cell, internal/wire/httpclient: refuse jobs for memory beside admission, count dials

The owner's check for memory stood outside the cell and bypassed its counter and note, and walked all open jobs for each submission. It is part of submit now, with a running sum for all jobs but recurring ones. A job that never fits is answered 413 jobHasTooManyTasks instead of 429 with a time to come back. Dials in progress count for the limit of connections. What a request states as its timeout is bounded to a minute.

--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -122,8 +122,9 @@
 func New(path string, settings *platform.Settings, engine *httpclient.Engine, log *Log, options ...Option) *Front {
 	plan := intake.PlanFor(intake.Machine{MemoryBytes: settings.Machine.MemoryBytes, Sockets: settings.Machine.Sockets()})
 	storeClient := httpclient.New(engine, httpclient.WithLimits(plan.StoreResponses))
-	var f *Front
-	workerClient := httpclient.New(engine, httpclient.WithLimits(plan.WorkerResponses), httpclient.WithConnectionLimit(func() int { return f.intake.freeSockets() }))
+	m := newMetrics(string(settings.DataCentre))
+	bounds := newServerIntake(plan, taskroom.For(settings.Machine.MemoryBytes), m, log)
+	workerClient := httpclient.New(engine, httpclient.WithLimits(plan.WorkerResponses), httpclient.WithConnectionLimit(bounds.freeSockets))
 	jobsClient := httpclient.New(engine, httpclient.WithLimits(plan.PeerResponses))
 	relaysClient := httpclient.New(engine, httpclient.WithLimits(plan.PeerResponses))
 	process := string(settings.VM) + "/" + uuid.NewString()[:8]
@@ -132,17 +133,17 @@
 	rank := float64(h.Sum32()%1024) / 1024
 	ownership := lease.New(now(), lease.DefaultTiming(), process, settings.Peers, rank)
 	ownership.SetCapacity(vmCapacity(settings.Machine))
-	f = &Front{
+	f := &Front{
 		settings: settings, log: log, process: process, settingsPath: path,
 		store:    platform.NewStore(storeClient, settings.Store),
 		workers:  platform.NewWorkers(workerClient),
 		peers:    newPeerClients(jobsClient, relaysClient),
-		metrics:  newMetrics(string(settings.DataCentre)),
+		metrics:  m,
+		intake:   bounds,
 		lease:    ownership,
 		draining: make(chan struct{}), releasing: make(chan struct{}),
 		workersPerCore: dispatch.WorkersPerCore, ownerChanged: make(chan struct{}, 1),
 	}
-	f.intake = newServerIntake(plan, taskroom.For(settings.Machine.MemoryBytes), f.metrics, log)
 	f.relay = newRelay(f)
 	f.serving, f.endServing = context.WithCancel(context.Background())
 	for _, option := range options {
--- a/internal/entry/front/intake.go
+++ b/internal/entry/front/intake.go
@@ -40,16 +40,6 @@
 
 func maxProbeBody() int64 { return probeBodyBytes }
 
-// reasonTooManyTasks is the reason of a refused job that does not fit into the memory of the
-// owner.
-const reasonTooManyTasks = "tooManyTasks"
-
-// lacksRoomForTasks reports whether a job that the owner does not know takes more memory
-// than this VM has for jobs.
-func (f *Front) lacksRoomForTasks(at time.Time, o *owner, spec *bamboofall.Job) bool {
-	return !o.cell.Knows(spec.ID) && !taskroom.For(f.settings.Machine.MemoryBytes).Fits(at, o.cell.JobBytes(at), spec)
-}
-
 // mayDefer reports whether a call may be stored for the next owner, which cannot refuse it.
 func (s *serverIntake) mayDefer(at time.Time, deferred *jobpb.Deferred) bool {
 	if deferred.GetJob() == nil {
--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -17,6 +17,7 @@
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
+	"bamboofall.example/bamboofall/internal/jobs/taskroom"
 	"bamboofall.example/bamboofall/internal/run/ring"
 	"bamboofall.example/bamboofall/internal/state/lease"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
@@ -123,7 +124,7 @@
 			Epoch: record.Epoch, Lease: f.workerLease(), MaxLease: f.settings.Bounds.MaxLease, FormerLeasesEnd: formerLeasesEnd, Clock: clock,
 			EndedJobRetention: f.settings.Bounds.EndedJobRetention + 10*time.Second,
 			RemoteFactor:      f.settings.Bounds.RemoteFactor, MaxTailViolation: f.settings.Bounds.MaxTailViolation,
-			MaxRecordBytes: f.settings.MaxRecordBytes,
+			MaxRecordBytes: f.settings.MaxRecordBytes, Room: taskroom.For(f.settings.Machine.MemoryBytes),
 		}),
 	}
 	o.progress.claimedAt = now()
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -11,7 +11,6 @@
 	"connectrpc.com/connect"
 
 	"bamboofall.example/bamboofall"
-	"bamboofall.example/bamboofall/internal/jobs/admission"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/wire/httpclient"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
@@ -138,10 +137,6 @@
 func (f *Front) submitLocal(ctx context.Context, m *jobpb.SubmitRequest) (*jobpb.SubmitResponse, error) {
 	spec := jobspec.Decode(m.GetJob())
 	return runInLocalOwner(ctx, f, func(o *owner, at time.Time, reply func(*jobpb.SubmitResponse)) {
-		if f.lacksRoomForTasks(at, o, spec) {
-			reply(&jobpb.SubmitResponse{Refused: true, Reason: reasonTooManyTasks, RetryAfterMs: admission.MaxRetryAfter.Milliseconds()})
-			return
-		}
 		flush, refusal := o.cell.Submit(at, spec)
 		if refusal != nil {
 			reply(&jobpb.SubmitResponse{Refused: true, Reason: refusal.Reason, RetryAfterMs: refusal.RetryAfter.Milliseconds()})
--- a/internal/entry/front/requests.go
+++ b/internal/entry/front/requests.go
@@ -17,6 +17,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/admission"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/recordsize"
 	"bamboofall.example/bamboofall/internal/wire/jobpb"
@@ -26,6 +27,9 @@
 const (
 	// defaultRequestTimeout is the timeout of a request that states none.
 	defaultRequestTimeout = 3 * time.Second
+	// maxRequestTimeout bounds what a request may state: until then it runs, and is not
+	// closed for others.
+	maxRequestTimeout = time.Minute
 	// responseMargin is the part of a request's timeout that is reserved for the
 	// response, at most 1/responseMarginDivisor of the timeout.
 	responseMargin        = 150 * time.Millisecond
@@ -122,7 +126,7 @@
 // workTimeout returns the time available for handling a request, without the margin for
 // the response.
 func workTimeout(r *http.Request) time.Duration {
-	d := platform.RequestTimeout(r, defaultRequestTimeout)
+	d := min(platform.RequestTimeout(r, defaultRequestTimeout), maxRequestTimeout)
 	return d - min(responseMargin, d/responseMarginDivisor)
 }
 
@@ -218,8 +222,12 @@
 		if res.GetAccepted() {
 			return nil, nil
 		}
+		status := http.StatusTooManyRequests
+		if res.GetReason() == cell.ReasonJobTooLarge {
+			status = http.StatusRequestEntityTooLarge
+		}
 		return &response{
-			status: http.StatusTooManyRequests, reason: res.GetReason(),
+			status: status, reason: res.GetReason(),
 			retryAfter: time.Duration(res.GetRetryAfterMs()) * time.Millisecond,
 		}, nil
 	})
@@ -274,7 +282,7 @@
 		}
 		if takenAt.IsZero() {
 			if notExecuted {
-				return f.unavailable(reasonTooManyTasks)
+				return f.unavailable(cell.ReasonTooManyTasks)
 			}
 			if sleep(ctx, ownerRetryDelay); ctx.Err() != nil {
 				return unknown
--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -12,6 +12,7 @@
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
 	"bamboofall.example/bamboofall/internal/jobs/stage"
 	"bamboofall.example/bamboofall/internal/jobs/tailtier"
+	"bamboofall.example/bamboofall/internal/jobs/taskroom"
 	"bamboofall.example/bamboofall/internal/jobs/usage"
 	"bamboofall.example/bamboofall/internal/state/lease"
 )
@@ -52,6 +53,8 @@
 	// MaxRecordBytes is the size of the largest record of the store, or zero if that is not
 	// known.
 	MaxRecordBytes int
+	// Room is the memory for jobs.
+	Room taskroom.Room
 }
 
 // Cell is the state machine. Use New to create one.
@@ -67,6 +70,8 @@
 	ready map[*step]bool
 	// recurring holds the jobs with occurrences that are not due yet.
 	recurring map[*job]bool
+	// countedBytes is the memory of all jobs but recurring.
+	countedBytes int
 	// open holds the jobs that have not ended, in no particular order.
 	open []*job
 	// ended holds the ended jobs, ordered by end time.
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -20,6 +20,8 @@
 	accepted time.Time
 	state    bamboofall.JobState
 	endedAt  time.Time
+	// countedBytes is the part of the job in Cell.countedBytes.
+	countedBytes int
 	// occurrences holds the open ones, ordered by number.
 	occurrences []*occurrence
 	// openIndex is the index of the job in Cell.open.
@@ -323,6 +325,7 @@
 	}
 	o.job.occurrences = slices.DeleteFunc(o.job.occurrences, func(x *occurrence) bool { return x == o })
 	o.job.doneCount++
+	c.countBytes(now, o.job)
 	if o.job.doneCount >= o.job.Occurrences() {
 		c.finish(now, o.job, bamboofall.JobCompleted, "")
 	}
@@ -342,6 +345,7 @@
 	c.ended = append(c.ended, j)
 	c.removeOpen(j)
 	delete(c.recurring, j)
+	c.countBytes(now, j)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			c.unqueueStep(s)
@@ -375,6 +379,7 @@
 		}
 		if j.nextOccurrence >= j.Occurrences() {
 			delete(c.recurring, j)
+			c.countBytes(now, j)
 		}
 	}
 }
@@ -387,6 +392,7 @@
 			break
 		}
 		delete(c.jobs, j.ID)
+		c.countBytes(now, j)
 		c.pending.forget(j.ID)
 		n++
 	}
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -333,6 +333,7 @@
 	if state.Ended() {
 		j.endedAt = jobspec.FromUnixMS(p.GetEndedUnixMs())
 		c.ended = append(c.ended, j)
+		c.countBytes(now, j)
 		return nil
 	}
 	c.addOpen(j)
@@ -348,6 +349,7 @@
 	if j.nextOccurrence < j.Occurrences() {
 		c.recurring[j] = true
 	}
+	c.countBytes(now, j)
 	return nil
 }
 
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -57,6 +57,11 @@
 			return 0, &Refusal{Reason: reason, RetryAfter: admission.MaxRetryAfter}
 		}
 	}
+	if !mustAccept {
+		if refusal := c.roomRefusal(now, spec); refusal != nil {
+			return 0, refusal
+		}
+	}
 	j := c.newJob(spec, q, now)
 	j.promised = mustAccept
 	v := c.evaluate(now, j)
@@ -79,6 +84,7 @@
 		j.nextOccurrence = 1
 		c.openReadySteps(now, j.openOccurrence(0))
 	}
+	c.countBytes(now, j)
 	c.note(Note{Event: "accepted", Job: j.ID, Detail: fmt.Sprintf(
 		"queue %s, steps %s, processor time %v, %v ahead on %d milliprocessors, due in %v", spec.Queue, jobspec.Describe(spec), v.work.Round(time.Millisecond),
 		v.load.WorkAhead.Round(time.Second), v.load.MilliProcessors, j.due.Sub(now).Round(time.Millisecond))})
--- a/internal/jobs/taskroom/taskroom.go
+++ b/internal/jobs/taskroom/taskroom.go
@@ -28,7 +28,7 @@
 	horizon = time.Minute
 )
 
-// Room is the memory that a VM has for jobs. Use For.
+// Room is the memory that a VM has for jobs. Use For. The zero Room has no bound.
 type Room struct{ bytes int }
 
 // For returns the room of a VM with the given memory, or with the default if it is zero.
@@ -41,7 +41,7 @@
 
 // Fits reports whether a job can be accepted beside others that take held bytes.
 func (r Room) Fits(now time.Time, held int, job *bamboofall.Job) bool {
-	return Bytes(now, job, 0, 0) <= r.bytes-held
+	return r.bytes == 0 || Bytes(now, job, 0, 0) <= r.bytes-held
 }
 
 // Bytes returns the memory that a job takes with its tasks; see Tasks.
--- a/internal/jobs/taskroom/taskroom_test.go
+++ b/internal/jobs/taskroom/taskroom_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/admission"
 )
 
 var now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -54,11 +55,16 @@
 func TestOrdinaryJobsFitBesideHugeOnes(t *testing.T) {
 	room := For(184 << 20)
 	const endsAfter = 20 // ordinary jobs are done after as many further submissions
-	held, unbounded, ordinary := 0, 0, 0
+	held, byTime, ordinary := 0, 0, 0
 	var ends []int
+	load := admission.Load{MilliProcessors: 4_000_000}
 	for i := range 400 {
 		huge := job(100_000, 0, time.Time{}, 0)
-		unbounded += Tasks(now, huge, 0, 0)
+		work := admission.Job{Work: 100 * time.Second, CriticalPath: time.Millisecond, TimeToExpiry: time.Minute, TimeToDue: time.Minute}
+		if admission.Decide(load, work).Accept {
+			load.WorkAhead += work.Work
+			byTime += Bytes(now, huge, 0, 0)
+		}
 		if room.Fits(now, held, huge) {
 			held += Bytes(now, huge, 0, 0)
 		}
@@ -74,7 +80,7 @@
 	}
 	assert.Equal(t, ordinary, 400)
 	assert.Assert(t, held <= 184<<20/memoryShare, "%d bytes", held)
-	assert.Assert(t, unbounded*bytesPerTask > 10*184<<20)
+	assert.Assert(t, byTime > 10*184<<20, "admission by processor time alone accepts %d bytes", byTime)
 }
 
 // What was not deferred after all does not count, but what was given back late does not make
--- a/internal/wire/httpclient/conn.go
+++ b/internal/wire/httpclient/conn.go
@@ -201,7 +201,8 @@
 func (c *Conn) dial(attempt *dialAttempt, host string) {
 	var conn *net.TCPConn
 	err := errTooManyConnections
-	if c.maxConnections == nil || c.engine.openConnections() < c.maxConnections() {
+	if c.engine.beginDial(c.maxConnections) {
+		defer c.engine.endDial()
 		conn, err = c.engine.dial(host)
 	}
 	c.mu.Lock()
--- a/internal/wire/httpclient/connlimit_test.go
+++ b/internal/wire/httpclient/connlimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -32,3 +33,27 @@
 	limit = 0
 	assert.NilError(t, call())
 }
+
+// Connections that are being opened count.
+func TestDialsCountForConnectionLimit(t *testing.T) {
+	engine, err := NewEngine()
+	assert.NilError(t, err)
+	t.Cleanup(engine.Stop)
+	dialing, proceed := make(chan struct{}), make(chan struct{})
+	engine.dial = func(string) (*net.TCPConn, error) {
+		close(dialing)
+		<-proceed
+		return nil, errors.New("refused")
+	}
+	c := New(engine, WithConnectionLimit(func() int { return 1 }))
+	call := func() error {
+		_, _, err := c.Call(context.Background(), &Request{Method: http.MethodGet, Host: "127.0.0.1:1", Target: "/", Timeout: time.Minute})
+		return err
+	}
+	first := make(chan error)
+	go func() { first <- call() }()
+	<-dialing
+	assert.Assert(t, errors.Is(call(), errTooManyConnections))
+	close(proceed)
+	assert.Assert(t, IsNotSent(<-first))
+}
--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -77,6 +78,8 @@
 	// conns holds the open connections. It is nil after Stop.
 	conns   map[*Conn]struct{}
 	stopped bool
+	// dialing is the number of connections that are being opened.
+	dialing int
 }
 
 // NewEngine returns an engine without connections.
@@ -118,11 +121,26 @@
 	return true
 }
 
-// openConnections returns the number of open connections.
-func (e *Engine) openConnections() int {
+// beginDial counts a connection that is being opened. It returns false if as many as the
+// limit, which may be nil, are open or being opened. endDial follows.
+func (e *Engine) beginDial(limit func() int) bool {
+	most := math.MaxInt
+	if limit != nil {
+		most = limit()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.conns)+e.dialing >= most {
+		return false
+	}
+	e.dialing++
+	return true
+}
+
+func (e *Engine) endDial() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.conns)
+	e.dialing--
 }
 
 func (e *Engine) unregister(c *Conn) {
--- a/internal/wire/httpserver/tracker.go
+++ b/internal/wire/httpserver/tracker.go
@@ -37,6 +37,8 @@
 // parsed all n bytes of the last read.
 func (t *requestTracker) check(n int) *Refusal {
 	if t.ended {
+		// Where in the read the current request began is not known. All of the read is
+		// counted, which is little beside the limits.
 		t.received = int64(n)
 	}
 	switch {
