internal/wire/intake: leave more memory beside connections

With half of the memory for connections, the crowds at both ports of the smallest VM took 153 of 160 MB on a busy machine. Callers get a fifth and peers a tenth now.

--- a/internal/wire/intake/plan.go
+++ b/internal/wire/intake/plan.go
@@ -45,9 +45,9 @@
 	connectionShare = 3
 	// callerMemoryShare, peerMemoryShare and probeMemoryShare are the shares of the memory
 	// that the connections of a server may take with their kernel buffers, as 1/share. All
-	// servers together may take 7/16.
-	callerMemoryShare = 4
-	peerMemoryShare   = 8
+	// servers together take less than 3/8.
+	callerMemoryShare = 5
+	peerMemoryShare   = 10
 	probeMemoryShare  = 32
 	// ownConnectionBytes is the memory of an open connection without a request, beside
 	// the kernel's buffers.
