internal/wire: bound the connections that wait to be accepted

The kernel holds buffers for connections that are not accepted yet, up to 4,096 for each server. On a busy machine (load 29) a whole run of the crowds failed at TestPipelinedRequestsAtSmallestVM/both: 181 of 160 MB, 104 MB in the kernel with 627 descriptors.

--- a/internal/wire/httpserver/httpserver.go
+++ b/internal/wire/httpserver/httpserver.go
@@ -79,6 +79,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	limitBacklog(l, options.Limits.Backlog())
 	s := newServer(handler, options)
 	s.listener = l
 	go s.accept()
@@ -111,6 +112,16 @@
 	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_SNDBUF, size)
 }
 
+// limitBacklog bounds the connections that the kernel holds before they are accepted, each with
+// buffers of its own. An error leaves the kernel's bound.
+func limitBacklog(l net.Listener, n int) {
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), n) })
+}
+
 // Usage is what a server's clients hold.
 type Usage struct {
 	Connections int
--- a/internal/wire/intake/intake.go
+++ b/internal/wire/intake/intake.go
@@ -27,6 +27,16 @@
 	SocketBuffer int
 }
 
+// backlogShare and minBacklog bound the connections that wait to be accepted: as
+// 1/backlogShare of those that are open, and minBacklog at least.
+const (
+	backlogShare = 4
+	minBacklog   = 16
+)
+
+// Backlog returns the number of connections that may wait to be accepted.
+func (l Limits) Backlog() int { return max(minBacklog, l.Connections/backlogShare) }
+
 // roomShare is the share of a limit that is made free at once, as 1/roomShare, so that the
 // connections are not searched for each read.
 const roomShare = 16
--- a/internal/wire/intake/plan.go
+++ b/internal/wire/intake/plan.go
@@ -45,7 +45,7 @@
 	connectionShare = 3
 	// callerMemoryShare, peerMemoryShare and probeMemoryShare are the shares of the memory
 	// that the connections of a server may take with their kernel buffers, as 1/share. All
-	// servers together take less than 3/8.
+	// servers together take less than 3/8, and less than 1/2 with those that wait to be accepted.
 	callerMemoryShare = 5
 	peerMemoryShare   = 10
 	probeMemoryShare  = 32
