--- a/internal/entry/front/owner.go
+++ b/internal/entry/front/owner.go
@@ -15,6 +15,7 @@
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/cell"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
+	"bamboofall.example/bamboofall/internal/jobs/taskroom"
 	"bamboofall.example/bamboofall/internal/request/holding"
 	"bamboofall.example/bamboofall/internal/run/ring"
 	"bamboofall.example/bamboofall/internal/state/lease"
@@ -124,7 +125,7 @@
 			Epoch: record.Epoch, Lease: f.workerLease(), MaxLease: f.settings.Bounds.MaxLease, FormerLeasesEnd: formerLeasesEnd, Clock: clock,
 			EndedJobRetention: f.settings.Bounds.EndedJobRetention + 10*time.Second,
 			RemoteFactor:      f.settings.Bounds.RemoteFactor, MaxTailViolation: f.settings.Bounds.MaxTailViolation,
-			MaxRecordBytes: f.settings.MaxRecordBytes,
+			MaxRecordBytes: f.settings.MaxRecordBytes, Room: taskroom.For(f.settings.Machine.MemoryBytes),
 		}),
 	}
 	o.progress.claimedAt = now()
--- a/internal/entry/front/peers.go
+++ b/internal/entry/front/peers.go
@@ -37,8 +37,9 @@
 	}
 }
 
-// disabledCompression is the compression that is switched off for relays: the messages
-// are small, and on a local network compression takes longer than it saves.
+// disabledCompression is the compression that is switched off between entry VMs: the
+// messages are small, on a local network compression takes longer than it saves, and a
+// small compressed message may hold a large one.
 const disabledCompression = "gzip"
 
 func (p *peerClients) relayClient(at netip.AddrPort) jobpb.RelaysClient {
@@ -46,7 +47,7 @@
 	defer p.mu.Unlock()
 	c := p.relaysClients[at]
 	if c == nil {
-		c = jobpb.NewRelaysClient(p.relaysHTTP, "http://"+at.String(), connect.WithAcceptCompression(disabledCompression, nil, nil))
+		c = jobpb.NewRelaysClient(p.relaysHTTP, "http://"+at.String(), connect.WithAcceptCompression(disabledCompression, nil, nil), connect.WithReadMaxBytes(maxPeerMessage))
 		p.relaysClients[at] = c
 	}
 	return c
@@ -57,7 +58,7 @@
 	defer p.mu.Unlock()
 	c := p.jobsClients[at]
 	if c == nil {
-		c = jobpb.NewJobsClient(p.jobsHTTP, "http://"+at.String())
+		c = jobpb.NewJobsClient(p.jobsHTTP, "http://"+at.String(), connect.WithAcceptCompression(disabledCompression, nil, nil), connect.WithReadMaxBytes(maxPeerMessage))
 		p.jobsClients[at] = c
 	}
 	return c
@@ -70,10 +71,10 @@
 }
 
 func (f *Front) peersHandler() http.Handler {
-	path, handler := jobpb.NewJobsHandler(&jobsServer{f})
+	path, handler := jobpb.NewJobsHandler(&jobsServer{f}, connect.WithCompression(disabledCompression, nil, nil), connect.WithReadMaxBytes(maxPeerMessage))
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
-	mux.Handle(jobpb.NewRelaysHandler(&relaysServer{f}, connect.WithCompression(disabledCompression, nil, nil)))
+	mux.Handle(jobpb.NewRelaysHandler(&relaysServer{f}, connect.WithCompression(disabledCompression, nil, nil), connect.WithReadMaxBytes(maxPeerMessage)))
 	return mux
 }
 
--- a/internal/entry/front/requests.go
+++ b/internal/entry/front/requests.go
@@ -17,6 +17,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/admission"
+	"bamboofall.example/bamboofall/internal/jobs/cell"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/recordsize"
 	"bamboofall.example/bamboofall/internal/request/holding"
@@ -27,6 +28,9 @@
 const (
 	// defaultRequestTimeout is the timeout of a request that states none.
 	defaultRequestTimeout = 3 * time.Second
+	// maxRequestTimeout bounds what a request may state: until then it runs, and is not
+	// closed for others.
+	maxRequestTimeout = time.Minute
 	// responseMargin is the part of a request's timeout that is reserved for the
 	// response, at most 1/responseMarginDivisor of the timeout.
 	responseMargin        = 150 * time.Millisecond
@@ -128,7 +132,7 @@
 // workTimeout returns the time available for handling a request, without the margin for
 // the response.
 func workTimeout(r *http.Request) time.Duration {
-	d := platform.RequestTimeout(r, defaultRequestTimeout)
+	d := min(platform.RequestTimeout(r, defaultRequestTimeout), maxRequestTimeout)
 	return d - min(responseMargin, d/responseMarginDivisor)
 }
 
@@ -182,10 +186,7 @@
 	}
 	switch r.Method {
 	case http.MethodPost:
-		limit := conf.Limits.BodyBytes
-		if limit <= 0 {
-			limit = defaultMaxBodyBytes
-		}
+		limit := maxBodyBytes(conf)
 		body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 		if err != nil {
 			return malformedRequest(fmt.Errorf("read request body: %w", err))
@@ -230,8 +231,12 @@
 		if res.GetReason() == holding.ReasonStoreRefuses {
 			return nil, errNotStored
 		}
+		status := http.StatusTooManyRequests
+		if res.GetReason() == cell.ReasonJobTooLarge {
+			status = http.StatusRequestEntityTooLarge
+		}
 		return &response{
-			status: http.StatusTooManyRequests, reason: res.GetReason(),
+			status: status, reason: res.GetReason(),
 			retryAfter: time.Duration(res.GetRetryAfterMs()) * time.Millisecond,
 		}, nil
 	})
@@ -269,9 +274,16 @@
 	}
 	began := now()
 	notExecuted, heldByOwner := true, false
+	var takenAt time.Time // when the intake allowed the call to be stored
+	notRun := func(reason string) response {
+		if !takenAt.IsZero() {
+			f.intake.giveBack(takenAt, deferred)
+		}
+		return f.notRun(deferred, reason)
+	}
 	for {
 		if notExecuted && f.isCutOff(now()) {
-			return f.notRun(deferred, reasonCutOff)
+			return notRun(reasonCutOff)
 		}
 		declined, err := attempt()
 		switch {
@@ -286,27 +298,35 @@
 		withheld := errors.Is(err, errNotStored)
 		heldByOwner = heldByOwner || withheld
 		if notExecuted && ctx.Err() != nil {
-			return f.notRun(deferred, "noTime")
+			return notRun("noTime")
 		}
 		if !notExecuted || f.mayDefer(now(), withheld) {
-			_, err = f.store.Append(ctx, bamboofall.StoreAppend{
-				Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: key, Value: value}}, ExpectedEnd: -1,
-			})
-			f.recordStoreCall(now(), err)
-			if err == nil {
-				f.metrics.Increment("callsDeferred", nil)
-				return success
+			if at := now(); takenAt.IsZero() && f.intake.mayDefer(at, deferred) {
+				takenAt = at
+			}
+			if takenAt.IsZero() && notExecuted {
+				return notRun(cell.ReasonTooManyTasks)
+			}
+			if !takenAt.IsZero() {
+				_, err = f.store.Append(ctx, bamboofall.StoreAppend{
+					Topic: topicInbox, Partition: cellPartition, Records: []bamboofall.StoreRecord{{Key: key, Value: value}}, ExpectedEnd: -1,
+				})
+				f.recordStoreCall(now(), err)
+				if err == nil {
+					f.metrics.Increment("callsDeferred", nil)
+					return success
+				}
+				var notDone *bamboofall.NotDoneError
+				notExecuted = notExecuted && errors.As(err, &notDone)
 			}
-			var notDone *bamboofall.NotDoneError
-			notExecuted = notExecuted && errors.As(err, &notDone)
 		}
 		if notExecuted {
 			left := timeLeft(ctx, now())
 			switch {
 			case heldByOwner && left <= holding.MinTime:
-				return f.notRun(deferred, holding.ReasonStoreRefuses)
+				return notRun(holding.ReasonStoreRefuses)
 			case !heldByOwner && (now().Sub(began) >= holding.UnreachableFor || left <= holding.MinTime):
-				return f.notRun(deferred, "noOwner")
+				return notRun("noOwner")
 			}
 		}
 		if !withheld { // the owner has held the request for a while
@@ -314,7 +334,7 @@
 		}
 		if ctx.Err() != nil {
 			if notExecuted {
-				return f.notRun(deferred, "noTime")
+				return notRun("noTime")
 			}
 			return unknown
 		}
--- a/internal/jobs/cell/records.go
+++ b/internal/jobs/cell/records.go
@@ -171,6 +171,9 @@
 	p.unstoredStates = p.unstoredStates[n:]
 	for len(p.unstoredJobs) > 0 && p.unstoredJobs[0].flush <= p.storedFlush {
 		j := p.unstoredJobs[0].job
+		if j.state.Ended() {
+			j.dropPayload()
+		}
 		c.passStage(j, stage.Acceptance, now.Sub(j.accepted))
 		p.unstoredJobs = p.unstoredJobs[1:]
 	}
@@ -330,6 +333,7 @@
 	if state.Ended() {
 		j.endedAt = jobspec.FromUnixMS(p.GetEndedUnixMs())
 		c.ended = append(c.ended, j)
+		c.countBytes(now, j)
 		return nil
 	}
 	c.addOpen(j)
@@ -345,6 +349,7 @@
 	if j.nextOccurrence < j.Occurrences() {
 		c.recurring[j] = true
 	}
+	c.countBytes(now, j)
 	return nil
 }
 
--- a/internal/wire/httpclient/conn.go
+++ b/internal/wire/httpclient/conn.go
@@ -29,8 +29,10 @@
 )
 
 var (
-	errClosed         = errors.New("connection is closed")
-	errDeadlinePassed = errors.New("deadline passed before the request was sent")
+	errClosed = errors.New("connection is closed")
+	// errTooManyConnections reports that the process has no descriptor to spare.
+	errTooManyConnections = errors.New("too many connections are open")
+	errDeadlinePassed     = errors.New("deadline passed before the request was sent")
 	// errStale reports that the server closed the connection, or sent unexpected data,
 	// between two calls.
 	errStale = errors.New("idle connection was closed or received unexpected data")
@@ -46,6 +48,10 @@
 	// timeout bounds each call of Do.
 	timeout time.Duration
 	resp    response
+	// responses is the budget for the response.
+	responses *responseBudget
+	// maxConnections is that of the client, or nil.
+	maxConnections func() int
 	// used is set once a request has been written.
 	used bool
 
@@ -97,6 +103,7 @@
 func (c *Conn) exchange(ctx context.Context, host string, request []byte, start, deadline time.Time, keepsHeader bool) error {
 	x := call{conn: c, ctx: ctx, host: host, unsent: request, start: start, deadline: deadline}
 	c.resp.keepsHeader = keepsHeader
+	defer func() { c.responses.release(&c.resp) }()
 	err := x.run()
 	if errors.Is(err, errStale) {
 		// No byte was sent, so the request can be sent on a new connection.
@@ -192,7 +199,12 @@
 
 // dial opens the network connection and completes the attempt.
 func (c *Conn) dial(attempt *dialAttempt, host string) {
-	conn, err := c.engine.dial(host)
+	var conn *net.TCPConn
+	err := errTooManyConnections
+	if c.engine.beginDial(c.maxConnections) {
+		defer c.engine.endDial()
+		conn, err = c.engine.dial(host)
+	}
 	c.mu.Lock()
 	attempt.err = err
 	if err == nil {
@@ -371,6 +383,10 @@
 			x.err = err
 			return true
 		}
+		if err := x.conn.responses.take(x.host, &x.conn.resp, n); err != nil {
+			x.err = err
+			return true
+		}
 		if x.conn.resp.complete {
 			return true
 		}
--- a/internal/wire/httpclient/httpclient.go
+++ b/internal/wire/httpclient/httpclient.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -22,6 +23,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"bamboofall.example/bamboofall/internal/wire/connpool"
+	"bamboofall.example/bamboofall/internal/wire/intake"
 )
 
 const (
@@ -76,6 +78,8 @@
 	// conns holds the open connections. It is nil after Stop.
 	conns   map[*Conn]struct{}
 	stopped bool
+	// dialing is the number of connections that are being opened.
+	dialing int
 }
 
 // NewEngine returns an engine without connections.
@@ -117,6 +121,28 @@
 	return true
 }
 
+// beginDial counts a connection that is being opened. It returns false if as many as the
+// limit, which may be nil, are open or being opened. endDial follows.
+func (e *Engine) beginDial(limit func() int) bool {
+	most := math.MaxInt
+	if limit != nil {
+		most = limit()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.conns)+e.dialing >= most {
+		return false
+	}
+	e.dialing++
+	return true
+}
+
+func (e *Engine) endDial() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dialing--
+}
+
 func (e *Engine) unregister(c *Conn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -125,7 +151,9 @@
 
 // NewConn returns a connection that its first call opens. The timeout bounds each
 // call; a call that exceeds it fails.
-func (e *Engine) NewConn(timeout time.Duration) *Conn { return &Conn{engine: e, timeout: timeout} }
+func (e *Engine) NewConn(timeout time.Duration) *Conn {
+	return &Conn{engine: e, timeout: timeout, responses: &responseBudget{limits: defaultResponseLimits}}
+}
 
 // Client makes calls over pooled connections. Use New. It implements
 // connect.HTTPClient.
@@ -135,11 +163,34 @@
 	pools  map[string]*connpool.Pool[*Conn]
 	// lastSweep is when the idle connections of all hosts were last expired.
 	lastSweep time.Time
+	responses *responseBudget
+	// maxConnections, if set, returns the number of connections of the engine at which
+	// this client opens no more.
+	maxConnections func() int
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithLimits bounds the responses that a client reads. A call whose response exceeds them
+// fails with a *ResponseTooLargeError.
+func WithLimits(l intake.ResponseLimits) Option {
+	return func(c *Client) { c.responses = &responseBudget{limits: l} }
+}
+
+// WithConnectionLimit keeps a client from opening connections while all clients of its
+// engine have as many open as limit returns. Calls that need one then fail, unsent.
+func WithConnectionLimit(limit func() int) Option {
+	return func(c *Client) { c.maxConnections = limit }
 }
 
 // New returns a client without connections.
-func New(e *Engine) *Client {
-	return &Client{engine: e, pools: make(map[string]*connpool.Pool[*Conn])}
+func New(e *Engine, options ...Option) *Client {
+	c := &Client{engine: e, pools: make(map[string]*connpool.Pool[*Conn]), responses: &responseBudget{limits: defaultResponseLimits}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Request is a request whose body is in memory.
@@ -241,7 +292,9 @@
 	conn, ok, expired := p.Take(now, maxSilence)
 	closeAll(expired)
 	if !ok {
-		return c.engine.NewConn(defaultTimeout), now
+		conn = c.engine.NewConn(defaultTimeout)
+		conn.responses, conn.maxConnections = c.responses, c.maxConnections
+		return conn, now
 	}
 	return conn, now
 }
