internal/jobs/suspicion: a run from before a failure clears no suspicion

A worker at which all runs begin to fail still completes those that it began before. Each of these ends cleared the failures, so the worker got new tasks at once, and as it was empty again after each of them, it got most.

A success counts for a suspect worker if the run started after its last failure. A success of a run that the owner does not know counts for nothing.

--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -36,7 +36,9 @@
 // learnDone updates the health of a worker and, from runs that were neither resumed nor
 // throttled, the expected run time.
 func (c *Cell) learnDone(now time.Time, w *worker, a *attempt, t *task) {
-	w.health.RecordSuccess()
+	if a != nil {
+		w.health.RecordSuccess(a.startedAt)
+	}
 	s := t.step
 	if a == nil || s.Estimate <= 0 || s.Standing || a.resumed || a.targetPace < fullPace {
 		return
--- a/internal/jobs/cell/report.go
+++ b/internal/jobs/cell/report.go
@@ -155,7 +155,7 @@
 	}
 	a.confirmedAt = now
 	if a.task.step.Standing && a.percent < fullPace && p.ProgressPercent == fullPace {
-		a.worker.health.RecordSuccess()
+		a.worker.health.RecordSuccess(a.startedAt)
 		a.task.stalledOn = ""
 	}
 	if p.ProgressPercent != a.percent || a.ackedPace < fullPace || a.targetPace < fullPace || a.progressedAt.IsZero() {
--- a/internal/jobs/suspicion/suspicion.go
+++ b/internal/jobs/suspicion/suspicion.go
@@ -38,8 +38,10 @@
 // Worker is the failure state of a worker. The zero value is a worker without
 // failures.
 type Worker struct {
-	// consecutiveFailures is the number of failures since the last success.
+	// consecutiveFailures is the number of failures since the last success, and failedAt the
+	// time of the last one.
 	consecutiveFailures int
+	failedAt            time.Time
 	// pause is the length of the latest pause, and pausedUntil the time at which it
 	// ends. nextProbeAt is the earliest time of the next task after the pause.
 	pause                    time.Duration
@@ -51,6 +53,7 @@
 // not the case during a pause: the run was started before it.
 func (w *Worker) RecordFailure(now time.Time, stalled bool) bool {
 	w.consecutiveFailures++
+	w.failedAt = now
 	if w.consecutiveFailures < suspectAfterFailures && !stalled {
 		return false
 	}
@@ -70,8 +73,15 @@
 	w.pausedUntil = now.Add(initialPause)
 }
 
-// RecordSuccess records a successful run, which clears all failures.
-func (w *Worker) RecordSuccess() { *w = Worker{} }
+// RecordSuccess records the success of a run, which clears all failures. If the worker is
+// suspect, a run that started before the last failure clears nothing: the worker may have
+// become faulty since, and its long runs end well for seconds while all new ones fail.
+func (w *Worker) RecordSuccess(startedAt time.Time) {
+	if w.consecutiveFailures >= suspectAfterFailures && startedAt.Before(w.failedAt) {
+		return
+	}
+	*w = Worker{}
+}
 
 // Failures returns the number of consecutive failures.
 func (w *Worker) Failures() int { return w.consecutiveFailures }
--- a/internal/jobs/suspicion/suspicion_test.go
+++ b/internal/jobs/suspicion/suspicion_test.go
@@ -40,7 +40,7 @@
 	assert.Assert(t, !w.Available(at))
 	at = at.Add(probeInterval)
 	assert.Assert(t, w.Available(at))
-	w.RecordSuccess()
+	w.RecordSuccess(at)
 	w.RecordAssignment(at)
 	assert.Assert(t, w.Available(at))
 }
@@ -95,3 +95,14 @@
 	p.ReportedAt = start.Add(25 * time.Second)
 	assert.Assert(t, p.Stalled())
 }
+
+// A worker at which all runs fail still completes those that it began before.
+func TestEarlierRunDoesNotClearSuspicion(t *testing.T) {
+	var w Worker
+	w.RecordFailure(start, false)
+	w.RecordFailure(start, false)
+	w.RecordSuccess(start.Add(-time.Second))
+	assert.Assert(t, !w.Available(start.Add(time.Second)))
+	w.RecordSuccess(start.Add(time.Millisecond))
+	assert.Assert(t, w.Available(start.Add(time.Second)))
+}
