internal/jobs/callercost: weigh what a delay and a failed run cost callers

A task with one permitted run left was started wherever it fitted.

Package callercost measures what a caller loses: the chance to end by the objective or by three times it, with the error of expected run times as learned by queue, and the loss per unit of remaining work, half by heads and half by work. The last permitted run of a task waits for a worker without recent failures as long as that costs less than the risk, for 2 s at most. Shedding weighs jobs by the same measure; urgency's own value density is gone.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -7,6 +7,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/callbudget"
+	"bamboofall.example/bamboofall/internal/jobs/callercost"
 	"bamboofall.example/bamboofall/internal/jobs/duration"
 	"bamboofall.example/bamboofall/internal/jobs/freshness"
 	"bamboofall.example/bamboofall/internal/jobs/pressure"
@@ -124,6 +125,8 @@
 	learnedDue bool
 	// learnedAt is when learnedDue was last set.
 	learnedAt time.Time
+	// errors tells how far run times are off the expected ones.
+	errors callercost.Errors
 	// bestEffortCapacity is the mean CPU in milliprocessors that best-effort tasks hold
 	// while others wait, or zero if none waits.
 	bestEffortCapacity  float64
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -137,6 +137,8 @@
 	crashes crashloop.Task
 	// lastFailedOn is the ID of the worker where the task last failed.
 	lastFailedOn string
+	// failedAt is when this owner learned of its last failure.
+	failedAt time.Time
 	// stalledOn is the ID of the worker where a run of the task last stalled, unless it has
 	// come up since.
 	stalledOn string
@@ -304,6 +306,9 @@
 		return
 	}
 	c.unqueueStep(s)
+	if expected := c.durations.Longest(runTimeKey(s.occ.job.Job, s.Step), s.Estimate, s.durations.Count()); !s.Standing {
+		c.errors.Observe(s.occ.job.Job.Queue, expected, s.durations.Longest())
+	}
 	c.durations.ObserveStep(s.durations)
 	o := s.occ
 	o.stepsLeft--
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -53,7 +53,7 @@
 // elsewhere.
 func (c *Cell) learnFailure(now time.Time, w *worker, t *task) {
 	previous := t.lastFailedOn
-	t.lastFailedOn = w.info.ID
+	t.lastFailedOn, t.failedAt = w.info.ID, now
 	if previous != "" && previous != w.info.ID {
 		return
 	}
--- a/internal/jobs/cell/obstacle.go
+++ b/internal/jobs/cell/obstacle.go
@@ -92,6 +92,9 @@
 		if o == obstacle.None && t.step.BestEffort && c.worstTailWith(now, w, t.step) > tierOf(now, t.step).MaxTail() {
 			o = obstacle.Tail
 		}
+		if o == obstacle.None && c.risksJob(now, t, w) {
+			o = obstacle.LastRun
+		}
 		count[o]++
 	}
 	return count.String()
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -190,6 +190,10 @@
 			continue
 		}
 		w := c.chooseForStep(now, t, set)
+		if w == nil && t.onLastAttempt() {
+			waiting = append(waiting, t) // others of the step may run where it may not
+			continue
+		}
 		if w == nil {
 			fits = false
 			waiting = append(waiting, s.waiting[i:]...)
@@ -274,7 +278,7 @@
 		return nil
 	}
 	w := c.bestWorker(now, t, tier, shape.CheckedGain(tier))
-	if w == nil && len(t.attempts) == 0 {
+	if w == nil && len(t.attempts) == 0 && !t.onLastAttempt() {
 		shape.Block(tier, c.fits.lastGain)
 	}
 	return w
@@ -338,6 +342,9 @@
 	default:
 		return 0, false
 	}
+	if c.risksJob(now, t, w) {
+		return 0, false
+	}
 	s := t.step
 	view := placement.Worker{
 		Room: w.info.Room, Free: w.free(), Failures: w.health.Failures(), Slowdown: w.health.Slowdown(),
@@ -390,7 +397,7 @@
 // chooseForStep returns the best worker for one of the tasks of a step that are placed
 // one after the other, or nil.
 func (c *Cell) chooseForStep(now time.Time, t *task, set *candidateSet) *worker {
-	if len(t.attempts) > 0 || t.lastFailedOn != "" || t.step.SameRack || t.crashes.Suspect() {
+	if len(t.attempts) > 0 || t.lastFailedOn != "" || t.onLastAttempt() || t.step.SameRack || t.crashes.Suspect() {
 		set.last = -1
 		return c.chooseWorker(now, t)
 	}
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/callercost"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/pacing"
 	"bamboofall.example/bamboofall/internal/jobs/tailtier"
@@ -34,7 +35,7 @@
 		work, startable, processors := c.workToPlace(j)
 		remaining, waiting := startsToMake(j)
 		candidate := &urgency.Candidate{
-			Due: j.due, RemainingWork: work, StartableWork: startable, Processors: processors, CriticalPath: c.criticalPathLeft(j), ValueDensity: urgency.ValueDensity(j.work, work, c.meanWork[j.Job.Queue]), Name: string(j.ID),
+			Due: j.due, RemainingWork: work, StartableWork: startable, Processors: processors, CriticalPath: c.criticalPathLeft(j), ValueDensity: c.stakeOf(s).Value(now) * callercost.Density(j.work, work, c.meanWork[j.Job.Queue]), Name: string(j.ID),
 			RemainingStarts: remaining, WaitingStarts: waiting,
 		}
 		p := capacityPool{j.queue.Service, j.bestEffort}
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -6,6 +6,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/admission"
+	"bamboofall.example/bamboofall/internal/jobs/callercost"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
@@ -168,7 +169,7 @@
 	}
 	own.CriticalPath = j.criticalPath
 	own.TimeToDue = j.due.Sub(now)
-	own.TimeToExpiry = urgency.LateFactor * j.due.Sub(now)
+	own.TimeToExpiry = callercost.LateFactor * j.due.Sub(now)
 	v.work, v.Decision = own.Work, admission.Decide(v.load, own)
 	return v
 }
--- a/internal/jobs/cell/usage.go
+++ b/internal/jobs/cell/usage.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/callercost"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
-	"bamboofall.example/bamboofall/internal/jobs/urgency"
 	"bamboofall.example/bamboofall/internal/jobs/usage"
 )
 
@@ -41,7 +41,7 @@
 	outcome := usage.Unfinished
 	if j.state == bamboofall.JobCompleted {
 		allowed := j.due.Sub(j.accepted)
-		outcome = usage.OutcomeOf(j.endedAt.Sub(j.accepted), allowed, urgency.LateFactor*allowed)
+		outcome = usage.OutcomeOf(j.endedAt.Sub(j.accepted), allowed, callercost.LateFactor*allowed)
 	}
 	c.usage.Add(j.kind(), outcome, j.spent)
 	j.spent = 0
--- a/internal/jobs/duration/duration.go
+++ b/internal/jobs/duration/duration.go
@@ -89,8 +89,15 @@
 type Sample struct {
 	count        int
 	sum, squares float64
+	longest      time.Duration
 }
 
+// Count returns the number of run times.
+func (s *Sample) Count() int { return s.count }
+
+// Longest returns the longest run time, or zero if there is none.
+func (s *Sample) Longest() time.Duration { return s.longest }
+
 // Add adds a run time.
 func (s *Sample) Add(took time.Duration) {
 	if took <= 0 {
@@ -100,6 +107,7 @@
 	s.count++
 	s.sum += x
 	s.squares += x * x
+	s.longest = max(s.longest, took)
 }
 
 // ObserveStep adds the run times of the tasks of a completed step.
--- a/internal/jobs/obstacle/obstacle.go
+++ b/internal/jobs/obstacle/obstacle.go
@@ -24,6 +24,8 @@
 	AlreadyHere  Reason = "runsThere"
 	MaxPerWorker Reason = "apart"
 	Tail         Reason = "tail"
+	// LastRun means that runs fail at the worker, and that the task may fail only once more.
+	LastRun Reason = "lastRun"
 )
 
 // Counts is the number of workers by reason.
--- a/internal/jobs/urgency/shed.go
+++ b/internal/jobs/urgency/shed.go
@@ -20,8 +20,8 @@
 	// CriticalPath is the length of the remaining critical path of the job: how long it
 	// takes with unlimited capacity.
 	CriticalPath time.Duration
-	// ValueDensity is the value of the job per unit of remaining work, as returned by the
-	// function ValueDensity.
+	// ValueDensity is what the caller is expected to lose if the job waits, per unit of
+	// remaining work, see callercost.Density.
 	ValueDensity float64
 	// RemainingStarts is the number of tasks that have to be started, WaitingStarts that of
 	// those which could start now.
--- a/internal/jobs/urgency/shed_test.go
+++ b/internal/jobs/urgency/shed_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"bamboofall.example/bamboofall/internal/jobs/callercost"
 )
 
 func candidate(name string, dueMS, workS int, density float64) *Candidate {
@@ -51,7 +53,7 @@
 func TestShedExcessPrefersPartlyDoneJob(t *testing.T) {
 	mean := 64 * time.Second
 	partlyDone, unstarted := candidate("partly done", 2500, 32, 0), candidate("an unstarted one", 3000, 64, 0)
-	partlyDone.ValueDensity, unstarted.ValueDensity = ValueDensity(mean, partlyDone.RemainingWork, mean), ValueDensity(mean, unstarted.RemainingWork, mean)
+	partlyDone.ValueDensity, unstarted.ValueDensity = callercost.Density(mean, partlyDone.RemainingWork, mean), callercost.Density(mean, unstarted.RemainingWork, mean)
 	assert.DeepEqual(t, kept(32, 64, partlyDone, unstarted), []string{"an unstarted one", "partly done"})
 	assert.DeepEqual(t, kept(32, 0, partlyDone, unstarted), []string{"partly done"})
 }
--- a/internal/jobs/urgency/urgency.go
+++ b/internal/jobs/urgency/urgency.go
@@ -14,11 +14,9 @@
 	"cmp"
 	"strings"
 	"time"
-)
 
-// LateFactor is the multiple of its objective up to which the result of a late job
-// still has some value to its caller.
-const LateFactor = 3
+	"bamboofall.example/bamboofall/internal/jobs/callercost"
+)
 
 // Tier classifies a job by what it can still achieve.
 type Tier uint8
@@ -42,26 +40,12 @@
 	switch {
 	case !completion.After(due):
 		return InTime
-	case !completion.After(accepted.Add(LateFactor * due.Sub(accepted))):
+	case !completion.After(accepted.Add(callercost.LateFactor * due.Sub(accepted))):
 		return Late
 	}
 	return Expired
 }
 
-// fixedValueShare is the share of a job's value that does not depend on its size,
-// for a job of the mean size of its queue.
-const fixedValueShare = 0.3
-
-// ValueDensity returns the value of a job per unit of remaining work. Work is the total
-// work of the job and mean that of the mean job of its queue, all in processor
-// time.
-func ValueDensity(work, remaining, mean time.Duration) float64 {
-	if remaining <= 0 || mean <= 0 {
-		return 0
-	}
-	return (fixedValueShare*float64(mean) + (1-fixedValueShare)*float64(work)) / float64(remaining)
-}
-
 // Key is the sort key of a step.
 type Key struct {
 	// Priority is the priority of the queue; 0 is the most urgent.
