internal/jobs/suspicion: let runs from before the last failure count after two failures

Two failures in a row may be chance: 2 % of the runs fail at workers that work, and a pause of 3 s for each such pair costs room. So a run from before the last failure is ignored from the third failure in a row on.

--- a/internal/jobs/suspicion/suspicion.go
+++ b/internal/jobs/suspicion/suspicion.go
@@ -15,6 +15,9 @@
 	// worker is suspect. A single failure is common, since a few percent of the
 	// tasks fail by themselves.
 	suspectAfterFailures = 2
+	// provenAfterFailures is the number of consecutive failures after which runs from before
+	// the last one no longer speak for a worker. Two may be chance.
+	provenAfterFailures = 3
 	// initialPause and maxPause bound how long a suspect worker gets no tasks.
 	initialPause = 3 * time.Second
 	maxPause     = 12 * time.Second
@@ -73,11 +76,11 @@
 	w.pausedUntil = now.Add(initialPause)
 }
 
-// RecordSuccess records the success of a run, which clears all failures. If the worker is
-// suspect, a run that started before the last failure clears nothing: the worker may have
-// become faulty since, and its long runs end well for seconds while all new ones fail.
+// RecordSuccess records the success of a run, which clears all failures. After several of them
+// a run that started before the last one clears nothing: the worker may have become faulty
+// since, and its long runs end well for seconds while all new ones fail.
 func (w *Worker) RecordSuccess(startedAt time.Time) {
-	if w.consecutiveFailures >= suspectAfterFailures && startedAt.Before(w.failedAt) {
+	if w.consecutiveFailures >= provenAfterFailures && startedAt.Before(w.failedAt) {
 		return
 	}
 	*w = Worker{}
--- a/internal/jobs/suspicion/suspicion_test.go
+++ b/internal/jobs/suspicion/suspicion_test.go
@@ -99,8 +99,9 @@
 // A worker at which all runs fail still completes those that it began before.
 func TestEarlierRunDoesNotClearSuspicion(t *testing.T) {
 	var w Worker
-	w.RecordFailure(start, false)
-	w.RecordFailure(start, false)
+	for range provenAfterFailures {
+		w.RecordFailure(start, false)
+	}
 	w.RecordSuccess(start.Add(-time.Second))
 	assert.Assert(t, !w.Available(start.Add(time.Second)))
 	w.RecordSuccess(start.Add(time.Millisecond))
