internal/jobs: reckon with the room that tasks get while others wait

The room of best-effort tasks was what they held at the moment, smoothed over a second. In calm, what they hold is half again of what they use, so too many jobs counted as in time and all were a little late. For tasks that reserve processors all that standing tasks leave counted, gaps included.

The owner learns, as a share of what is left, what reserving tasks reserve and what best-effort tasks complete per second while others wait, and nothing while it recovers. Shedding, refusals and Retry-After of best-effort jobs go by it.

--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/admission"
 	"bamboofall.example/bamboofall/internal/jobs/callbudget"
 	"bamboofall.example/bamboofall/internal/jobs/callercost"
 	"bamboofall.example/bamboofall/internal/jobs/duration"
@@ -127,12 +128,15 @@
 	learnedAt time.Time
 	// errors tells how far run times are off the expected ones.
 	errors callercost.Errors
-	// bestEffortCapacity is the mean CPU in milliprocessors that best-effort tasks hold
-	// while others wait, or zero if none waits.
-	bestEffortCapacity  float64
-	bestEffortSampledAt time.Time
-	pressure            *pressure.Model
-	usage               usage.Account
+	// shortages hold, for finite tasks that reserve CPU and for best-effort ones, what they
+	// get of it while others wait.
+	shortages [2]shortage
+	sampledAt time.Time
+	// drained is the best-effort work that was completed since drainedAt, in processor time.
+	drained   time.Duration
+	drainedAt time.Time
+	pressure  *pressure.Model
+	usage     usage.Account
 	// stages holds the times of all jobs, recentStages those since the last summary.
 	stages, recentStages stage.Account
 	fits                 fitCache
@@ -237,6 +241,7 @@
 		pending:     newPendingRecords(),
 		meanWork:    make(map[string]time.Duration),
 		durations:   duration.New(), pressure: pressure.New(), fits: newFitCache(),
+		shortages: [2]shortage{{usable: admission.NewUsableShare(false)}, {usable: admission.NewUsableShare(true)}},
 	}
 }
 
@@ -350,11 +355,11 @@
 	}
 	c.note(Note{Event: "summary", Detail: fmt.Sprintf(
 		"workers %d usable %d serving %d silent; milliprocessors %d, reserved %d of which standing %d, best-effort %d using %d; jobs %d known %d open; tasks waiting %d; "+
-			"workers known %d unlisted %d; standing tasks %d running %d, longest down %v, with room %v; idle jobs %d, longest %v, with room %v; recovering %t; processor seconds: %v",
+			"workers known %d unlisted %d; standing tasks %d running %d, longest down %v, with room %v; idle jobs %d, longest %v, with room %v; recovering %t; %s; processor seconds: %v",
 		status.Usable, serving, status.Silent, room, used, standing, bestEffort, bestEffortUse, known, open, waiting,
 		status.Known, status.Unlisted, status.Standing, status.StandingRunning,
 		status.LongestDown.Round(time.Millisecond), status.LongestDownWithRoom.Round(time.Millisecond),
-		status.IdleJobs, status.LongestIdle.Round(time.Millisecond), status.LongestIdleWithRoom.Round(time.Millisecond), status.Recovering, &c.usage)})
+		status.IdleJobs, status.LongestIdle.Round(time.Millisecond), status.LongestIdleWithRoom.Round(time.Millisecond), status.Recovering, c.describeShortages(), &c.usage)})
 }
 
 // passStage records that a job of a queue has spent a time in a stage.
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/pacing"
 	"bamboofall.example/bamboofall/internal/jobs/suspicion"
 )
@@ -36,10 +37,15 @@
 // learnDone updates the health of a worker and, from runs that were neither resumed nor
 // throttled, the expected run time.
 func (c *Cell) learnDone(now time.Time, w *worker, a *attempt, t *task) {
+	var startedAt time.Time // that of a run that is not known any more
 	if a != nil {
-		w.health.RecordSuccess(a.startedAt)
+		startedAt = a.startedAt
 	}
+	w.health.RecordSuccess(startedAt)
 	s := t.step
+	if s.BestEffort {
+		c.drained += jobspec.ProcessorTime(s.Size, c.expectedRunTime(s))
+	}
 	if a == nil || s.Estimate <= 0 || s.Standing || a.resumed || a.targetPace < fullPace {
 		return
 	}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -97,11 +97,7 @@
 		return
 	}
 	c.rankedAt = now
-	bestEffortWaits := false
-	for s := range c.ready {
-		bestEffortWaits = bestEffortWaits || s.BestEffort
-	}
-	c.sampleBestEffort(now, bestEffortWaits)
+	c.sampleShortages(now)
 	c.startStarved(now)
 	c.shed(now)
 	for i := range c.ranked {
@@ -146,33 +142,6 @@
 	return k
 }
 
-// bestEffortSampleInterval is the time between samples of the CPU held by best-effort
-// tasks, and bestEffortSampleWeight the weight of a sample in the mean.
-const (
-	bestEffortSampleInterval = 200 * time.Millisecond
-	bestEffortSampleWeight   = 0.15
-)
-
-// sampleBestEffort updates bestEffortCapacity.
-func (c *Cell) sampleBestEffort(now time.Time, waiting bool) {
-	if now.Sub(c.bestEffortSampledAt) < bestEffortSampleInterval {
-		return
-	}
-	c.bestEffortSampledAt = now
-	if !waiting {
-		c.bestEffortCapacity = 0
-		return
-	}
-	used := int64(0)
-	for _, w := range c.workerList {
-		used += w.bestEffortCPU
-	}
-	if c.bestEffortCapacity == 0 {
-		c.bestEffortCapacity = float64(used)
-	}
-	c.bestEffortCapacity += bestEffortSampleWeight * (float64(used) - c.bestEffortCapacity)
-}
-
 // placeStep places the waiting tasks of a step. It reports false if one of them fits
 // nowhere.
 func (c *Cell) placeStep(now time.Time, s *step) bool {
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -35,7 +35,7 @@
 		work, startable, processors := c.workToPlace(j)
 		remaining, waiting := startsToMake(j)
 		candidate := &urgency.Candidate{
-			Due: j.due, RemainingWork: work, StartableWork: startable, Processors: processors, CriticalPath: c.criticalPathLeft(j), ValueDensity: c.stakeOf(s).Value(now) * callercost.Density(j.work, work, c.meanWork[j.Job.Queue]), Name: string(j.ID),
+			Due: j.due, RemainingWork: work, StartableWork: startable, Processors: processors, CriticalPath: c.criticalPathLeft(j), ValueDensity: callercost.Density(j.work, work, c.meanWork[j.Job.Queue]), Name: string(j.ID),
 			RemainingStarts: remaining, WaitingStarts: waiting,
 		}
 		p := capacityPool{j.queue.Service, j.bestEffort}
@@ -107,9 +107,8 @@
 		processors += float64(room) / 1000
 		free += float64(max(0, idle)) / 1000
 	}
-	if p.bestEffort && c.bestEffortCapacity > 0 {
-		// The bounds on tail latency leave best-effort tasks less than the unused CPU.
-		return min(processors, c.bestEffortCapacity/1000), 0
+	if short := c.shortageOf(p.bestEffort); short.waits {
+		return short.usable.Of(processors), 0
 	}
 	return processors, free
 }
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -133,9 +133,9 @@
 		l.MilliProcessors += room - standing
 		l.FreeMilliProcessors += max(0, free-w.bestEffortCPU)
 	}
-	if j.bestEffort && c.bestEffortCapacity > 0 {
+	if short := c.shortageOf(j.bestEffort); j.bestEffort && short.waits {
 		// The bounds on tail latency leave best-effort tasks less than the unused CPU.
-		l.MilliProcessors = min(l.MilliProcessors, int64(c.bestEffortCapacity))
+		l.MilliProcessors = int64(short.usable.Of(float64(l.MilliProcessors)))
 		l.FreeMilliProcessors = 0
 	}
 	for _, other := range c.open {
--- a/internal/jobs/urgency/shed.go
+++ b/internal/jobs/urgency/shed.go
@@ -20,7 +20,7 @@
 	// CriticalPath is the length of the remaining critical path of the job: how long it
 	// takes with unlimited capacity.
 	CriticalPath time.Duration
-	// ValueDensity is what the caller is expected to lose if the job waits, per unit of
+	// ValueDensity is what the caller loses without the result, per unit of
 	// remaining work, see callercost.Density.
 	ValueDensity float64
 	// RemainingStarts is the number of tasks that have to be started, WaitingStarts that of
