--- a/internal/jobs/cell/cell.go
+++ b/internal/jobs/cell/cell.go
@@ -7,6 +7,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/callbudget"
+	"bamboofall.example/bamboofall/internal/jobs/callercost"
 	"bamboofall.example/bamboofall/internal/jobs/duration"
 	"bamboofall.example/bamboofall/internal/jobs/freshness"
 	"bamboofall.example/bamboofall/internal/jobs/headroom"
@@ -56,6 +57,19 @@
 	MaxRecordBytes int
 	// Room is the memory for jobs.
 	Room taskroom.Room
+	// Variant is for simulations.
+	Variant Variant
+}
+
+// Variant leaves out parts of the policy, so that simulations can tell what they are for.
+type Variant struct {
+	// NoShedding ranks jobs that can be in time by their objectives alone.
+	NoShedding bool
+	// HeldAtOnce lets what best-effort tasks hold bound what is admitted from the first sample
+	// on, and samples it whatever they wait for.
+	HeldAtOnce bool
+	// LastRunAnywhere gives the last permitted run of a task to any worker with room.
+	LastRunAnywhere bool
 }
 
 // Cell is the state machine. Use New to create one.
@@ -132,11 +146,18 @@
 	learnedDue bool
 	// learnedAt is when learnedDue was last set.
 	learnedAt time.Time
+	// runTimeErrors tells how far run times are off the expected ones.
+	runTimeErrors callercost.Errors
 	// bestEffortCapacity is the mean CPU in milliprocessors that best-effort tasks hold
-	// while others wait, or zero if none waits.
-	bestEffortCapacity  float64
-	bestEffortSampledAt time.Time
-	pressure            *pressure.Model
+	// while others wait, or zero if none waits, and bestEffortSampledFor the time for which
+	// it has been sampled.
+	bestEffortCapacity   float64
+	bestEffortSampledAt  time.Time
+	bestEffortSampledFor time.Duration
+	// startsLimitedAt is when a start last had to wait for the budget of calls.
+	startsLimitedAt time.Time
+	lastRun         lastRunStake
+	pressure        *pressure.Model
 	// accuracy tells how well tail latencies are expected.
 	accuracy headroom.Accuracy
 	usage    usage.Account
--- a/internal/jobs/cell/job.go
+++ b/internal/jobs/cell/job.go
@@ -142,6 +142,8 @@
 	crashes crashloop.Task
 	// lastFailedOn is the ID of the worker where the task last failed.
 	lastFailedOn string
+	// failedAt is when this owner learned of its last failure.
+	failedAt time.Time
 	// stalledOn is the ID of the worker where a run of the task last stalled, unless it has
 	// come up since.
 	stalledOn string
@@ -309,6 +311,10 @@
 		return
 	}
 	c.unqueueStep(s)
+	if !s.Standing {
+		expected := c.durations.Longest(runTimeKey(s.occ.job.Job, s.Step), s.Estimate, s.durations.Count())
+		c.runTimeErrors.Observe(s.occ.job.Job.Queue, expected, s.durations.Longest())
+	}
 	c.durations.ObserveStep(s.durations)
 	o := s.occ
 	o.stepsLeft--
--- a/internal/jobs/cell/learn.go
+++ b/internal/jobs/cell/learn.go
@@ -36,7 +36,11 @@
 // learnDone updates the health of a worker and, from runs that were neither resumed nor
 // throttled, the expected run time.
 func (c *Cell) learnDone(now time.Time, w *worker, a *attempt, t *task) {
-	w.health.RecordSuccess()
+	var startedAt time.Time // that of a run that is not known any more
+	if a != nil {
+		startedAt = a.startedAt
+	}
+	w.health.RecordSuccess(startedAt)
 	s := t.step
 	if a == nil || s.Estimate <= 0 || s.Standing || a.resumed || a.targetPace < fullPace {
 		return
@@ -51,7 +55,7 @@
 // elsewhere.
 func (c *Cell) learnFailure(now time.Time, w *worker, t *task) {
 	previous := t.lastFailedOn
-	t.lastFailedOn = w.info.ID
+	t.lastFailedOn, t.failedAt = w.info.ID, now
 	if previous != "" && previous != w.info.ID {
 		return
 	}
--- a/internal/jobs/cell/place.go
+++ b/internal/jobs/cell/place.go
@@ -20,7 +20,11 @@
 // jobs that cannot be in time only once each placeInterval, as looking takes its processor
 // from those that can.
 func (c *Cell) place(now time.Time) {
-	if !c.placementDue || len(c.ready) == 0 || !c.mayStart() || now.Sub(c.placedAt) < c.busyPause(now) {
+	if !c.placementDue || len(c.ready) == 0 || now.Sub(c.placedAt) < c.busyPause(now) {
+		return
+	}
+	if !c.mayStart() {
+		c.startsLimitedAt = now
 		return
 	}
 	c.placementDue = false
@@ -34,6 +38,7 @@
 	}
 	for i := range c.ranked {
 		if !c.mayStart() {
+			c.startsLimitedAt = now
 			c.placementDue = true
 			break
 		}
@@ -97,11 +102,7 @@
 		return
 	}
 	c.rankedAt = now
-	bestEffortWaits := false
-	for s := range c.ready {
-		bestEffortWaits = bestEffortWaits || s.BestEffort
-	}
-	c.sampleBestEffort(now, bestEffortWaits)
+	c.sampleBestEffort(now)
 	c.startStarved(now)
 	c.shed(now)
 	for i := range c.ranked {
@@ -146,35 +147,6 @@
 	return k
 }
 
-// bestEffortSampleInterval is the time between samples of the CPU held by best-effort
-// tasks, and bestEffortSampleWeight the weight of a sample in the mean.
-const (
-	bestEffortSampleInterval = 200 * time.Millisecond
-	bestEffortSampleWeight   = 0.15
-)
-
-// sampleBestEffort updates bestEffortCapacity.
-func (c *Cell) sampleBestEffort(now time.Time, waiting bool) {
-	if now.Sub(c.bestEffortSampledAt) < bestEffortSampleInterval {
-		return
-	}
-	c.bestEffortSampledAt = now
-	if !waiting {
-		c.bestEffortCapacity = 0
-		return
-	}
-	used := int64(0)
-	for _, w := range c.workerList {
-		if !w.evacuated {
-			used += w.bestEffortCPU
-		}
-	}
-	if c.bestEffortCapacity == 0 {
-		c.bestEffortCapacity = float64(used)
-	}
-	c.bestEffortCapacity += bestEffortSampleWeight * (float64(used) - c.bestEffortCapacity)
-}
-
 // placeStep places the waiting tasks of a step. It reports false if one of them fits
 // nowhere.
 func (c *Cell) placeStep(now time.Time, s *step) bool {
@@ -192,6 +164,10 @@
 			continue
 		}
 		w := c.chooseForStep(now, t, set)
+		if w == nil && c.lastRun.passedOver {
+			waiting = append(waiting, t) // others of the step may run where it may not
+			continue
+		}
 		if w == nil {
 			fits = false
 			waiting = append(waiting, s.waiting[i:]...)
@@ -268,6 +244,7 @@
 // chooseWorkerInTier is chooseWorker with an explicit bound on the predicted tail
 // latency.
 func (c *Cell) chooseWorkerInTier(now time.Time, t *task, tier tailtier.Tier) *worker {
+	c.lastRun.passedOver = false
 	if t.step.occ.job.queue == nil {
 		return nil
 	}
@@ -276,7 +253,7 @@
 		return nil
 	}
 	w := c.bestWorker(now, t, tier, shape.CheckedGain(tier))
-	if w == nil && len(t.attempts) == 0 {
+	if w == nil && len(t.attempts) == 0 && !c.lastRun.passedOver {
 		shape.Block(tier, c.fits.lastGain)
 	}
 	return w
@@ -370,6 +347,10 @@
 			return 0, false
 		}
 	}
+	if c.risksJob(now, t, w) {
+		c.lastRun.passedOver = true
+		return 0, false
+	}
 	score := placement.Score(kind, s.Size, view) - w.warmth.Demotion(now)
 	if t.lastFailedOn == w.info.ID {
 		score -= failedWorkerPenalty
@@ -392,7 +373,8 @@
 // chooseForStep returns the best worker for one of the tasks of a step that are placed
 // one after the other, or nil.
 func (c *Cell) chooseForStep(now time.Time, t *task, set *candidateSet) *worker {
-	if len(t.attempts) > 0 || t.lastFailedOn != "" || t.step.SameRack || t.crashes.Suspect() {
+	c.lastRun.passedOver = false
+	if len(t.attempts) > 0 || t.lastFailedOn != "" || t.onLastAttempt() || t.step.SameRack || t.crashes.Suspect() {
 		set.last = -1
 		return c.chooseWorker(now, t)
 	}
--- a/internal/jobs/cell/shed.go
+++ b/internal/jobs/cell/shed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboofall.example/bamboofall"
+	"bamboofall.example/bamboofall/internal/jobs/callercost"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/pacing"
 	"bamboofall.example/bamboofall/internal/jobs/tailtier"
@@ -21,6 +22,9 @@
 // shed marks the waiting jobs that cannot finish in time alongside the others. They are
 // ranked behind those that can.
 func (c *Cell) shed(now time.Time) {
+	if c.cfg.Variant.NoShedding {
+		return
+	}
 	candidates := make(map[capacityPool][]*urgency.Candidate)
 	byPriority := make(map[int][]*urgency.Candidate)
 	jobs := make(map[*urgency.Candidate]*job)
@@ -34,7 +38,7 @@
 		work, startable, processors := c.workToPlace(j)
 		remaining, waiting := startsToMake(j)
 		candidate := &urgency.Candidate{
-			Due: j.due, RemainingWork: work, StartableWork: startable, Processors: processors, CriticalPath: c.criticalPathLeft(j), ValueDensity: urgency.ValueDensity(j.work, work, c.meanWork[j.Job.Queue]), Name: string(j.ID),
+			Due: j.due, RemainingWork: work, StartableWork: startable, Processors: processors, CriticalPath: c.criticalPathLeft(j), ValueDensity: callercost.Density(j.work, work, c.meanWork[j.Job.Queue]), Name: string(j.ID),
 			RemainingStarts: remaining, WaitingStarts: waiting,
 		}
 		p := capacityPool{j.queue.Service, j.bestEffort}
@@ -106,9 +110,9 @@
 		processors += float64(room) / 1000
 		free += float64(max(0, idle)) / 1000
 	}
-	if p.bestEffort && c.bestEffortCapacity > 0 {
+	if bound, known := c.bestEffortBound(); known && p.bestEffort {
 		// The bounds on tail latency leave best-effort tasks less than the unused CPU.
-		return min(processors, c.bestEffortCapacity/1000), 0
+		return min(processors, bound/1000), 0
 	}
 	return processors, free
 }
--- a/internal/jobs/cell/submit.go
+++ b/internal/jobs/cell/submit.go
@@ -6,6 +6,7 @@
 
 	"bamboofall.example/bamboofall"
 	"bamboofall.example/bamboofall/internal/jobs/admission"
+	"bamboofall.example/bamboofall/internal/jobs/callercost"
 	"bamboofall.example/bamboofall/internal/jobs/jobspec"
 	"bamboofall.example/bamboofall/internal/jobs/urgency"
 )
@@ -142,9 +143,9 @@
 		l.MilliProcessors += room - standing
 		l.FreeMilliProcessors += max(0, free-w.bestEffortCPU)
 	}
-	if j.bestEffort && c.bestEffortCapacity > 0 {
+	if bound, known := c.bestEffortBound(); known && j.bestEffort {
 		// The bounds on tail latency leave best-effort tasks less than the unused CPU.
-		l.MilliProcessors = min(l.MilliProcessors, int64(c.bestEffortCapacity))
+		l.MilliProcessors = min(l.MilliProcessors, int64(bound))
 		l.FreeMilliProcessors = 0
 	}
 	for _, other := range c.open {
@@ -182,7 +183,7 @@
 	}
 	own.CriticalPath = j.criticalPath
 	own.TimeToDue = j.due.Sub(now)
-	own.TimeToExpiry = urgency.LateFactor * j.due.Sub(now)
+	own.TimeToExpiry = callercost.LateFactor * j.due.Sub(now)
 	v.work, v.Decision = own.Work, admission.Decide(v.load, own)
 	return v
 }
--- a/internal/jobs/cell/withdraw.go
+++ b/internal/jobs/cell/withdraw.go
@@ -35,6 +35,7 @@
 	c.removeOpen(j)
 	delete(c.recurring, j)
 	delete(c.jobs, id)
+	c.countBytes(now, j)
 	// An earlier job with the ID may have left records.
 	p.forget(id)
 	p.unstoredJobs = slices.DeleteFunc(p.unstoredJobs, func(u unstoredJob) bool { return u.job == j })
--- a/internal/jobs/sim/handover.go
+++ b/internal/jobs/sim/handover.go
@@ -18,7 +18,7 @@
 	w.appending = false
 	w.cell = cell.New(cell.Config{
 		Epoch: w.epoch, Lease: w.cfg.Lease, MaxLease: w.cfg.maxHold(), FormerLeasesEnd: formerLeasesEnd, EndedJobRetention: 2 * time.Minute, RemoteFactor: 2,
-		MaxTailViolation: 4 * time.Second, Clock: w.nextClock(),
+		MaxTailViolation: 4 * time.Second, Clock: w.nextClock(), Variant: w.cfg.Variant,
 	})
 	w.machine = nil
 	if w.cfg.Owner != nil {
--- a/internal/jobs/sim/world.go
+++ b/internal/jobs/sim/world.go
@@ -57,6 +57,8 @@
 	// OnOwnerDelay, if set, is called when an owner with an OwnerVM has measured its
 	// own delay.
 	OnOwnerDelay func(now time.Time, owner *cell.Cell, delay time.Duration)
+	// Variant leaves out parts of the policy.
+	Variant cell.Variant
 }
 
 // Service is the service to which all workers belong.
--- a/internal/jobs/suspicion/suspicion.go
+++ b/internal/jobs/suspicion/suspicion.go
@@ -15,6 +15,9 @@
 	// worker is suspect. A single failure is common, since a few percent of the
 	// tasks fail by themselves.
 	suspectAfterFailures = 2
+	// provenAfterFailures is the number of consecutive failures after which runs from before
+	// the last one no longer speak for a worker. Two may be chance.
+	provenAfterFailures = 3
 	// initialPause and maxPause bound how long a suspect worker gets no tasks.
 	initialPause = 3 * time.Second
 	maxPause     = 12 * time.Second
@@ -38,8 +41,10 @@
 // Worker is the failure state of a worker. The zero value is a worker without
 // failures.
 type Worker struct {
-	// consecutiveFailures is the number of failures since the last success.
+	// consecutiveFailures is the number of failures since the last success, and failedAt the
+	// time of the last one.
 	consecutiveFailures int
+	failedAt            time.Time
 	// pause is the length of the latest pause, and pausedUntil the time at which it
 	// ends. nextProbeAt is the earliest time of the next task after the pause.
 	pause                    time.Duration
@@ -51,6 +56,7 @@
 // not the case during a pause: the run was started before it.
 func (w *Worker) RecordFailure(now time.Time, stalled bool) bool {
 	w.consecutiveFailures++
+	w.failedAt = now
 	if w.consecutiveFailures < suspectAfterFailures && !stalled {
 		return false
 	}
@@ -70,8 +76,15 @@
 	w.pausedUntil = now.Add(initialPause)
 }
 
-// RecordSuccess records a successful run, which clears all failures.
-func (w *Worker) RecordSuccess() { *w = Worker{} }
+// RecordSuccess records the success of a run, which clears all failures. After several of them
+// a run that started before the last one clears nothing: the worker may have become faulty
+// since, and its long runs end well for seconds while all new ones fail.
+func (w *Worker) RecordSuccess(startedAt time.Time) {
+	if w.consecutiveFailures >= provenAfterFailures && startedAt.Before(w.failedAt) {
+		return
+	}
+	*w = Worker{}
+}
 
 // Failures returns the number of consecutive failures.
 func (w *Worker) Failures() int { return w.consecutiveFailures }
