--- a/internal/entry/front/deferral_test.go
+++ b/internal/entry/front/deferral_test.go
@@ -55,6 +55,7 @@
 		assert.Equal(t, call(errors.New("no answer")).reason, "unknown")
 		assert.Assert(t, store.appends >= 40, "%d appends", store.appends)
 		store.err = nil
+		f.storeLink.Answered(now()) // a read has shown that the store is back
 		assert.Equal(t, call(errNotOwner).status, http.StatusOK)
 
 		for range 20 {
