--- a/review/lab3/deployment.go
+++ b/review/lab3/deployment.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +43,8 @@
 	name, ip, settings string
 	process            *exec.Cmd
 	exited             chan struct{}
+	// storeFault returns the fault of calls from this VM to the store.
+	storeFault atomic.Pointer[func(r *http.Request) standin.Fault]
 }
 
 func (e *entry) frontend() string { return e.ip + ":8161" }
@@ -60,6 +63,8 @@
 	random  *rand.Rand
 	version int
 	gangs   *gangs
+	// cpuShare is the share of a core that each entry VM has.
+	cpuShare string
 }
 
 // newDeployment starts the store, with a first configuration.
@@ -68,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{log: log, audit: newAudit(log), folder: folder, store: standin.NewStore(), gangs: &gangs{all: make(map[string]*gang)}, random: rand.New(rand.NewPCG(seed, 1))}
+	d := &deployment{log: log, audit: newAudit(log), folder: folder, store: standin.NewStore(), gangs: &gangs{all: make(map[string]*gang)}, cpuShare: "0.4", random: rand.New(rand.NewPCG(seed, 1))}
 	d.client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for try := 0; ; try++ {
 		d.net = fmt.Sprintf("127.%d.%d.", 64+rand.IntN(64), rand.IntN(250))
@@ -130,6 +135,9 @@
 		if err := os.WriteFile(e.settings, []byte(d.settings(e)), 0o600); err != nil {
 			return err
 		}
+		if err := d.serveStore(e); err != nil {
+			return err
+		}
 		d.entries = append(d.entries, e)
 		if err := d.startEntry(e); err != nil {
 			return err
@@ -138,6 +146,40 @@
 	return nil
 }
 
+// storeAddressOf returns the address at which an entry VM reaches the store.
+func (d *deployment) storeAddressOf(e *entry) string {
+	return fmt.Sprintf("%s%s:8169", d.net, "2"+e.ip[len(d.net):])
+}
+
+// serveStore serves the store to an entry VM at an address of its own, so that it can be cut
+// off or turned away alone.
+func (d *deployment) serveStore(e *entry) error {
+	l, err := net.Listen("tcp", d.storeAddressOf(e))
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fault := standin.FaultNone
+		if f := e.storeFault.Load(); f != nil {
+			fault = (*f)(r)
+		}
+		switch fault {
+		case standin.FaultRefused:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case standin.FaultReset:
+			panic(http.ErrAbortHandler)
+		case standin.FaultSilent:
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		default:
+			d.store.ServeHTTP(w, r)
+		}
+	})}
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
 func (d *deployment) settings(e *entry) string {
 	return fmt.Sprintf(`node = %q
 role = "entry"
@@ -159,7 +201,7 @@
 frontend = "%s"
 ready = "%s:8167"
 [limits]
-cpu_share = 0.4
+cpu_share = %s
 cores = 1
 memory_mb = 284
 file_descriptors = 4100
@@ -198,7 +240,7 @@
 record_bytes = 262144
 request_bytes = 2097152
 keep_s = 300
-`, e.name, e.ip, e.frontend(), e.ip, maxHold.Milliseconds(), d.storeAddress())
+`, e.name, e.ip, e.frontend(), e.ip, d.cpuShare, maxHold.Milliseconds(), d.storeAddressOf(e))
 }
 
 func (d *deployment) startEntry(e *entry) error {
@@ -317,11 +359,28 @@
 	return data
 }
 
+// handIn hands a job in once, and notes whether it may have been accepted.
+func (d *deployment) handIn(j *job, at int) int {
+	d.audit.mu.Lock()
+	j.pending++
+	d.audit.mu.Unlock()
+	status, _ := d.send(d.entries[at], http.MethodPost, j.id, j.body())
+	d.audit.mu.Lock()
+	defer d.audit.mu.Unlock()
+	j.pending--
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusNotFound:
+		j.rejected = true
+	default:
+		j.unknown = true
+	}
+	return status
+}
+
 // submit hands a job in until it is accepted, at one entry VM after the other.
 func (d *deployment) submit(j *job, from int) bool {
 	for i := range 8 {
-		status, _ := d.send(d.entries[(from+i)%len(d.entries)], http.MethodPost, j.id, j.body())
-		if status/100 == 2 {
+		if d.handIn(j, (from+i)%len(d.entries))/100 == 2 {
 			j.accepted = true
 			return true
 		}
--- a/review/lab3/minion.go
+++ b/review/lab3/minion.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bamboofall.example/bamboofall/platform/standin"
@@ -53,30 +54,31 @@
 	// lost reports whether the answer to a call gets lost.
 	lost  func(m *minion, path string) bool
 	gangs *gangs
+	// cut is set while the minion is cut off from all others. It runs on.
+	cut atomic.Bool
 
+	// crashing is held while the minion is ended and started again.
+	crashing sync.Mutex
 	mu       sync.Mutex
 	life     *life
 	server   *http.Server
 	draining bool
-	// listed is set while the store has an entry.
-	listed   bool
 	downFrom time.Time
 	sequence int
 }
 
 // life is one process of a minion. A new one knows nothing of the former.
 type life struct {
-	born       time.Time
-	bornAs     int64
-	ended      chan struct{}
-	token      uint64
-	lease      time.Duration
-	running    map[string]*run
-	ends       []end
-	lastEnd    uint64
-	lastRun    map[string]uint32
-	changed    chan struct{}
-	everListed bool
+	born    time.Time
+	bornAs  int64
+	ended   chan struct{}
+	token   uint64
+	lease   time.Duration
+	running map[string]*run
+	ends    []end
+	lastEnd uint64
+	lastRun map[string]uint32
+	changed chan struct{}
 }
 
 type run struct {
@@ -149,7 +151,7 @@
 func (m *minion) beat(l *life) {
 	for {
 		m.mu.Lock()
-		if m.life == l {
+		if m.life == l && !m.cut.Load() {
 			m.sequence++
 			m.store.Put("keyed.servers", m.id, m.entry(l))
 		}
@@ -265,6 +267,13 @@
 }
 
 func (m *minion) serve(l *life, w http.ResponseWriter, r *http.Request) {
+	if m.cut.Load() {
+		select {
+		case <-r.Context().Done():
+		case <-l.ended:
+		}
+		panic(http.ErrAbortHandler)
+	}
 	if r.URL.Path == "/health" {
 		w.WriteHeader(http.StatusOK)
 		return
@@ -299,6 +308,10 @@
 		}
 	}
 	status, body := m.execute(l, r, path, &c)
+	if m.cut.Load() {
+		m.log.line("minion %s: the answer to %s %s run %d is cut off", m.id, path, c.Task, c.Run)
+		status = 0
+	}
 	if m.lost != nil && status != 0 && m.lost(m, path) {
 		m.log.line("minion %s: the answer to %s %s run %d is lost", m.id, path, c.Task, c.Run)
 		status = 0
--- a/review/lab3/soak.go
+++ b/review/lab3/soak.go
@@ -14,22 +14,27 @@
 	"bamboofall.example/bamboofall/platform/standin"
 )
 
-// soak plays jobs of all kinds beside random disruptions.
+// soak plays jobs of all kinds beside random disruptions. It is no case: SEED chooses the
+// disruptions, and CPU is the share of a core that each entry VM has.
 func soak(d *deployment, trouble bool) (broken []string, err error) {
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
-	d.random = rand.New(rand.NewPCG(seed, uint64(os.Getpid())))
+	dice := rand.New(rand.NewPCG(seed, uint64(os.Getpid())))
 	var mu sync.Mutex
 	roll := func(n int) int {
 		mu.Lock()
 		defer mu.Unlock()
-		return d.random.IntN(n)
+		return dice.IntN(n)
 	}
+	failing := 0
 	taskOf := func(_ *minion, name string, run uint32) task {
 		d.audit.mu.Lock()
 		defer d.audit.mu.Unlock()
 		part := strings.Split(name, ".")
 		s := d.audit.jobs[part[0]].steps[atoi(part[2])]
 		t := task{saves: s.Saves}
+		if !s.Gang && !s.LongRunning {
+			t.fails = roll(100) < failing
+		}
 		if !s.LongRunning {
 			t.work = time.Duration(s.EstimatedMS) * time.Millisecond
 		}
@@ -38,6 +43,12 @@
 		}
 		return t
 	}
+	if share := os.Getenv("FAILING"); share != "" {
+		failing = atoi(share)
+	}
+	if share := os.Getenv("CPU"); share != "" {
+		d.cpuShare = share
+	}
 	if err := d.addMinions(12, taskOf); err != nil {
 		return nil, err
 	}
@@ -45,6 +56,7 @@
 		if i%3 == 0 {
 			m.labels[0] = "b"
 		}
+		m.cpu = 8000
 	}
 	if err := d.addEntries(4); err != nil {
 		return nil, err
@@ -65,7 +77,19 @@
 			jobs = append(jobs, j)
 			mu.Unlock()
 			all.Go(func() {
-				if d.submit(j, roll(4)) && roll(6) == 0 {
+				if roll(5) == 0 {
+					go d.handIn(j, roll(4))
+				}
+				accepted := d.submit(j, roll(4))
+				if accepted && roll(5) == 0 {
+					time.Sleep(time.Duration(roll(2000)) * time.Millisecond)
+					d.handIn(j, roll(4))
+				}
+				if accepted {
+					acceptedAt := time.Now()
+					all.Go(func() { d.watch(j, acceptedAt, roll, over) })
+				}
+				if accepted && roll(6) == 0 {
 					time.Sleep(time.Duration(roll(3000)) * time.Millisecond)
 					d.cancel(j, roll(4))
 				}
@@ -86,6 +110,10 @@
 		all.Go(func() { d.strikeMinions(roll, over) })
 		all.Go(func() { d.strikeEntries(roll, over) })
 		all.Go(func() { d.strikeStore(roll, over) })
+		all.Go(func() { d.turnAway(roll, over) })
+		all.Go(func() { d.drainMinions(roll, over) })
+		all.Go(func() { d.strikeRecords(roll, over) })
+		all.Go(func() { d.cutMinions(roll, over) })
 	}
 	all.Wait()
 	d.log.line("calm from here on")
@@ -104,6 +132,7 @@
 			if state != "running" {
 				broken = append(broken, fmt.Sprintf("LOST: lasting job %s is %d %s", j.id, status, state))
 			}
+		case state == "failed" && d.audit.mayFail(j.id):
 		case state != "completed":
 			broken = append(broken, fmt.Sprintf("LOST: job %s is %d %q", j.id, status, state))
 		}
@@ -153,6 +182,9 @@
 	for i := range 6 {
 		status, _ := d.send(d.entries[(from+i)%len(d.entries)], http.MethodDelete, j.id, nil)
 		if status/100 == 2 || status == http.StatusGone {
+			d.audit.mu.Lock()
+			j.cancelAckedAt = time.Now()
+			d.audit.mu.Unlock()
 			return
 		}
 		time.Sleep(300 * time.Millisecond)
@@ -162,6 +194,7 @@
 func (d *deployment) strikeMinions(roll func(int) int, over func() bool) {
 	for !over() {
 		m := d.minions[roll(len(d.minions))]
+		m.crashing.Lock()
 		m.crash()
 		time.Sleep(time.Duration(50+roll(1500)) * time.Millisecond)
 		if roll(4) == 0 {
@@ -171,6 +204,7 @@
 			d.log.line("minion %s cannot start: %v", m.id, err)
 			return
 		}
+		m.crashing.Unlock()
 		time.Sleep(time.Duration(roll(2500)) * time.Millisecond)
 	}
 }
@@ -224,3 +258,131 @@
 		d.store.SetFault(nil)
 	}
 }
+
+// watch asks for the state of a job until the end.
+func (d *deployment) watch(j *job, acceptedAt time.Time, roll func(int) int, over func() bool) {
+	for !over() {
+		time.Sleep(time.Duration(2000+roll(3000)) * time.Millisecond)
+		e := d.entries[roll(len(d.entries))]
+		status, state := d.state(e, j.id)
+		if status == http.StatusGone && time.Since(acceptedAt) > 3*time.Second {
+			d.audit.mu.Lock()
+			d.audit.breaks("LOST: accepted job %s is 410 at %s", j.id, e.name)
+			d.audit.mu.Unlock()
+		}
+		if state == "completed" {
+			d.audit.mu.Lock()
+			for k := range max(1, j.repetitions) {
+				for n, s := range j.steps {
+					missing := 0
+					for i := range s.Count {
+						if len(d.audit.done[fmt.Sprintf("%s.%d.%d.%d", j.id, k, n, i)]) == 0 {
+							missing++
+						}
+					}
+					if missing == s.Count || missing > 0 && !s.Gang {
+						d.audit.breaks("MIXED: job %s is completed without %d tasks of step %d, occurrence %d", j.id, missing, n, k)
+					}
+				}
+			}
+			d.audit.mu.Unlock()
+			return
+		}
+	}
+}
+
+// turnAway makes the store turn some entry VMs away for a while.
+func (d *deployment) turnAway(roll func(int) int, over func() bool) {
+	for !over() {
+		time.Sleep(time.Duration(2000+roll(5000)) * time.Millisecond)
+		e := d.entries[roll(len(d.entries))]
+		fault := []standin.Fault{standin.FaultRefused, standin.FaultReset, standin.FaultSilent}[roll(3)]
+		f := func(*http.Request) standin.Fault { return fault }
+		lasts := time.Duration(1000+roll(8000)) * time.Millisecond
+		d.log.line("the store turns away %s, fault %d, for %v", e.name, fault, lasts)
+		e.storeFault.Store(&f)
+		time.Sleep(lasts)
+		e.storeFault.Store(nil)
+	}
+}
+
+// drainMinions empties minions and replaces them.
+func (d *deployment) drainMinions(roll func(int) int, over func() bool) {
+	for !over() {
+		time.Sleep(time.Duration(2000+roll(5000)) * time.Millisecond)
+		m := d.minions[roll(len(d.minions))]
+		m.mu.Lock()
+		l := m.life
+		if l != nil {
+			m.draining = true
+			m.store.Put("keyed.servers", m.id, m.entry(l))
+			m.log.line("minion %s drains", m.id)
+		}
+		m.mu.Unlock()
+		if l == nil {
+			continue
+		}
+		time.Sleep(time.Duration(2000+roll(1500)) * time.Millisecond)
+		m.crashing.Lock()
+		m.mu.Lock()
+		same := m.life == l
+		m.mu.Unlock()
+		if same {
+			m.crash()
+			m.store.Put("keyed.servers", m.id, nil)
+			time.Sleep(time.Duration(roll(2000)) * time.Millisecond)
+			m.id = fmt.Sprintf("i-%08x", roll(1<<30))
+			_ = m.start(time.Time{})
+		}
+		m.crashing.Unlock()
+	}
+}
+
+// strikeRecords changes the configuration, drops the history of the platform's own records, and
+// writes entries of minions that cannot be read.
+func (d *deployment) strikeRecords(roll func(int) int, over func() bool) {
+	for !over() {
+		time.Sleep(time.Duration(500+roll(4000)) * time.Millisecond)
+		switch roll(4) {
+		case 0:
+			d.configure(3)
+		case 1:
+			d.store.Trim([]string{"keyed.op", "keyed.servers"}[roll(2)])
+		case 2:
+			d.store.Put("keyed.servers", fmt.Sprintf("x-%d", roll(3)), []byte([]string{"", "{", `{"service":7}`, `[]`, "\xff\x00", `{"service":"service-a","state":"ready","address":"nowhere"}`}[roll(6)]))
+		case 3:
+			m := d.minions[roll(len(d.minions))]
+			m.mu.Lock()
+			if m.life != nil {
+				m.cpu = 6000 + 1000*roll(5)
+			}
+			m.mu.Unlock()
+		}
+	}
+}
+
+// cutMinions cuts minions off, which run on. Some crash behind the cut.
+func (d *deployment) cutMinions(roll func(int) int, over func() bool) {
+	for !over() {
+		time.Sleep(time.Duration(500+roll(3000)) * time.Millisecond)
+		m := d.minions[roll(len(d.minions))]
+		lasts := time.Duration(300+roll(9000)) * time.Millisecond
+		m.crashing.Lock()
+		m.cut.Store(true)
+		m.log.line("minion %s is cut off for %v", m.id, lasts)
+		if lasts > 3*heartbeat {
+			time.Sleep(3 * heartbeat)
+			m.store.Put("keyed.servers", m.id, nil)
+			lasts -= 3 * heartbeat
+		}
+		time.Sleep(lasts)
+		if roll(4) == 0 {
+			m.crash()
+			time.Sleep(time.Duration(roll(500)) * time.Millisecond)
+			_ = m.start(time.Time{})
+		}
+		m.cut.Store(false)
+		m.log.line("minion %s is back", m.id)
+		m.crashing.Unlock()
+	}
+}
