--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -24,8 +24,8 @@
 type scenario func(d *deployment, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"crashloop": crashLoop,
-	"soak":      soak,
+	"neverstarted": neverStarted,
+	"soak":         soak,
 }
 
 func main() { os.Exit(play()) }
--- a/review/lab3/minion.go
+++ b/review/lab3/minion.go
@@ -54,6 +54,8 @@
 	// lost reports whether the answer to a call gets lost.
 	lost  func(m *minion, path string) bool
 	gangs *gangs
+	// coldFor is how long the minion remains slow after its start.
+	coldFor time.Duration
 	// cut is set while the minion is cut off from all others. It runs on.
 	cut atomic.Bool
 
@@ -69,16 +71,18 @@
 
 // life is one process of a minion. A new one knows nothing of the former.
 type life struct {
-	born    time.Time
-	bornAs  int64
-	ended   chan struct{}
-	token   uint64
-	lease   time.Duration
-	running map[string]*run
-	ends    []end
-	lastEnd uint64
-	lastRun map[string]uint32
-	changed chan struct{}
+	born time.Time
+	// restarted is set if the minion has crashed before.
+	restarted bool
+	bornAs    int64
+	ended     chan struct{}
+	token     uint64
+	lease     time.Duration
+	running   map[string]*run
+	ends      []end
+	lastEnd   uint64
+	lastRun   map[string]uint32
+	changed   chan struct{}
 }
 
 type run struct {
@@ -98,6 +102,16 @@
 	checkpoint string
 }
 
+// upFor returns how long the present life has lasted.
+func (m *minion) upFor() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.life == nil {
+		return 0
+	}
+	return time.Since(m.life.born)
+}
+
 func (l *life) clock() time.Duration { return time.Since(l.born) }
 
 // start begins a new life. A zero bornAs stands for the present time of day.
@@ -120,6 +134,7 @@
 	l := &life{born: now, bornAs: bornAs.UnixMilli(), ended: make(chan struct{}), running: make(map[string]*run), lastRun: make(map[string]uint32), changed: make(chan struct{})}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(l, w, r) })}
 	m.mu.Lock()
+	l.restarted = !m.downFrom.IsZero()
 	m.life, m.server, m.draining = l, server, false
 	m.mu.Unlock()
 	m.log.line("minion %s starts, born %d", m.id, l.bornAs)
@@ -183,6 +198,9 @@
 	if m.draining {
 		e["remaining_ms"] = 2000
 	}
+	if cold := m.coldFor - l.clock(); cold > 0 && l.restarted {
+		e["cold_remaining_ms"] = cold.Milliseconds()
+	}
 	data, _ := json.Marshal(e)
 	return data
 }
@@ -429,21 +447,6 @@
 	return int(min(99, 100*age/x.does.work))
 }
 
-// atWork returns how many runs of a job are at 100 percent.
-func (m *minion) atWork(job string) (n int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.life == nil {
-		return 0
-	}
-	for _, x := range m.life.running {
-		if strings.HasPrefix(x.task, job+".") && x.percent() == 100 {
-			n++
-		}
-	}
-	return n
-}
-
 func (m *minion) String() string { return fmt.Sprintf("%s at %s", m.id, m.address) }
 
 const (
