--- a/review/lab3/minion.go
+++ b/review/lab3/minion.go
@@ -112,16 +112,6 @@
 	return len(m.life.running)
 }
 
-// upFor returns how long the present life has lasted.
-func (m *minion) upFor() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.life == nil {
-		return 0
-	}
-	return time.Since(m.life.born)
-}
-
 func (l *life) clock() time.Duration { return time.Since(l.born) }
 
 // start begins a new life. A zero bornAs stands for the present time of day.
@@ -174,11 +164,17 @@
 
 // beat announces the life until it ends, and removes the entry after three intervals of silence.
 func (m *minion) beat(l *life) {
+	written := time.Now()
 	for {
 		m.mu.Lock()
-		if m.life == l && !m.cut.Load() {
+		switch {
+		case m.life != l:
+		case !m.cut.Load():
 			m.sequence++
 			m.store.Put("keyed.servers", m.id, m.entry(l))
+			written = time.Now()
+		case time.Since(written) >= 3*heartbeat:
+			m.store.Put("keyed.servers", m.id, nil)
 		}
 		m.mu.Unlock()
 		select {
@@ -296,6 +292,7 @@
 
 func (m *minion) serve(l *life, w http.ResponseWriter, r *http.Request) {
 	if m.cut.Load() {
+		m.log.line("minion %s: %s is neither carried out nor answered", m.id, r.URL.Path)
 		select {
 		case <-r.Context().Done():
 		case <-l.ended:
--- a/review/lab3/neverstarted.go
+++ b/review/lab3/neverstarted.go
@@ -4,55 +4,50 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
-// neverStarted plays a job with one task, which is sent to minions that are down: each has
-// crashed while it was idle, does not answer, and comes back after two seconds.
+// neverStarted plays four idle minions of thirty that crash at the same moment, do not answer,
+// and come back one after the other, and a job with one task that is handed in meanwhile.
 func neverStarted(d *deployment, trouble bool) (broken []string, err error) {
 	const (
-		minions = 10
-		crashes = 6
-		// down is how long each minion is down, and minUp how long it has been up before.
-		down, minUp = 2 * time.Second, 2 * time.Second
+		minions   = 30
+		firstBack = 700 * time.Millisecond
+		nextBack  = 450 * time.Millisecond
+		crashing  = 4
 	)
 	short := func(*minion, string, uint32) task { return task{work: 2 * time.Second} }
 	if err := d.addMinions(minions, short); err != nil {
 		return nil, err
 	}
+	for _, m := range d.minions {
+		m.coldFor = 5 * time.Second
+	}
 	if err := d.addEntries(3); err != nil {
 		return nil, err
 	}
 	if err := d.waitReady(); err != nil {
 		return nil, err
 	}
-	j := d.newJob(step{Count: 1, CPU: 6400, Memory: 13000, EstimatedMS: 2000})
-	var crashed atomic.Int32
+	time.Sleep(3 * time.Second)
 	if trouble {
-		for _, m := range d.minions {
-			m.coldFor = 5 * time.Second
-			m.unanswered = func(m *minion, path, name string) bool {
-				if path != "run-start" || !strings.HasPrefix(name, j.id) || m.upFor() < minUp || crashed.Load() >= crashes {
-					return m.cut.Load()
+		byID := slices.SortedFunc(slices.Values(d.minions), func(a, b *minion) int { return strings.Compare(a.id, b.id) })
+		for i, m := range byID[:crashing] {
+			d.log.line("minion %s, idle, is down", m.id)
+			m.cut.Store(true)
+			time.AfterFunc(firstBack+time.Duration(i)*nextBack, func() {
+				m.crash()
+				m.cut.Store(false)
+				if err := m.start(time.Time{}); err != nil {
+					d.log.line("minion %s cannot start: %v", m.id, err)
 				}
-				n := crashed.Add(1)
-				d.log.line("crash %d: minion %s was idle and is down; a start of %s is not answered and not carried out", n, m.id, name)
-				m.cut.Store(true)
-				go func() {
-					time.Sleep(down)
-					m.crash()
-					m.cut.Store(false)
-					if err := m.start(time.Time{}); err != nil {
-						d.log.line("minion %s cannot start: %v", m.id, err)
-					}
-				}()
-				return true
-			}
+			})
 		}
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(200 * time.Millisecond)
+	j := d.newJob(step{Count: 1, CPU: 6400, Memory: 13000, EstimatedMS: 2000})
 	if !d.submit(j, 0) {
 		return nil, errors.New("the job was not accepted")
 	}
@@ -69,7 +64,7 @@
 			for _, e := range d.entries {
 				d.state(e, j.id)
 			}
-			return []string{fmt.Sprintf("LOST: job %s is shown as failed, though no run of it has ended failed; its task was started %d times, and %d idle minions had crashed", j.id, d.audit.starts, crashed.Load())}, nil
+			return []string{fmt.Sprintf("LOST: job %s is shown as failed, though no run of it has ended failed; its task was started %d times", j.id, d.audit.starts)}, nil
 		case state == "completed":
 			return nil, nil
 		}
